--- /dev/null
+++ b/coralvale/interface.py
@@ -0,0 +1,302 @@
+"""Types of the decision module: the settings it is given, the events it sees, the actions it answers with.
+
+Times are seconds on the caller's clock. Nothing in this file decides anything; `Settings` only refuses
+values that make no sense, by an error that names the setting.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+
+class SettingsError(ValueError):
+    """A setting is missing or makes no sense; the message names it."""
+
+
+class Repeat(Enum):
+    """Whether a request of a class may run more than once."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Group(Enum):
+    """Which servers drop repeats of a keyed request among themselves."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class ServerState(Enum):
+    HEALTHY = "healthy"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    """Kinds of server list news: changes, the full list, the list as last seen, a failed call."""
+
+    CHANGES = "changes"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+class Outcome(Enum):
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"
+
+
+class ReportVia(Enum):
+    ANSWERS = "answers"
+    PROBE = "probe"
+    NONE = "none"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    name: str
+    aim: float
+    give_up: float
+    worth: float
+    repeat: Repeat
+    group: Group = Group.ALL
+    key_window: float = 0.0
+    streamed: bool = False
+    late_worth: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Quota figures of a customer on this plan, over all gateways. A rate or limit of 0 means none."""
+
+    name: str
+    rate: float
+    burst: float
+    open_limit: float = 0.0
+    price: float = 1.0
+    excess_worth: float = 0.0
+    excess_cost: float = 0.0
+    ceiling_rate: float = 0.0
+    ceiling_burst: float = 0.0
+    ceiling_slack: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    gateways: int
+    zone: int
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...]
+    drain_grace: float
+    cold_share: float
+    warm_after: float
+    fall_multiple: float
+    fall_window: float
+    max_attempts: int
+    answer_slack: float = 0.0
+    second_copies: bool = False
+    may_cancel: bool = False
+    may_probe: bool = False
+    may_count: bool = False
+    counter_timeout: float = 0.0
+    meter_period: float = 0.0
+    settles_after: bool = False
+    ask_for_list: bool = False
+    ask_within: float = 0.0
+    report_via: ReportVia = ReportVia.NONE
+    report_fields: tuple[str, ...] = ()
+    advice: bool = True
+    max_advice: float = 0.0
+
+    def __post_init__(self) -> None:
+        _require("gateways", self.gateways, 1)
+        _require("max_attempts", self.max_attempts, 1)
+        _require("cold_share", self.cold_share, 0.0, 1.0)
+        for name in ("drain_grace", "warm_after", "fall_multiple", "fall_window", "answer_slack"):
+            _require(name, getattr(self, name), 0.0)
+        for name in ("counter_timeout", "meter_period", "ask_within", "max_advice"):
+            _require(name, getattr(self, name), 0.0)
+        if not self.classes:
+            raise SettingsError("classes: at least one is needed")
+        if not self.plans:
+            raise SettingsError("plans: at least one is needed")
+        for i, c in enumerate(self.classes):
+            if c.aim <= 0 or c.aim > c.give_up:
+                raise SettingsError(f"classes[{i}].aim: {c.aim} is not within 0 and give_up {c.give_up}")
+            for name in ("aim", "give_up", "worth", "key_window", "late_worth"):
+                _require(f"classes[{i}].{name}", getattr(c, name), 0.0)
+        for i, p in enumerate(self.plans):
+            for name in ("rate", "burst", "open_limit", "price", "excess_worth", "excess_cost"):
+                _require(f"plans[{i}].{name}", getattr(p, name), 0.0)
+            for name in ("ceiling_rate", "ceiling_burst", "ceiling_slack"):
+                _require(f"plans[{i}].{name}", getattr(p, name), 0.0)
+            if p.rate > 0 and p.burst <= 0:
+                raise SettingsError(f"plans[{i}].burst: a rate needs a burst above 0")
+            if p.ceiling_rate > 0 and p.ceiling_burst <= 0:
+                raise SettingsError(f"plans[{i}].ceiling_burst: a ceiling needs a burst above 0")
+
+    def check(self, request: Request) -> None:
+        """Refuses a request of a class or plan that these settings do not know, by an error that names it."""
+        for kind, value, known in (("class", request.cls, self.classes), ("plan", request.plan, self.plans)):
+            if not 0 <= value < len(known):
+                raise ValueError(f"request {request.id}: unknown {kind} {value}")
+
+
+def _require(name: str, value: float, low: float, high: float = math.inf) -> None:
+    if not (math.isfinite(value) and low <= value <= high):
+        raise SettingsError(f"{name}: {value} is not between {low} and {high}")
+
+
+# Events
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    id: str
+    state: ServerState
+    scale: float = 1.0
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+    started_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServerList:
+    kind: ListKind
+    servers: tuple[Server, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    id: str
+    cls: int
+    plan: int
+    customer: int
+    entry_gateways: int
+    expires_at: float
+    units: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class StreamStarted:
+    request: str
+    attempt: int
+    delay: float
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptDone:
+    """`usage` is the customer's metered use as a fraction of its rate, or None; `units` the true units."""
+
+    request: str
+    attempt: int
+    outcome: Outcome
+    delay: float
+    finished: bool
+    usage: float | None = None
+    units: float | None = None
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeDone:
+    server: str
+    outcome: Outcome
+    delay: float
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CounterReply:
+    name: int
+    ok: bool
+    total: float
+    maybe_added: bool = False
+
+
+Event = ServerList | Request | StreamStarted | AttemptDone | Abandoned | TimerFired | ProbeDone | CounterReply
+
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    request: str
+    server: str
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    request: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    request: str
+    advice: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    token: int
+    delay: float
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    name: int
+    amount: float
+    lifetime: float
+
+
+@dataclass(frozen=True, slots=True)
+class FollowList:
+    """Ask the list service to deliver changes from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class FetchList:
+    """Ask the list service for the whole list once."""
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    text: str
+
+
+Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | Count | FollowList | FetchList | Log
--- /dev/null
+++ b/coralvale/logic.py
@@ -0,0 +1,454 @@
+"""All decisions of the gateway. The types it takes and gives are in coralvale/interface.py.
+
+Ordinary path of a request: the customer's leaky bucket (NICC ND1621, clause 5 and figure 4), the guards, a
+server. Exception: a customer of whom this gateway sees too little is counted on the counter (docs/design.md).
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import Any
+
+from coralvale import interface as api
+from coralvale.interface import Outcome, Repeat
+from coralvale.state import Attempt, Held, Pace, Refusals
+
+TICK = 0.1  # s between looks at what is overdue: well under any delay that a client would notice
+STEP = 1.0  # s between new leak rates, as the design sets it
+SMOOTH = 0.5  # weight of the newest second in own and metered use: two seconds of memory tame one odd reading
+DAMP = 0.5  # share of the way to the wanted leak rate taken at once, so that gateways do not chase each other
+GROWTH = 0.5  # most a leak rate grows in one step: a doubling takes two steps
+QUIET = 4.0  # s without a reading after which it is stale: the meter's usual lateness twice over
+EASE = 0.25  # share of the way back to the floor in each step without readings
+IDLE = 60.0  # s after which an idle customer's restrictor is dropped, once its bucket is empty
+NEWS = 10.0  # s in which half of what is known of a server's delay is forgotten
+SILENCE = 4.0  # usual delays' worth of missing answers: by chance this happens to one attempt in fifty
+FAIL_PAUSE = 0.5  # s a failing server is passed over, doubled on each failure in a row up to four
+RETRY_SHARE = 0.2  # further attempts for each request: a broad failure must not double the load
+RETRY_SAVED = 0.5  # s of own traffic that further attempts saved up in calm times may match
+PRESSED = 0.7  # share of the time left that the expected wait may reach
+CROWD = 2.5  # times the calm delay that work may wait: past that a longer queue adds no throughput
+CARRIED = 4.0  # requests that a server, of whatever size, is taken to work on at once without a queue
+ILL = 4.0  # times the wait counted for an ill server, which most of a fleet may be
+NEAR = 8  # servers that a gateway keeps to, so that its few attempts tell something of each
+FEWEST = 3  # of them drawn and compared for a request; more of both where few gateways share the fleet
+MEMORY = 0.05  # weight of the newest of own events: twenty of them give a mean to a fifth
+SPARSE = 2.0  # times that a request is over the part of the burst where the bucket cannot know
+TRUST = 0.05  # share of the asking that comes back in a second after the counter was crowded
+DOUBT = 0.4  # share of the asking that one call without an answer in time takes away
+NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+
+
+class Restrictor:
+    """One customer's leaky bucket, its leak rate, and this gateway's share of the ceiling."""
+
+    def __init__(self, plan: api.Plan, entries: int, now: float, born: float) -> None:
+        self.plan, self.entries = plan, max(1, entries)
+        self.floor = self.rate = plan.rate / self.entries
+        self.length = plan.burst / plan.rate if plan.rate else 0.0  # s that the burst is worth
+        self.fill, self.at, self.seen_at = 0.0, now, now
+        self.passed, self.open = 0.0, 0  # units let through since the last step; attempts out
+        self.own = self.own_late = self.use = 0.0  # own_late lags own by as much as readings lag use
+        self.reading, self.heard_at = 0.0, -math.inf
+        self.uncounted, self.spent = 0.0, -1  # units let in here and not counted; the window used up
+        # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
+        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born))
+
+    def drain(self, now: float) -> None:
+        elapsed, self.at = max(0.0, now - self.at), max(self.at, now)
+        self.fill = max(0.0, self.fill - self.rate * elapsed)
+        self.ceiling = min(self.plan.ceiling_burst, self.ceiling + self.plan.ceiling_rate * elapsed)
+
+    def threshold(self, units: float) -> float:
+        """Burst scaled with the leak rate, one request at least; more where letting in wrongly costs less."""
+        # Let in wrongly a request costs c, refused wrongly its worth; the factor is 1 where these are equal.
+        cost = max(0.0, self.plan.excess_cost - self.plan.excess_worth)
+        return max(units, self.plan.burst * self.rate / max(self.plan.rate, 1e-9) * 2 / (1 + cost))
+
+    def wait(self, units: float) -> float:
+        """Seconds until the bucket has room, 0 when it has it now."""
+        return max(0.0, (self.fill + units - self.threshold(units)) / self.rate) if self.plan.rate else 0.0
+
+    def ceiling_wait(self, units: float) -> float:
+        short = units * self.entries - self.ceiling  # shares are even, so a request takes for all
+        return max(0.0, short / self.plan.ceiling_rate) if self.plan.ceiling_rate else 0.0
+
+    def sparse(self, units: float) -> bool:
+        """Whether this gateway's part of the burst is under half a request: own traffic tells little."""
+        return self.plan.rate > 0 and SPARSE * self.plan.burst < units * self.entries
+
+    def window(self, now: float, customer: int) -> tuple[int, float]:
+        """The counter's name for this burst's worth of time, and the time left in it."""
+        place = now / self.length + customer % 97 / 97  # customers' windows must not all begin at once
+        return customer << 24 | int(place) & 0xFFFFFF, (1 - place % 1) * self.length
+
+    def open_full(self) -> bool:
+        """Whether own attempts, hung ones too, reach the open limit, or its even part where no rate binds."""
+        limit = self.plan.open_limit / (1 if self.plan.rate else self.entries)
+        return limit > 0 and self.open >= max(1.0, limit)
+
+    def charge(self, units: float) -> None:
+        self.fill = max(self.fill, min(self.fill + units, self.threshold(units)))
+        self.passed += units
+        self.ceiling -= units * self.entries
+
+    def step(self, now: float) -> None:
+        """Sets the leak rate: own use times the quota over metered use of the same, late, time."""
+        self.drain(now)
+        self.own_late += SMOOTH * (self.own - self.own_late)
+        self.own += SMOOTH * (self.passed / STEP - self.own)
+        self.passed = 0.0
+        if now - self.heard_at > QUIET:
+            self.rate += EASE * (self.floor - self.rate)
+            return
+        self.use += SMOOTH * (self.reading - self.use)
+        grown = self.rate * (1 + GROWTH)
+        wanted = self.own_late / self.use if self.use > 0 else grown
+        self.rate += DAMP * (max(self.floor, min(wanted, grown, self.plan.rate)) - self.rate)
+
+
+class Host:
+    """What this gateway knows of one server; all of it is computed from `now` when it is used."""
+
+    def __init__(self, info: api.Server, now: float) -> None:
+        self.info, self.scale = info, max(info.scale, 0.01)
+        self.out: dict[tuple[str, int], float] = {}  # attempts out, oldest first
+        self.slow, self.heard_at = 1.0, now  # its delay over the fleet's for the same class
+        self.failures, self.retry_at = 0.0, 0.0
+        self.reported, self.reported_at = 0.0, -math.inf
+
+    def warmth(self, settings: api.Settings, now: float) -> float:
+        """Share of its full capacity that a server surely has: never slower than evenly over the ramp."""
+        if not self.info.started_at or not settings.warm_after:
+            return 1.0
+        age = max(0.0, now - self.info.started_at) / settings.warm_after
+        return min(1.0, settings.cold_share + (1 - settings.cold_share) * age)
+
+    def silence(self, now: float) -> float:
+        """Seconds for which it has left attempts without any answer."""
+        return now - max(self.heard_at, next(iter(self.out.values()))) if self.out else 0.0
+
+    def slowness(self, now: float) -> float:
+        return 1 + (self.slow - 1) * 0.5 ** ((now - self.heard_at) / NEWS)
+
+    def ill(self, now: float, usual: float) -> bool:
+        """Stalled, crashed, hung, ageing and refusing servers look alike: no answers in time, or bad ones."""
+        late = self.silence(now) * min(len(self.out), SILENCE) > SILENCE * usual * max(1.0, self.slow)
+        return late or now < self.retry_at or (self.failures >= 1 and bool(self.out))  # back: tried singly
+
+    def failed(self, now: float, pause: float) -> None:
+        self.retry_at = max(self.retry_at, now + pause * 2**self.failures)
+        self.failures = min(self.failures + 1, 4)
+
+
+class Gateway:
+    """The decisions of one gateway; `handle` takes an event and returns the actions it calls for."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings, self.random = settings, random.Random(seed)
+        self.customers, self.hosts = dict[int, Restrictor](), dict[str, Host]()
+        self.warm, self.cold, self.near = list[Host](), list[Host](), list[Host]()
+        self.sort_at = -math.inf  # when a cold server becomes warm
+        self.busy: dict[Host, None] = {}  # servers with attempts out
+        self.requests: dict[str, Held] = {}
+        self.usual = [c.aim / 5 for c in settings.classes]  # delay of a class, learned from answers
+        self.calm = list(self.usual)  # the lowest that the usual delay has lately been
+        self.mean = sum(self.usual) / len(self.usual)
+        self.done = Pace(MEMORY)
+        self.retries = 1.0
+        self.asked: dict[int, tuple[float, api.Request, Restrictor, float]] = {}
+        self.trust, self.told_at = 1.0, 0.0  # share of the wanted calls to the counter that are made
+        self.born, self.step_at, self.ask_at = None, 0.0, 0.0
+        self.refused, self.actions = Refusals(every=10.0), list[api.Action]()
+        self.answers: dict[type, Any] = {
+            api.ServerList: self._list,
+            api.Request: self._arrive,
+            api.AttemptDone: self._answer,
+            api.StreamStarted: self._leave,
+            api.Abandoned: self._leave,
+            api.TimerFired: self._tick,
+            api.CounterReply: self._counted,
+        }
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.actions = []
+        if self.born is None:
+            self.born, self.step_at = now, now + STEP * self.random.random()
+            self.actions.append(api.SetTimer(0, TICK))
+            if self.settings.ask_for_list:
+                self.actions.append(api.FollowList())
+        if answer := self.answers.get(type(event)):
+            answer(now, event)
+        return self.actions
+
+    # A request comes: the bucket, or the counter where the bucket cannot know
+
+    def _arrive(self, now: float, request: api.Request) -> None:
+        self.settings.check(request)
+        restrictor = self.customers.get(request.customer)
+        if restrictor is None:
+            restrictor = Restrictor(self.settings.plans[request.plan], request.entry_gateways, now, self.born)
+            self.customers[request.customer] = restrictor
+        restrictor.seen_at = now
+        restrictor.drain(now)
+        if now >= request.expires_at:
+            return self._refuse(request, "too late", 0.0)
+        return None if self._ask(now, request, restrictor) else self._bucket(now, request, restrictor)
+
+    def _bucket(self, now: float, request: api.Request, restrictor: Restrictor) -> None:
+        if wait := restrictor.wait(request.units):
+            return self._refuse(request, "quota", wait)
+        restrictor.uncounted = min(restrictor.plan.burst, restrictor.uncounted + request.units)
+        return self._admit(now, request, restrictor)
+
+    def _ask(self, now: float, request: api.Request, restrictor: Restrictor) -> bool:
+        """Exception: adds a sparse customer's request to the counter and holds it till the total comes."""
+        # Only without a fresh reading or with a full bucket. All that is asked counts, so one call is enough.
+        stale = now - restrictor.heard_at > QUIET or restrictor.wait(request.units) > 0
+        if not (self.settings.may_count and stale and restrictor.sparse(request.units)):
+            return False
+        name, left = restrictor.window(now, request.customer)
+        if restrictor.spent == name:
+            self._refuse(request, "quota counted", left)
+            return True
+        self.trust, self.told_at = min(1.0, self.trust + TRUST * (now - self.told_at)), now
+        in_time = request.expires_at - now > 2 * self.settings.counter_timeout + TICK
+        if name in self.asked or self.random.random() >= self.trust or not in_time:
+            return False
+        # Each call stands for those not made, so that the total tells of all that is asked.
+        amount = request.units / max(self.trust, 0.25)
+        self.asked[name] = (now, request, restrictor, amount)
+        self.actions.append(api.Count(name, amount + restrictor.uncounted, min(60.0, 2 * restrictor.length)))
+        restrictor.uncounted = 0.0
+        return True
+
+    def _counted(self, now: float, event: api.CounterReply) -> None:
+        """Lets in the first that the burst holds; without a total in time the bucket alone decides."""
+        if event.name not in self.asked:
+            return None
+        at, request, restrictor, amount = self.asked.pop(event.name)
+        restrictor.drain(now)
+        failed = not event.ok or not math.isfinite(event.total)
+        # Late replies tell of a crowded counter before it fails; calls that fail only crowd it more.
+        crowded = 1.0 if failed else min(1.0, (now - at) / max(self.settings.counter_timeout, 1e-3))
+        self.trust = max(0.05, self.trust * (1 - DOUBT * crowded**2))
+        if failed:
+            return self._bucket(now, request, restrictor)
+        if event.total - amount + request.units / 2 <= restrictor.plan.burst:
+            return self._admit(now, request, restrictor)
+        restrictor.spent = event.name
+        return self._refuse(request, "quota counted", restrictor.window(at, request.customer)[1])
+
+    # The guards, then a server
+
+    def _admit(self, now: float, request: api.Request, restrictor: Restrictor) -> None:
+        usual = self.usual[request.cls]
+        if restrictor.open_full():
+            return self._refuse(request, "open limit", usual)
+        if wait := restrictor.ceiling_wait(request.units):
+            return self._refuse(request, "ceiling", wait)
+        if request.expires_at - now < usual / 2:  # an answer would hardly come in time
+            return self._refuse(request, "too late", usual)
+        if wait := self._pressed(now, request):
+            return self._refuse(request, "pressed", wait)
+        self._sort(now)
+        if (host := self._pick_cold(now) or self._pick(now)) is None:
+            return self._refuse(request, "no server", STEP)
+        restrictor.charge(request.units)
+        self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
+        self.requests[request.id] = Held(request, now, restrictor)
+        return self._send(now, self.requests[request.id], host)
+
+    def _pressed(self, now: float, request: api.Request) -> float:
+        """Seconds by which the expected wait (Little's law; one more at the mean delay) is over what may be.
+
+        Nought while less is out than the fleet carries without a queue: refusing does not help then.
+        """
+        usual, aim = self.usual[request.cls], self.settings.classes[request.cls].aim
+        most = min(PRESSED * min(aim, request.expires_at - now), CROWD * self.calm[request.cls])
+        well = [len(h.out) for h in self.busy if now >= h.retry_at and h.silence(now) <= SILENCE * self.mean]
+        if 2 * len(well) < len(self.busy):  # most of a fleet does not hang by chance: that is a jam
+            well = [len(h.out) for h in self.busy]
+        rate, servers = self.done.rate(now), len(self.warm) + len(self.cold) - len(self.busy) + len(well)
+        wait = (sum(well) + 1) / (rate + 1 / self.mean)
+        # Answers late in spite of the forecast (others' load, thrashing servers, work given up) tighten both.
+        tight = min(1.0, most / usual)
+        if usual < most / 2 or wait * rate < CARRIED * tight * servers / self.settings.gateways:
+            return 0.0
+        return max(0.0, wait - most * tight)
+
+    # Servers and their health
+
+    def _list(self, now: float, event: api.ServerList) -> None:
+        if event.kind is api.ListKind.FAILED:
+            self.ask_at = now + STEP * (0.5 + self.random.random())
+            return
+        hosts = self.hosts if event.kind is api.ListKind.CHANGES else {}
+        for info in event.servers:
+            host = self.hosts.get(info.id)
+            if info.state is api.ServerState.GONE:
+                hosts.pop(info.id, None)
+                continue
+            if host is None or host.info.started_at != info.started_at:
+                host = Host(info, now)
+            host.info, host.scale, hosts[info.id] = info, max(info.scale, 0.01), host
+        self.hosts, self.sort_at = hosts, -math.inf
+
+    def _sort(self, now: float) -> None:
+        """Parts warm servers from cold ones when the list has changed or a cold one has become warm."""
+        if now >= self.sort_at:
+            well = [h for h in self.hosts.values() if h.info.state is api.ServerState.HEALTHY]
+            self.warm = [h for h in well if h.warmth(self.settings, now) >= 1]
+            self.cold = [h for h in well if h.warmth(self.settings, now) < 1]
+            ends = [h.info.started_at + self.settings.warm_after for h in self.cold]
+            self.sort_at = min(ends, default=math.inf)
+            size = max(NEAR, 4 * len(self.warm) // self.settings.gateways)
+            self.near = self._draw(size) if size < len(self.warm) else self.warm
+
+    def _draw(self, size: int) -> list[Host]:
+        return self.random.choices(self.warm, weights=[h.scale for h in self.warm], k=size)
+
+    def _pick_cold(self, now: float) -> Host | None:
+        """By lot, a cold server gets its surest warmth times its even share of own first attempts."""
+        # No short queue or saved credit counts, so hundreds of gateways add up to that share and no more.
+        lot = self.random.random() * sum(h.scale for h in self.warm + self.cold) if self.cold else 0.0
+        for host in self.cold:
+            if (lot := lot - host.scale * host.warmth(self.settings, now)) < 0:
+                return None if host.ill(now, self.mean) else host
+        return None
+
+    def _pick(self, now: float, held: Held | None = None) -> Host | None:
+        """Of some near servers drawn by lot, against herding, the one with the least expected wait."""
+        pool = [h for h in self.warm if self._may_go(now, held, h)] if held else self.near
+        drawn = max(FEWEST, 4 * len(self.warm) // self.settings.gateways)
+        if drawn < len(pool):
+            pool = self.random.sample(pool, k=drawn)
+        best, least = None, math.inf
+        for host in pool:
+            others = max(0.0, host.reported) if now - host.reported_at < QUIET / 2 else 0.0
+            wait = (1 + (len(host.out) + others) / host.scale) * host.slowness(now)
+            wait *= 1 + 0.1 * self.random.random() + (0.02 if host.info.zone != self.settings.zone else 0)
+            # Passing over most of a fleet would drown the rest, so ill ones are put last, not left out.
+            if (wait := wait * ILL if host.ill(now, self.mean) else wait) < least:
+                best, least = host, wait
+        return best
+
+    def _may_go(self, now: float, held: Held, host: Host) -> bool:
+        """Whether a further attempt may go to this server: never to one tried, and within the key's group."""
+        tried = any(a.host.info.id == host.info.id for a in held.attempts)
+        first, cls = held.maybe, self.settings.classes[held.request.cls]
+        if tried or first is None or cls.repeat is Repeat.SAFE:
+            return not tried
+        if cls.repeat is Repeat.UNSAFE or now >= first.sent_at + cls.key_window:
+            return False
+        if cls.group is api.Group.ZONE:
+            return host.info.zone == first.host.info.zone
+        return cls.group is api.Group.ALL or host.info.cell == first.host.info.cell
+
+    # Attempts and answers
+
+    def _refuse(self, request: api.Request, reason: str, wait: float) -> None:
+        self.refused.note(reason)
+        advice = min(wait, self.settings.max_advice * self.settings.advice)
+        self.actions.append(api.Refuse(request.id, advice))
+
+    def _send(self, now: float, held: Held, host: Host) -> None:
+        host.out[held.request.id, len(held.attempts)] = now
+        self.busy[host] = None
+        held.restrictor.open += 1
+        held.attempts.append(Attempt(host, now))
+        self.actions.append(api.Send(held.request.id, host.info.id, held.request.expires_at))
+
+    def _close(self, name: str, held: Held) -> None:
+        held.live = False
+        if all(a.done for a in held.attempts):
+            self.requests.pop(name, None)
+
+    def _leave(self, now: float, event: api.Abandoned | api.StreamStarted) -> None:
+        for name in [n for n, (_, request, *_) in self.asked.items() if request.id == event.request]:
+            del self.asked[name]
+        if held := self.requests.get(event.request):
+            self._close(event.request, held)
+
+    def _answer(self, now: float, event: api.AttemptDone) -> None:
+        held = self.requests.get(event.request)
+        if held is None or not 0 <= event.attempt < len(held.attempts) or held.attempts[event.attempt].done:
+            return
+        attempt, restrictor = held.attempts[event.attempt], held.restrictor
+        attempt.done = True
+        attempt.host.out.pop((event.request, event.attempt), None)
+        if not attempt.host.out:
+            self.busy.pop(attempt.host, None)
+        restrictor.open -= 1
+        if event.usage is not None and 0 <= event.usage < math.inf:
+            restrictor.reading, restrictor.heard_at = event.usage, now
+        if self.settings.settles_after and 0 <= (event.units or -1) < math.inf:  # corrects the guess
+            restrictor.fill += event.units - held.request.units
+        self._learn(now, held.request.cls, attempt.host, event)
+        if event.finished or not held.live:
+            return self._close(event.request, held)
+        if event.outcome not in NOT_RUN and held.maybe is None:
+            held.maybe = attempt
+        self._sort(now)
+        if self._worth_another(now, held, event.outcome) and (host := self._pick(now, held)):
+            # No connection costs a server nothing; other failures must not double the load.
+            self.retries -= event.outcome is not Outcome.CONNECT_FAILED
+            return self._send(now, held, host)
+        cls = self.settings.classes[held.request.cls]
+        harmless = cls.repeat is Repeat.SAFE or (cls.repeat is Repeat.KEYED and cls.group is api.Group.ALL)
+        if harmless or held.maybe is None:
+            self._refuse(held.request, "attempts used up", self.usual[held.request.cls])
+        else:
+            self.actions.append(api.Fail(event.request))
+        self._close(event.request, held)
+
+    def _worth_another(self, now: float, held: Held, outcome: Outcome) -> bool:
+        cls, end = self.settings.classes[held.request.cls], held.request.expires_at
+        end = end if cls.late_worth else min(end, held.arrived + cls.aim)
+        in_time = now + self.usual[held.request.cls] / 2 < end
+        paid = self.retries >= 1 or outcome is Outcome.CONNECT_FAILED
+        return in_time and paid and len(held.attempts) < self.settings.max_attempts
+
+    def _learn(self, now: float, cls: int, host: Host, event: api.AttemptDone) -> None:
+        if event.outcome is Outcome.OK:
+            self.done.note(now)
+            # What is seldom heard of a server counts for more: one that grows slower is left before it dies.
+            weight, host.slow = max(0.1, 1 - 0.5 ** ((now - host.heard_at) / NEWS)), host.slowness(now)
+            host.slow += weight * (event.delay / self.usual[cls] - host.slow)
+            host.heard_at, host.failures = now, 0.0 if host.failures < 1 else host.failures / 2
+            self.calm[cls] = min(self.calm[cls], self.usual[cls])
+            self.usual[cls] += MEMORY * (event.delay - self.usual[cls])
+        elif event.outcome is Outcome.TIMEOUT:  # the delay is at least this; hung servers must not tell much
+            self.usual[cls] += MEMORY * min(max(0.0, event.delay - self.usual[cls]), self.usual[cls])
+            if event.delay >= self.settings.classes[cls].aim:  # else only the client's patience was short
+                host.failed(now, FAIL_PAUSE)
+        elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+            answered = event.outcome in (Outcome.FULL, Outcome.ERROR)
+            host.heard_at = now if answered else host.heard_at
+            host.failed(now, FAIL_PAUSE / 4 if answered else FAIL_PAUSE)
+        self.mean = sum(self.usual) / len(self.usual)
+        told = zip(self.settings.report_fields, event.report, strict=False)
+        if held := [v for name, v in told if name in ("inflight", "queue") and math.isfinite(v)]:
+            host.reported, host.reported_at = max(held), now
+
+    def _tick(self, now: float, event: api.TimerFired) -> None:
+        if event.token != 0:
+            return
+        self.actions += [api.SetTimer(0, TICK), *self.refused.lines(now)]
+        if self.ask_at and now >= self.ask_at:
+            self.ask_at = 0.0
+            self.actions.append(api.FollowList() if self.settings.ask_for_list else api.FetchList())
+        self.calm = [c * (1 + 0.01 * TICK) for c in self.calm]
+        for name, (at, *_) in list(self.asked.items()):
+            if now - at > 2 * self.settings.counter_timeout:  # a lost reply must not lose the request
+                self._counted(now, api.CounterReply(name, False, 0.0))
+        if now >= self.step_at:
+            self.step_at += STEP
+            if len(self.near) < len(self.warm):  # leaves the worst server for any other
+                self.near.remove(max(self.near, key=lambda h: (h.ill(now, self.mean), h.slowness(now))))
+                self.near += self._draw(1)
+            for name, restrictor in list(self.customers.items()):
+                restrictor.step(now)
+                if now - restrictor.seen_at > IDLE and not (restrictor.open or restrictor.fill):
+                    del self.customers[name]
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,218 @@
+"""Server health, pressure and what the log tells."""
+
+import math
+from dataclasses import replace
+
+from helpers import READ, Bench, server
+
+from coralvale import interface as api
+
+UNSAFE = replace(READ, repeat=api.Repeat.UNSAFE)
+
+
+def test_a_server_without_connections_is_passed_over_and_found_again() -> None:
+    bench = Bench()
+    name, actions = bench.request()
+    bad = actions[0].server
+    (again,) = bench.done(name, api.Outcome.CONNECT_FAILED)
+    bench.done(name, attempt=1)
+    for customer in range(10, 14):
+        name, actions = bench.request(customer=customer)
+        assert actions[0].server == again.server != bad
+    bench.wait(9.0)
+    servers = {bench.request(customer=c)[1][0].server for c in range(20, 30)}
+    assert bad in servers
+
+
+def test_a_silent_server_is_passed_over() -> None:
+    bench = Bench()
+    _, actions = bench.request()
+    silent = actions[0].server
+    for customer in range(50):
+        bench.wait(0.1)
+        name, actions = bench.request(customer=100 + customer)
+        if actions[0].server != silent:
+            bench.done(name)
+    assert actions[0].server != silent
+
+
+def test_no_connection_anywhere_does_not_use_up_the_retry_budget() -> None:
+    """Most of the fleet takes no connection: each request still finds the server that does."""
+    servers = tuple(server(f"s{i}") for i in range(3))
+    bench = Bench(servers=servers, max_attempts=5)
+    served = 0
+    for customer in range(60):
+        bench.wait(0.05)
+        name, actions = bench.request(customer=customer)
+        attempt = 0
+        while actions and isinstance(actions[0], api.Send):
+            if actions[0].server == "s0":
+                bench.done(name, attempt=attempt)
+                served += 1
+                break
+            actions = bench.done(name, api.Outcome.CONNECT_FAILED, attempt=attempt)
+            attempt += 1
+    assert served == 60
+
+
+def test_errors_everywhere_do_not_double_the_load() -> None:
+    bench = Bench()
+    for customer in range(100):
+        name, _ = bench.request(customer=customer)
+        for attempt in range(4):
+            bench.done(name, api.Outcome.ERROR, attempt=attempt)
+    assert sum(isinstance(a, api.Send) for a in bench.seen) <= 100 + 10 + 100 * 0.2 + 1
+
+
+def jam(delay: float, out: int) -> Bench:
+    """Answers take `delay` while `out` requests stay out at two servers."""
+    bench = Bench()
+    held: list[str] = []
+    for customer in range(400):
+        bench.wait(0.02)
+        name, actions = bench.request(customer=customer)
+        if isinstance(actions[0], api.Send):
+            held.append(name)
+        if len(held) > out:
+            bench.done(held.pop(0), delay=delay)
+    return bench
+
+
+def test_work_is_refused_early_when_a_queue_has_built_up() -> None:
+    bench = jam(delay=0.9, out=60)
+    assert bench.gateway.refused.counts.get("pressed") or any(
+        isinstance(a, api.Log) and "pressed" in a.text for a in bench.seen
+    )
+
+
+def test_slow_answers_with_little_out_are_not_taken_for_a_queue() -> None:
+    """A slow dependency: every answer is late, but refusing would not speed it up."""
+    bench = jam(delay=0.9, out=2)
+    assert not [a for a in bench.seen if isinstance(a, api.Refuse)]
+
+
+def test_refusals_are_told_in_one_line_for_each_ten_seconds() -> None:
+    bench = Bench()
+    for _ in range(50):
+        bench.request()
+    logs = [a.text for a in bench.wait(21.0) if isinstance(a, api.Log)]
+    assert logs == ["refused in 10 s: quota 42"]
+
+
+def test_attempts_on_hung_servers_are_not_taken_for_a_queue() -> None:
+    """A server that answers nothing keeps its attempts for long; the others have room all the same."""
+    bench = Bench(servers=(server("hung"), server("well")), gateways=8)
+    held: list[str] = []
+    for customer in range(300):
+        bench.wait(0.02)
+        name, actions = bench.request(customer=customer, expires_at=bench.now + 60.0)
+        if isinstance(actions[0], api.Send) and actions[0].server == "well":
+            held.append(name)
+        if len(held) > 4:
+            bench.done(held.pop(0), delay=0.1)
+    hung = len(bench.gateway.hosts["hung"].out)
+    assert hung >= 1
+    assert all(isinstance(bench.request(customer=c)[1][0], api.Send) for c in range(900, 910))
+
+
+def test_failed_connects_leave_the_retry_budget_to_other_failures() -> None:
+    left = {}
+    for outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.ERROR):
+        bench = Bench(servers=tuple(server(f"s{i}") for i in range(3)))
+        for customer in range(30):
+            bench.wait(0.1)
+            name, _ = bench.request(customer=customer)
+            for attempt in range(3):
+                bench.done(name, outcome, attempt=attempt)
+        left[outcome] = sum(isinstance(a, api.Send) for a in bench.seen)
+    assert left[api.Outcome.CONNECT_FAILED] == 30 * 3  # each server once
+    assert left[api.Outcome.ERROR] <= 30 * 1.2 + 1
+
+
+def test_a_server_back_from_a_pause_is_tried_singly() -> None:
+    bench = Bench(servers=tuple(server(f"s{i}") for i in range(4)))
+    name, actions = bench.request()
+    bad = actions[0].server
+    bench.done(name, api.Outcome.CONNECT_FAILED)
+    bench.done(name, attempt=1)
+    bench.wait(1.0)
+    sends = [bench.request(customer=c)[1][0].server for c in range(10, 22)]
+    assert sends.count(bad) == 1
+
+
+def test_the_retry_store_follows_own_traffic() -> None:
+    """Hundreds of gateways with ten saved attempts each would repeat thousands at once."""
+    bench = Bench(gateways=300)
+    for customer in range(60):
+        bench.wait(0.5)
+        name, _ = bench.request(customer=customer)
+        bench.done(name)
+    assert bench.gateway.retries < 2.5
+
+
+def test_little_own_traffic_is_not_taken_for_a_queue() -> None:
+    """Two requests a second and three out by chance at one of 300 gateways: no reason to refuse."""
+    bench = Bench(servers=tuple(server(f"s{i}") for i in range(75)), gateways=300)
+    for customer in range(40):
+        bench.wait(0.5)
+        name, _ = bench.request(customer=customer)
+        bench.done(name, delay=0.3)
+    for customer in range(40, 43):
+        _, actions = bench.request(customer=customer)
+        assert isinstance(actions[0], api.Send)
+
+
+def test_servers_get_work_by_their_size_where_gateways_are_many() -> None:
+    """A gateway with nothing out must not send all of it to the largest servers."""
+    servers = tuple(server(f"s{i}", scale=1.0 + i % 2) for i in range(20))
+    sent = {1.0: 0, 2.0: 0}
+    for seed in range(150):
+        bench = Bench(servers=servers, gateways=150, seed=seed)
+        for customer in range(10):
+            name, actions = bench.request(customer=customer)
+            bench.done(name)
+            sent[1.0 + int(actions[0].server[1:]) % 2] += 1
+    assert 1.4 < sent[2.0] / sent[1.0] < 2.4
+
+
+def test_clients_that_come_with_little_time_are_refused_when_answers_take_longer() -> None:
+    bench = jam(delay=0.9, out=2)
+    _, actions = bench.request(customer=9000, expires_at=bench.now + 0.3)
+    assert [type(a) for a in actions] == [api.Refuse]
+    _, actions = bench.request(customer=9001, expires_at=bench.now + 3.0)
+    assert [type(a) for a in actions] == [api.Send]
+
+
+def test_time_outs_of_impatient_clients_tell_of_the_delay_and_not_of_the_server() -> None:
+    bench = Bench()
+    before = bench.gateway.usual[0]
+    for customer in range(40):
+        name, actions = bench.request(customer=customer, expires_at=bench.now + 0.5)
+        if isinstance(actions[0], api.Send):
+            bench.done(name, api.Outcome.TIMEOUT, delay=0.5, finished=True)
+    assert bench.gateway.usual[0] > 1.5 * before
+    assert all(h.failures == 0 for h in bench.gateway.hosts.values())
+
+
+def test_reports_of_odd_length_or_value_change_nothing() -> None:
+    bench = Bench(report_fields=("queue", "qps"))
+    for report in ((), (math.nan,), (math.inf, 1.0), (-5.0, -1.0), (1.0, 2.0, 3.0, 4.0)):
+        name, actions = bench.request(customer=len(report) * 10 + bench.serial)
+        assert isinstance(actions[0], api.Send)
+        bench.done(name, report=report)
+    assert all(math.isfinite(h.reported) for h in bench.gateway.hosts.values())
+
+
+def test_a_gateway_keeps_to_few_servers_and_leaves_the_slow_one() -> None:
+    """With two requests a second over 60 servers, each would be heard of twice in a minute."""
+    bench = Bench(servers=tuple(server(f"s{i}") for i in range(60)), gateways=300)
+    name, actions = bench.request()
+    bench.done(name)
+    slow = next(iter({h.info.id for h in bench.gateway.near}))
+    for customer in range(100):
+        bench.wait(0.5)
+        name, actions = bench.request(customer=customer)
+        bench.done(name, delay=3.0 if actions[0].server == slow else 0.1)
+    assert len(bench.gateway.near) == 8
+    sends = [a.server for a in bench.seen if isinstance(a, api.Send)]
+    assert sends.count(slow) <= 5
--- /dev/null
+++ b/tests/test_restrictor.py
@@ -0,0 +1,47 @@
+"""The leaky bucket against figures worked by hand."""
+
+from helpers import Bench
+
+from coralvale import interface as api
+
+
+def kinds(actions: list[api.Action]) -> list[type]:
+    return [type(a) for a in actions]
+
+
+def test_a_single_entry_gateway_lets_the_burst_through_and_then_the_rate() -> None:
+    bench = Bench()
+    sent = 0
+    for _ in range(12):
+        name, actions = bench.request()
+        sent += kinds(actions) == [api.Send]
+        bench.done(name)
+    assert sent == 8  # the burst of 8 units, all at one moment
+    bench.wait(0.25)  # 4 units a second: one more unit of room
+    assert kinds(bench.request()[1]) == [api.Send]
+    assert kinds(bench.request()[1]) == [api.Refuse]
+
+
+def test_the_threshold_is_scaled_with_the_floor_at_several_entry_gateways() -> None:
+    bench = Bench()
+    sent = 0
+    for _ in range(12):
+        name, actions = bench.request(entry_gateways=2)
+        sent += kinds(actions) == [api.Send]
+        bench.done(name)
+    assert sent == 4  # half of the burst
+
+
+def test_the_advice_is_when_the_bucket_will_have_room() -> None:
+    bench = Bench()
+    for _ in range(8):
+        bench.request()
+    _, actions = bench.request()
+    assert actions == [api.Refuse("r9", 0.25)]
+
+
+def test_customers_have_buckets_of_their_own() -> None:
+    bench = Bench()
+    for _ in range(9):
+        bench.request(customer=1)
+    assert kinds(bench.request(customer=2)[1]) == [api.Send]
