Keep the hosts' connections: ask for keep-alive while the message completes

Cause: upstream.py asked the response parser after feed_data had returned, when it answers no for every message; a probe of three attempts on one kept connection showed a closed one after each. Ruled out: the hosts' closing them, and the check for stale ones.

--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -73,7 +73,7 @@
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0.0
-        self.unwritten = self.complete = False
+        self.unwritten = self.complete = self.keep_alive = False
         self._clear()
 
     def _clear(self) -> None:
@@ -139,6 +139,8 @@
             self._clear()
         else:
             self.complete = True
+            # Asked here: once the parser is past the message, it says no to every connection.
+            self.keep_alive = self.parser.should_keep_alive()
 
     def _answered(self) -> None:
         status = self.parser.get_status_code()
@@ -161,7 +163,7 @@
         else:
             outcome = Outcome.ERROR
         # An answer that overtook the end of its request leaves the connection in the middle of it.
-        keep = self.parser.should_keep_alive() and not self.unwritten
+        keep = self.keep_alive and not self.unwritten
         self._finish(outcome, answer, keep)
 
     def _finish(self, outcome: Outcome, answer: Answer | None = None, keep: bool = False) -> None:
