Test the hosts' connections and the counter over loopback; close what lingered

Found while writing the tests: kept connections to hosts that restarted or moved were not closed (discovery.py now names stale addresses), 400 and 413 could be lost to a reset when bytes were still coming in (server.py now ends its sending first), a client's headers were bounded only while a message was incomplete. After SIGTERM the listener now outlives the idle connections by 0.25 s, for requests that cross the closing.

--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+import time
 
 import uvloop
 
@@ -15,6 +16,21 @@
 from coralvale.net.node import Node
 
 
+class Sparing(logging.Filter):
+    """Lets through a few lines of a kind in some seconds: a fault in every request must not fill the log."""
+
+    def __init__(self, most: int = 5, seconds: float = 10.0) -> None:
+        super().__init__()
+        self.most, self.seconds, self.since = most, seconds, time.monotonic()
+        self.counts: dict[object, int] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if time.monotonic() - self.since > self.seconds:
+            self.since, self.counts = time.monotonic(), {}
+        count = self.counts[record.msg] = self.counts.get(record.msg, 0) + 1
+        return count <= self.most
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     node = Node(config)
@@ -25,10 +41,12 @@
     gc.collect()
     gc.freeze()
     await node.stopped
+    node.close()
 
 
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
+    logging.getLogger().handlers[0].addFilter(Sparing())
     path = os.environ.get("LB_CONFIG")
     if not path:
         print("coralvale: LB_CONFIG is not set", file=sys.stderr)
--- a/coralvale/net/counter.py
+++ b/coralvale/net/counter.py
@@ -58,6 +58,13 @@
         call.timer = self.loop.call_later(self.time_out, self._late, line, call)
         line.add(call)
 
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for line in self.lines:
+            if line:
+                line.close()
+
     async def _connect(self, line: Line) -> None:
         try:
             async with asyncio.timeout(self.connect_timeout):
--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -39,7 +39,7 @@
 
 
 class Discovery:
-    """Follows the list; `on_change(kind, servers)` is called with what changed."""
+    """Follows the list; `on_change(kind, servers, stale)` gets what changed and addresses not to reuse."""
 
     def __init__(
         self,
@@ -47,7 +47,7 @@
         zones: tuple[str, ...],
         kinds: tuple[str, ...],
         clock: Clock,
-        on_change: Callable[[api.ListKind, tuple[api.Server, ...]], None],
+        on_change: Callable[[api.ListKind, tuple[api.Server, ...], list[Address]], None],
         silent: float = SILENT,
     ) -> None:
         self.address, self.clock, self.on_change, self.silent = address, clock, on_change, silent
@@ -62,14 +62,14 @@
         """Merges one message into the list; an entry that cannot be read is left out and named in the log."""
         full, now = bool(message.get("snapshot")) or cached, self.clock.now()
         changed: list[api.Server] = []
-        listed: dict[str, Endpoint] = {} if full else self.endpoints
+        before, listed = self.endpoints, {} if full else dict(self.endpoints)
         for entry in message.get("endpoints", []):
             try:
                 endpoint = self._read(entry)
             except (KeyError, ValueError, TypeError) as error:
                 log.warning("discovery: cannot use entry %r: %r", entry, error)
                 continue
-            name, old = endpoint.server.id, self.endpoints.get(entry["name"])
+            name, old = endpoint.server.id, before.get(endpoint.server.id)
             changed.append(endpoint.server)
             if endpoint.server.state is api.ServerState.GONE:
                 listed.pop(name, None)
@@ -79,11 +79,19 @@
                 endpoint.leaving_since = now if since is None else since
             listed[name] = endpoint
         self.endpoints = listed
+        # A host that drains, has gone, restarted or moved: connections kept to it serve nothing new.
+        stale = [old.address for name, old in before.items() if self._replaced(old, listed.get(name))]
         if (index := message.get("index")) is not None:
             self.index = int(index)
         if cached or full or changed:
             kind = api.ListKind.CACHED if cached else api.ListKind.FULL if full else api.ListKind.CHANGES
-            self.on_change(kind, tuple(changed))
+            self.on_change(kind, tuple(changed), stale)
+
+    @staticmethod
+    def _replaced(old: Endpoint, new: Endpoint | None) -> bool:
+        if new is None or new.leaving_since is not None or new.address != old.address:
+            return True
+        return new.server.started_at != old.server.started_at
 
     def _read(self, entry: dict[str, Any]) -> Endpoint:
         state = STATES[entry["status"]]
@@ -162,9 +170,9 @@
             raise ValueError("a line without end")
         for line in lines:
             self.heard_at = self.clock()
-            self.lines += 1
             if line.strip():
                 self.owner.apply(json.loads(line))
+            self.lines += 1
 
     def on_message_complete(self) -> None:
         self.close()
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -18,7 +18,7 @@
 from coralvale import interface as api
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
-from coralvale.net.config import Config
+from coralvale.net.config import Address, Config
 from coralvale.net.counter import Counter
 from coralvale.net.discovery import Discovery
 from coralvale.net.server import Arrival, Exchange, Server
@@ -26,9 +26,14 @@
 
 log = logging.getLogger(__name__)
 
+READY = 0.25  # s that the first news of the list may take; without it the known list must do
 ANSWER_ROOM = 0.03  # s before the client's time is up, kept for writing an answer
-ACCEPT = 0.5  # s after SIGTERM in which new connections may still come (0.2 to 0.4 s), and some more
-LAST = 2.8  # s after SIGTERM by which all is answered: the kill comes after 3.7 s, and 0.7 s must be left
+ACCEPT = 0.45  # s after SIGTERM in which new connections go on coming (0.2 to 0.4 s)
+CROSSED = 0.25  # s more, for clients whose request crossed the closing of their idle connection
+DEADLINE, BEFORE = (
+    3.0,
+    0.2,
+)  # s: the kill leaves the longest deadline, this at most, to answer; some less is used
 RESERVE = 64  # descriptors for all but clients and hosts: listener, watch, counter, logs, the loop's own
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
@@ -97,8 +102,19 @@
         self.discovery.apply(self.config.known, cached=True)
         self.watching = self.loop.create_task(self.discovery.run())
         self.server.start()
+        self.loop.call_later(READY, self._be_ready)
+
+    def _be_ready(self) -> None:
         self.ready = True
 
+    def close(self) -> None:
+        """Lets go of all sockets, at once."""
+        self.watching.cancel()
+        self.server.close()
+        self.upstreams.close()
+        if self.counter:
+            self.counter.close()
+
     # Events in, actions out
 
     def feed(self, event: api.Event) -> None:
@@ -319,11 +335,10 @@
 
     # The list of hosts
 
-    def _listed(self, kind: api.ListKind, servers: tuple[api.Server, ...]) -> None:
-        for server in servers:  # a drained, restarted or gone host's kept connections serve nothing new
-            endpoint = self.discovery.endpoints.get(server.id)
-            if endpoint and server.state is api.ServerState.DRAINING:
-                self.upstreams.close_idle(endpoint.address)
+    def _listed(self, kind: api.ListKind, servers: tuple[api.Server, ...], stale: list[Address]) -> None:
+        for address in stale:
+            self.upstreams.close_idle(address)
+        self.ready = self.ready or kind is not api.ListKind.CACHED
         self.feed(api.ServerList(kind, servers))
 
     # The end
@@ -333,15 +348,16 @@
         if self.ends_at is not None:
             return
         log.info("stopping")
-        self.ends_at = self.clock.now() + LAST
+        last = min(DEADLINE, max(c.give_up for c in self.settings.classes)) - BEFORE
+        self.ends_at = self.clock.now() + last
         self.server.drain()
-        self.loop.call_later(ACCEPT, self._stop_accepting)
-        self.loop.call_later(LAST, self._end)
+        self.loop.call_later(min(ACCEPT, last), self._linger)
+        self.loop.call_later(min(ACCEPT + CROSSED, last), self._stop_accepting)
+        self.loop.call_later(last, self._end)
 
     def _stop_accepting(self) -> None:
         self.server.stop_accepting()
         self.accepting_ended = True
-        self._linger()
 
     def _linger(self) -> None:
         """Closes idle connections until none is left; one with an unread request is served first."""
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -23,6 +23,7 @@
 MAX_HEAD = 16 * 1024  # bytes of headers
 PIPELINED = 16  # requests of one connection in hand, past which it is not read
 PARTIAL = 10.0  # s that a request may take to arrive
+LINGER = 2.0  # s in which what still comes behind a request that cannot be read is thrown away
 IDLE = 120.0  # s that a connection may stand idle
 STUCK = 30.0  # s that a client may leave an answer unread
 SURPLUS = 32  # connections beyond the limit that are told 503; past that they wait in the kernel
@@ -181,7 +182,9 @@
         self.reading: Exchange | None = None
         self.complete: list[Exchange] = []
         self.active_at = server.loop.time()
+        self.begun_at = 0.0
         self.size = self.head_size = 0
+        self.in_body = False
         self.failed = 0  # the status that ends this connection
         self.paused = self.stuck = False
 
@@ -195,12 +198,13 @@
         if self.failed:
             return  # what follows a malformed request cannot be told apart
         self.active_at = self.server.loop.time()
-        self.head_size += len(data)  # taken off again for bodies
+        if not self.in_body:
+            self.head_size += len(data)  # a header that does not end is seen here only
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.failed = self.failed or 400
-        if self.reading is not None and self.head_size > MAX_HEAD:
+        if self.reading is not None and not self.in_body and self.head_size > MAX_HEAD:
             self.failed = self.failed or 400
         complete, self.complete = self.complete, []
         for exchange in complete:
@@ -216,7 +220,9 @@
 
     def on_message_begin(self) -> None:
         self.reading = Exchange(self)
-        self.size = 0
+        self.begun_at = self.server.loop.time()
+        self.size = self.head_size = 0
+        self.in_body = False
 
     def on_url(self, url: bytes) -> None:
         assert self.reading is not None
@@ -225,6 +231,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         exchange, lower = self.reading, name.lower()
         assert exchange is not None
+        self.size += len(name) + len(value)
+        if self.size > MAX_HEAD:
+            raise ValueError("too many headers")
         if lower in exchange.fields and lower in self.server.once:
             exchange.fields[lower] = b""  # two values are none
         else:
@@ -236,6 +245,7 @@
         exchange = self.reading
         assert exchange is not None
         exchange.method = self.parser.get_method()
+        self.size, self.in_body = 0, True
         length = exchange.fields.get(b"content-length", b"0")
         if len(length) > 6 or int(length) > MAX_BODY:
             self.failed = 413
@@ -246,7 +256,6 @@
     def on_body(self, body: bytes) -> None:
         assert self.reading is not None
         self.size += len(body)
-        self.head_size -= len(body)
         if self.size > MAX_BODY:
             self.failed = 413
         else:
@@ -254,7 +263,7 @@
 
     def on_message_complete(self) -> None:
         exchange, self.reading = self.reading, None
-        self.head_size = 0
+        self.head_size, self.in_body = 0, False
         if exchange is None or self.failed:
             return
         exchange.close = not self.parser.should_keep_alive()
@@ -280,7 +289,12 @@
     def leave(self) -> None:
         """Closes once what is written has gone out; requests behind a closing one are not answered."""
         assert self.transport is not None
-        self.transport.close()
+        if self.failed:
+            # Closing on bytes that are still coming in would reset the connection and take the answer along.
+            self.transport.write_eof()
+            self.server.loop.call_later(LINGER, self.transport.abort)
+        else:
+            self.transport.close()
 
     def pause_writing(self) -> None:
         self.stuck = True
@@ -333,7 +347,7 @@
     def start(self) -> None:
         self.socket.listen(1024)
         self._resume()
-        self.loop.call_later(SWEEP, self._sweep)
+        self.sweep = self.loop.call_later(SWEEP, self._sweep)
 
     @property
     def port(self) -> int:
@@ -413,7 +427,7 @@
             exchange.reply(404)
 
     def _sweep(self) -> None:
-        self.loop.call_later(SWEEP, self._sweep)
+        self.sweep = self.loop.call_later(SWEEP, self._sweep)
         now = self.loop.time()
         for connection in list(self.connections):
             quiet = now - connection.active_at
@@ -421,8 +435,8 @@
                 connection.transport.abort()
             elif connection.idle() and quiet > IDLE:
                 connection.close_idle()
-            elif connection.reading and not connection.exchanges and quiet > PARTIAL and connection.transport:
-                connection.transport.close()
+            elif connection.reading and now - connection.begun_at > PARTIAL and not connection.exchanges:
+                connection.leave()  # never came whole, so it was not taken
 
     # The end
 
@@ -439,3 +453,11 @@
     def close_idle(self) -> None:
         for connection in list(self.connections):
             connection.close_idle()
+
+    def close(self) -> None:
+        self._pause()
+        self.sweep.cancel()
+        self.socket.close()
+        for connection in list(self.connections):
+            if connection.transport:
+                connection.transport.abort()
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -83,6 +83,7 @@
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
         self.transport = transport
+        self.pool.owner.connections.add(self)
         # With no room in the buffer, pause_writing tells that not all is written to the socket yet.
         transport.set_write_buffer_limits(high=0)
         self.parser = httptools.HttpResponseParser(self)
@@ -185,6 +186,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.drop(self)
         self.pool.opened(-1)
+        self.pool.owner.connections.discard(self)
         if attempt := self.attempt:
             self.attempt = None
             attempt.end(Outcome.CONNECT_FAILED if self.unwritten else Outcome.RESET)
@@ -254,8 +256,9 @@
         self.open = 0  # connections up or being opened
         self.pools: dict[Address, Pool] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.connections: set[Connection] = set()
         self.loop = asyncio.get_running_loop()
-        self.loop.call_later(SWEEP, self._sweep)
+        self.sweep = self.loop.call_later(SWEEP, self._sweep)
 
     def send(self, attempt: Attempt) -> None:
         pool = self.pools.get(attempt.address)
@@ -317,8 +320,15 @@
             for connection in list(pool.idle):
                 connection.close()
 
+    def close(self) -> None:
+        self.sweep.cancel()
+        for task in self.tasks:
+            task.cancel()
+        for connection in list(self.connections):
+            connection.close()
+
     def _sweep(self) -> None:
-        self.loop.call_later(SWEEP, self._sweep)
+        self.sweep = self.loop.call_later(SWEEP, self._sweep)
         now = self.clock.now()
         for address, pool in list(self.pools.items()):
             while pool.idle and now - pool.idle[0].idle_since >= self.idle_limit:
--- /dev/null
+++ b/tests/test_counter_calls.py
@@ -0,0 +1,136 @@
+"""Calls to the counter over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+from net_helpers import Arrived, Peer, answer, run, soon, until
+
+from coralvale.interface import CounterReply
+from coralvale.net.counter import Counter
+
+
+@contextlib.asynccontextmanager
+async def counter(time_out: float = 20.0) -> AsyncIterator[tuple[Counter, Peer, asyncio.Queue[CounterReply]]]:
+    peer, replies = await Peer().start(), asyncio.Queue[CounterReply]()
+    yield Counter(peer.address, time_out, 5.0, replies.put_nowait), peer, replies
+    peer.stop()
+
+
+def total(value: str) -> bytes:
+    return answer(body=value.encode())
+
+
+def test_a_call_names_amount_and_life_and_gets_the_total() -> None:
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            calls.add(8, -2.5, 4.0)
+            arrived = await peer.next()
+            assert arrived.message.first == b"POST /tally/8?n=-2.500000&keep_ms=4000 HTTP/1.1"
+            arrived.reply(total("38.5"))
+            assert await soon(replies.get()) == CounterReply(8, True, 38.5)
+
+    run(test())
+
+
+def test_calls_are_pipelined_on_one_connection_and_answered_in_order() -> None:
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            for amount in (1.0, 2.0, 3.0):
+                calls.add(8, amount, 4.0)
+            arrived: list[Arrived] = [await peer.next() for _ in range(3)]
+            assert {a.connection for a in arrived} == {1}
+            for i, a in enumerate(arrived):
+                a.reply(total(str(i)))
+            assert [(await soon(replies.get())).total for _ in range(3)] == [0.0, 1.0, 2.0]
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("reply", "maybe"),
+    [
+        (answer(503), False),
+        (answer(400), False),
+        (answer(404), False),
+        (answer(500), True),
+        (total("x"), True),
+    ],
+)
+def test_what_was_turned_away_is_a_plain_no(reply: bytes, maybe: bool) -> None:
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            (await peer.next()).reply(reply)
+            assert await soon(replies.get()) == CounterReply(8, False, 0.0, maybe_added=maybe)
+
+    run(test())
+
+
+def test_a_refused_connection_is_a_plain_no_and_a_break_a_maybe() -> None:
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            (await peer.next()).reset()
+            assert await soon(replies.get()) == CounterReply(8, False, 0.0, maybe_added=True)
+            with socket.socket() as closed:
+                closed.bind(("127.0.0.1", 0))
+                calls.address = closed.getsockname()
+                calls.add(8, 1.0, 4.0)
+                assert await soon(replies.get()) == CounterReply(8, False, 0.0, maybe_added=False)
+            calls.address = peer.address
+            calls.add(8, 1.0, 4.0)
+            (await peer.next()).reply(total("1"))
+            assert (await soon(replies.get())).ok
+
+    run(test())
+
+
+def test_a_late_answer_is_not_taken_for_the_next_calls() -> None:
+    async def test() -> None:
+        async with counter(time_out=0.05) as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            late = await peer.next()
+            assert await soon(replies.get()) == CounterReply(8, False, 0.0, maybe_added=True)
+            calls.time_out = 20.0
+            calls.add(8, 1.0, 4.0)
+            own = await peer.next()
+            assert own.connection == late.connection
+            late.reply(total("100"))
+            own.reply(total("200"))
+            assert await soon(replies.get()) == CounterReply(8, True, 200.0)
+            assert replies.empty()
+
+    run(test())
+
+
+def test_a_silent_connection_is_given_up_and_made_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with counter(time_out=0.05) as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            assert (await soon(replies.get())).maybe_added
+            await until(lambda: peer.closed == 1)
+            calls.time_out = 20.0
+            calls.add(8, 1.0, 4.0)
+            await peer.next()
+            (await peer.next()).reply(total("1"))
+            assert (await soon(replies.get())).ok and peer.connections == 2
+
+    monkeypatch.setattr("coralvale.net.counter.STUCK", 0.01)
+    run(test())
+
+
+def test_an_idle_connection_is_closed_before_the_counter_does(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            (await peer.next()).reply(total("1"))
+            assert (await soon(replies.get())).ok
+            await until(lambda: peer.closed == 1)
+
+    monkeypatch.setattr("coralvale.net.counter.IDLE", 0.01)
+    run(test())
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,293 @@
+"""Connections to hosts: outcomes, keeping, reuse, bounds."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import pytest
+from net_helpers import Peer, answer, run, soon, until
+
+from coralvale.interface import Outcome
+from coralvale.net.clock import Clock
+from coralvale.net.upstream import Answer, Attempt, Upstreams, read_load, read_usage
+
+PAYLOAD = b"GET /api HTTP/1.1\r\nX-Request-ID: r1\r\n\r\n"
+
+
+class TestClock(Clock):
+    """A clock that a test can put forward."""
+
+    __test__ = False
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ahead = 0.0
+
+    def now(self) -> float:
+        return super().now() + self.ahead
+
+
+@dataclass
+class Bench:
+    upstreams: Upstreams
+    clock: TestClock
+    host: Peer
+    ended: asyncio.Queue[tuple[Attempt, Outcome, Answer | None]] = field(default_factory=asyncio.Queue)
+
+    def send(self, payload: bytes | None = PAYLOAD, address: tuple[str, int] | None = None) -> Attempt:
+        attempt = Attempt(
+            "s-1", address or self.host.address, lambda: payload, lambda *end: self.ended.put_nowait(end)
+        )
+        self.upstreams.send(attempt)
+        return attempt
+
+    async def outcome(self) -> Outcome:
+        return (await soon(self.ended.get()))[1]
+
+
+@contextlib.asynccontextmanager
+async def bench(auto: bytes | None = None, most: int = 10, connect: float = 5.0) -> AsyncIterator[Bench]:
+    host, clock = await Peer(auto).start(), TestClock()
+    yield Bench(Upstreams(clock, connect, 15.0, most), clock, host)
+    host.stop()
+
+
+@pytest.mark.parametrize(
+    ("reply", "outcome"),
+    [
+        (answer(), Outcome.OK),
+        (answer(500), Outcome.ERROR),
+        (answer(404), Outcome.ERROR),
+        (answer(204, b""), Outcome.ERROR),
+        (answer(503), Outcome.ERROR),
+        (answer(504), Outcome.ERROR),
+        (answer(503, X_Not_Processed="0"), Outcome.ERROR),
+        (answer(500, X_Not_Processed="1"), Outcome.ERROR),
+        (answer(503, X_Not_Processed="1"), Outcome.FULL),
+        (answer(504, X_Not_Processed="1"), Outcome.FULL),
+        (b"nonsense\r\n\r\n", Outcome.ERROR),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + answer(), Outcome.OK),
+        (answer(200, b"x" * (64 * 1024 + 1)), Outcome.ERROR),
+    ],
+)
+def test_an_answer_has_the_outcome_of_the_protocols_table(reply: bytes, outcome: Outcome) -> None:
+    async def test() -> None:
+        async with bench(auto=reply) as b:
+            b.send()
+            assert await b.outcome() is outcome
+
+    run(test())
+
+
+def test_a_refused_connection_could_not_connect() -> None:
+    async def test() -> None:
+        async with bench() as b:
+            with socket.socket() as closed:
+                closed.bind(("127.0.0.1", 0))
+                b.send(address=closed.getsockname())
+                assert await b.outcome() is Outcome.CONNECT_FAILED
+            assert b.upstreams.open == 0
+
+    run(test())
+
+
+def test_a_silent_connection_is_given_up_after_the_connect_time_out() -> None:
+    async def test() -> None:
+        async with bench(connect=0.05) as b:
+            with socket.socket() as silent:
+                silent.bind(("127.0.0.1", 0))
+                silent.listen(0)
+                fillers = [socket.socket() for _ in range(4)]  # a full backlog answers no SYN
+                for filler in fillers:
+                    filler.setblocking(False)
+                    filler.connect_ex(silent.getsockname())
+                b.send(address=silent.getsockname())
+                assert await b.outcome() is Outcome.CONNECT_FAILED
+                assert b.upstreams.open == 0
+                for filler in fillers:
+                    filler.close()
+
+    run(test())
+
+
+def test_a_break_after_the_last_byte_is_a_reset_and_nothing_is_sent_again() -> None:
+    async def test() -> None:
+        async with bench() as b:
+            b.send()
+            (await b.host.next()).reset()
+            assert await b.outcome() is Outcome.RESET
+            b.send()
+            arrived = await b.host.next()
+            arrived.reply(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+            arrived.close()
+            assert await b.outcome() is Outcome.RESET
+            b.send()
+            (await b.host.next()).reply(answer())
+            assert await b.outcome() is Outcome.OK
+            assert b.host.connections == 3 and b.host.arrived.empty()
+
+    run(test())
+
+
+def test_a_break_before_the_last_byte_could_not_connect() -> None:
+    async def test() -> None:
+        async with bench() as b:
+            with socket.socket() as host:
+                host.bind(("127.0.0.1", 0))
+                host.listen(1)
+                host.setblocking(False)
+                # Far more than the socket buffers hold, so that the end of it stays unwritten.
+                b.send(b"x" * (64 * 1024 * 1024), address=host.getsockname())
+                connection, _ = await soon(asyncio.get_running_loop().sock_accept(host))
+                assert await soon(asyncio.get_running_loop().sock_recv(connection, 100))
+                connection.close()
+                assert await b.outcome() is Outcome.CONNECT_FAILED
+
+    run(test())
+
+
+def test_connections_are_kept_and_the_newest_is_used_first() -> None:
+    async def test() -> None:
+        async with bench() as b:
+            b.send()
+            b.send()
+            first, second = await b.host.next(), await b.host.next()
+            for arrived in (first, second):
+                arrived.reply(answer())
+                assert await b.outcome() is Outcome.OK
+            for _ in range(3):
+                b.send()
+                arrived = await b.host.next()
+                assert arrived.connection == second.connection
+                arrived.reply(answer())
+                assert await b.outcome() is Outcome.OK
+            assert b.host.connections == 2
+
+    run(test())
+
+
+def test_a_connection_that_the_host_closed_is_not_used_again() -> None:
+    async def test() -> None:
+        async with bench(auto=answer()) as b:
+            b.send()
+            assert await b.outcome() is Outcome.OK
+            (await b.host.next()).close()
+            await until(lambda: b.upstreams.open == 0)
+            b.send()
+            assert await b.outcome() is Outcome.OK
+            assert b.host.connections == 2
+        async with bench(auto=answer(Connection="close")) as b:
+            for _ in range(2):
+                b.send()
+                assert await b.outcome() is Outcome.OK
+            assert b.host.connections == 2
+
+    run(test())
+
+
+def test_an_end_that_the_loop_has_not_told_of_yet_is_seen_before_reuse() -> None:
+    async def test() -> None:
+        async with bench() as b:
+            with socket.socket() as host:
+                host.bind(("127.0.0.1", 0))
+                host.listen(2)
+                host.setblocking(False)
+                loop = asyncio.get_running_loop()
+                b.send(address=host.getsockname())
+                first, _ = await soon(loop.sock_accept(host))
+                await soon(loop.sock_recv(first, 1000))
+                await soon(loop.sock_sendall(first, answer()))
+                assert await b.outcome() is Outcome.OK
+                first.close()
+                b.send(address=host.getsockname())  # at once: the loop has had no turn to read the end
+                second, _ = await soon(loop.sock_accept(host))
+                assert await soon(loop.sock_recv(second, 1000)) == PAYLOAD
+                second.close()
+
+    run(test())
+
+
+def test_idle_connections_are_closed_before_the_hosts_limit() -> None:
+    async def test() -> None:
+        async with bench(auto=answer()) as b:
+            b.send()
+            assert await b.outcome() is Outcome.OK
+            b.clock.ahead = 12.5  # of the 15 s that the host allows
+            b.send()
+            assert await b.outcome() is Outcome.OK
+            assert b.host.connections == 2
+            b.clock.ahead = 25.0
+            await until(lambda: b.upstreams.open == 0 and not b.upstreams.pools)
+
+    run(test())
+
+
+def test_an_attempt_given_up_closes_its_connection() -> None:
+    async def test() -> None:
+        async with bench() as b:
+            attempt = b.send()
+            late = await b.host.next()
+            b.upstreams.give_up(attempt, Outcome.TIMEOUT)
+            assert await b.outcome() is Outcome.TIMEOUT
+            late.reply(answer(body=b"late"))
+            b.send()
+            arrived = await b.host.next()
+            assert arrived.connection == 2
+            arrived.reply(answer(body=b"own"))
+            _, outcome, own = await soon(b.ended.get())
+            assert outcome is Outcome.OK and own is not None and own.body == b"own"
+            assert b.ended.empty()
+
+    run(test())
+
+
+def test_what_became_pointless_while_connecting_is_not_written() -> None:
+    async def test() -> None:
+        async with bench(auto=answer()) as b:
+            attempt = b.send()
+            b.upstreams.give_up(attempt, Outcome.TIMEOUT)
+            assert await b.outcome() is Outcome.NOT_SENT
+            b.send(payload=None)
+            assert await b.outcome() is Outcome.NOT_SENT
+            b.send()
+            assert await b.outcome() is Outcome.OK
+            assert b.host.arrived.qsize() == 1 and b.ended.empty()
+
+    run(test())
+
+
+def test_the_bound_holds_and_idle_connections_give_way() -> None:
+    async def test() -> None:
+        async with bench(most=2) as b:
+            other = await Peer(answer()).start()
+            b.send()
+            b.send()
+            first = await b.host.next()
+            await b.host.next()
+            b.send(address=other.address)
+            assert await b.outcome() is Outcome.NOT_SENT
+            first.reply(answer())
+            assert await b.outcome() is Outcome.OK
+            b.send(address=other.address)
+            assert await b.outcome() is Outcome.OK
+            assert other.connections == 1
+            await until(lambda: b.upstreams.open == 2)
+            other.stop()
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("text", "usage"), [(b"85", 0.85), (b"0", 0.0), (b"x", None), (b"-1", None), (b"nan", None)]
+)
+def test_usage_is_the_told_percentage(text: bytes, usage: float | None) -> None:
+    assert read_usage(text) == usage
+
+
+def test_a_load_report_is_read_in_the_settings_order() -> None:
+    assert read_load(b'{"queue":2,"inflight":7}', ("inflight", "queue")) == (7.0, 2.0)
+    assert read_load(b"[]", ("inflight",)) == () and read_load(b"{", ("inflight",)) == ()
