--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -57,6 +57,7 @@
         self.index: int | None = None
         self.random = random.Random()
         self.connection: Watch | None = None
+        self.watching: Callable[[], None] = lambda: None  # called when a watch has been answered
 
     def apply(self, message: dict[str, Any], cached: bool = False) -> None:
         """Merges one message into the list; an entry that cannot be read is left out and named in the log."""
@@ -163,6 +164,7 @@
     def on_headers_complete(self) -> None:
         if self.parser.get_status_code() != 200:
             raise ValueError(f"status {self.parser.get_status_code()}")
+        self.owner.watching()
 
     def on_body(self, body: bytes) -> None:
         *lines, self.rest = (self.rest + body).split(b"\n")
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -26,7 +26,8 @@
 
 log = logging.getLogger(__name__)
 
-READY = 0.25  # s that the first news of the list may take; without it the known list must do
+READY = 0.25  # s that the answer to the first watch may take; without it the known list must do
+SETTLE = 0.01  # s after that answer for the line that holds what has changed; where nothing has, none comes
 ANSWER_ROOM = 0.03  # s before the client's time is up, kept for writing an answer
 ACCEPT = 0.45  # s after SIGTERM in which new connections go on coming (0.2 to 0.4 s)
 CROSSED = 0.25  # s more, for clients whose request crossed the closing of their idle connection
@@ -102,6 +103,7 @@
         self.discovery.apply(self.config.known, cached=True)
         self.watching = self.loop.create_task(self.discovery.run())
         self.server.start()
+        self.discovery.watching = lambda: self.loop.call_later(SETTLE, self._be_ready)
         self.loop.call_later(READY, self._be_ready)
 
     def _be_ready(self) -> None:
