--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -18,7 +18,8 @@
 
 log = logging.getLogger(__name__)
 
-SILENT = 5.0  # s without a line, of which one is due every 2 s, after which a watch is dead
+SILENT = 3.5  # s without a line, of which one is due every 2 s, after which a watch is dead
+ANSWER = 1.5  # s that the agent, which answers at once, may take for the head of its answer
 CONNECT = 1.0  # s for a connection to the agent, which is on this machine
 BACKOFF, MOST_BACKOFF = 0.05, 2.0  # s before the next try, doubled each time, and jittered
 MAX_LINE = 8 * 1024 * 1024
@@ -57,7 +58,7 @@
         self.index: int | None = None
         self.random = random.Random()
         self.connection: Watch | None = None
-        self.watching: Callable[[], None] = lambda: None  # called when a watch has been answered
+        self.on_answer: Callable[[], None] | None = None  # called when a watch has been answered
 
     def apply(self, message: dict[str, Any], cached: bool = False) -> None:
         """Merges one message into the list; an entry that cannot be read is left out and named in the log."""
@@ -115,30 +116,38 @@
             self.connection.close()
 
     async def run(self) -> None:
-        loop, backoff = asyncio.get_running_loop(), BACKOFF
+        backoff = BACKOFF
         while True:
-            watch = self.connection = Watch(self)
-            try:
-                async with asyncio.timeout(CONNECT):
-                    await loop.create_connection(lambda watch=watch: watch, *self.address)
-                while not watch.lost.done():
-                    # A watch cut off on the way stays open and says nothing for good.
-                    left = watch.heard_at + self.silent - loop.time()
-                    if left <= 0:
-                        log.warning("discovery: nothing heard for %.1f s, watching anew", self.silent)
-                        watch.close()
-                    await asyncio.wait([watch.lost], timeout=max(left, 0.1))
-            except (OSError, TimeoutError):
-                watch.close()
-            backoff = BACKOFF if watch.lines else min(2 * backoff, MOST_BACKOFF)
+            backoff = BACKOFF if await self._watch() else min(2 * backoff, MOST_BACKOFF)
+            # Jittered, so that gateways that lost discovery together do not come back together.
             await asyncio.sleep(backoff * (0.5 + self.random.random()))
 
+    async def _watch(self) -> bool:
+        """Follows one watch to its end; tells whether it was of any use."""
+        loop = asyncio.get_running_loop()
+        watch = self.connection = Watch(self)
+        try:
+            async with asyncio.timeout(CONNECT):
+                await loop.create_connection(lambda: watch, *self.address)
+        except (OSError, TimeoutError):
+            watch.close()
+            return False
+        while not watch.lost.done():
+            # A watch cut off on the way stays open and says nothing for good.
+            limit = self.silent if watch.answered else min(self.silent, ANSWER)
+            left = watch.heard_at + limit - loop.time()
+            if left <= 0:
+                log.warning("discovery: nothing heard for %.1f s, watching anew", limit)
+                watch.close()
+            await asyncio.wait([watch.lost], timeout=max(left, 0.1))
+        return watch.lines > 0
+
 
 class Watch(asyncio.Protocol):
     """One watch: a chunked answer that holds one JSON object a line."""
 
     def __init__(self, owner: Discovery) -> None:
-        self.owner, self.rest, self.lines = owner, b"", 0
+        self.owner, self.rest, self.lines, self.answered = owner, b"", 0, False
         self.transport: asyncio.Transport | None = None
         loop = asyncio.get_running_loop()
         self.lost: asyncio.Future[None] = loop.create_future()
@@ -164,7 +173,9 @@
     def on_headers_complete(self) -> None:
         if self.parser.get_status_code() != 200:
             raise ValueError(f"status {self.parser.get_status_code()}")
-        self.owner.watching()
+        self.heard_at, self.answered = self.clock(), True
+        if self.owner.on_answer:
+            self.owner.on_answer()
 
     def on_body(self, body: bytes) -> None:
         *lines, self.rest = (self.rest + body).split(b"\n")
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -21,20 +21,21 @@
 from coralvale.net.config import Address, Config
 from coralvale.net.counter import Counter
 from coralvale.net.discovery import Discovery
-from coralvale.net.server import Arrival, Exchange, Server
+from coralvale.net.server import NOT_PASSED_ON, Arrival, Exchange, Server
 from coralvale.net.upstream import Answer, Attempt, Upstreams
 
 log = logging.getLogger(__name__)
 
 READY = 0.25  # s that the answer to the first watch may take; without it the known list must do
 SETTLE = 0.01  # s after that answer for the line that holds what has changed; where nothing has, none comes
-ANSWER_ROOM = 0.03  # s before the client's time is up, kept for writing an answer
+ANSWER_ROOM = 0.05  # s before the client's time is up, kept for writing an answer
 ACCEPT = 0.45  # s after SIGTERM in which new connections go on coming (0.2 to 0.4 s)
 CROSSED = 0.25  # s more, for clients whose request crossed the closing of their idle connection
 DEADLINE, BEFORE = (
     3.0,
     0.2,
 )  # s: the kill leaves the longest deadline, this at most, to answer; some less is used
+FLUSH = 0.1  # s for the last answers to leave
 RESERVE = 64  # descriptors for all but clients and hosts: listener, watch, counter, logs, the loop's own
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
@@ -103,11 +104,14 @@
         self.discovery.apply(self.config.known, cached=True)
         self.watching = self.loop.create_task(self.discovery.run())
         self.server.start()
-        self.discovery.watching = lambda: self.loop.call_later(SETTLE, self._be_ready)
+        self.discovery.on_answer = self._settle
         self.loop.call_later(READY, self._be_ready)
 
+    def _settle(self) -> None:
+        self.loop.call_later(SETTLE, self._be_ready)
+
     def _be_ready(self) -> None:
-        self.ready = True
+        self.ready = self.ends_at is None
 
     def close(self) -> None:
         """Lets go of all sockets, at once."""
@@ -268,7 +272,7 @@
         return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n%b" % (
             exchange.method,
             exchange.target,
-            b"".join(exchange.head),
+            b"".join([b"%b: %b\r\n" % h for h in exchange.headers if h[0].lower() not in NOT_PASSED_ON]),
             left,
             length,
             body,
@@ -340,7 +344,6 @@
     def _listed(self, kind: api.ListKind, servers: tuple[api.Server, ...], stale: list[Address]) -> None:
         for address in stale:
             self.upstreams.close_idle(address)
-        self.ready = self.ready or kind is not api.ListKind.CACHED
         self.feed(api.ServerList(kind, servers))
 
     # The end
@@ -350,6 +353,7 @@
         if self.ends_at is not None:
             return
         log.info("stopping")
+        self.ready = False
         last = min(DEADLINE, max(c.give_up for c in self.settings.classes)) - BEFORE
         self.ends_at = self.clock.now() + last
         self.server.drain()
@@ -369,11 +373,15 @@
             self.loop.call_later(0.05, self._linger)
 
     def _end_if_done(self) -> None:
-        if self.accepting_ended and not self.server.connections and not self.stopped.done():
-            self.stopped.set_result(None)
+        if self.accepting_ended and not self.server.connections:
+            self._ended()
 
     def _end(self) -> None:
         for held in list(self.held.values()):
             self._expire(held)
         self.server.close_idle()
-        self.loop.call_later(0.1, lambda: self.stopped.done() or self.stopped.set_result(None))
+        self.loop.call_later(FLUSH, self._ended)
+
+    def _ended(self) -> None:
+        if not self.stopped.done():
+            self.stopped.set_result(None)
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -60,12 +60,12 @@
 class Exchange:
     """One request of a connection and its answer."""
 
-    __slots__ = ("answer", "body", "close", "connection", "fields", "head", "held", "method", "target")
+    __slots__ = ("answer", "body", "close", "connection", "fields", "headers", "held", "method", "target")
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
         self.method = self.target = self.body = b""
-        self.head: list[bytes] = []  # header lines that go on to the host
+        self.headers: list[tuple[bytes, bytes]] = []  # as they came
         self.fields: dict[bytes, bytes] = {}
         self.answer: bytes | None = None
         self.close = False
@@ -239,8 +239,7 @@
             exchange.fields[lower] = b""  # two values are none
         else:
             exchange.fields[lower] = value
-        if lower not in NOT_PASSED_ON:
-            exchange.head.append(b"%b: %b\r\n" % (name, value))
+        exchange.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         exchange = self.reading
@@ -352,7 +351,7 @@
 
     @property
     def port(self) -> int:
-        return self.socket.getsockname()[1]
+        return int(self.socket.getsockname()[1])
 
     # Accepting is done here: uvloop's own server ends for good at the first accept that fails.
 
