Take no second answer for a request's own; leave no cycles behind a request

Found by reading the code, and shown by tests that fail on it as it was: bytes of a second answer in one packet were added to the first (upstream.py on_header, on_body), and each finished request, its exchange and its attempts pointed at each other, so that only the collector could free them (node.py _forget).

--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -178,6 +178,8 @@
             if held.timer:
                 held.timer.cancel()
             self.held.pop(held.arrival.id, None)
+            held.exchange.held = None  # no cycles are left behind: nothing waits for the collector
+            held.attempts.clear()
             if self.ends_at is not None:
                 self._end_if_done()
 
@@ -220,7 +222,7 @@
 
     def _expire(self, held: Held) -> None:
         """The client's time is up: attempts end as timed out, and what is then unanswered is answered."""
-        for attempt in held.attempts:
+        for attempt in list(held.attempts):
             if not attempt.ended:
                 self.upstreams.give_up(attempt, Outcome.TIMEOUT)
         self._give_up(held)
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -79,7 +79,7 @@
     def _clear(self) -> None:
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
-        self.size = 0
+        self.size = self.status = 0
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
         self.transport = transport
@@ -121,30 +121,41 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._finish(Outcome.ERROR)
-            return
+            self.keep_alive = False
+            if not self.complete:
+                self._finish(Outcome.ERROR)
+                return
         if self.complete:
             self._answered()
         elif self.size > MAX_BODY:
             self._finish(Outcome.ERROR)
 
+    def on_message_begin(self) -> None:
+        if self.complete:  # one request was sent, so a second answer is nobody's
+            self.keep_alive = False
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers.append((name, value))
+        if not self.complete:
+            self.headers.append((name, value))
 
     def on_body(self, body: bytes) -> None:
-        self.body.append(body)
-        self.size += len(body)
+        if not self.complete:
+            self.body.append(body)
+            self.size += len(body)
 
     def on_message_complete(self) -> None:
+        if self.complete:
+            return
         if self.parser.get_status_code() < 200:  # an interim answer: the real one follows
             self._clear()
         else:
             self.complete = True
+            self.status = self.parser.get_status_code()
             # Asked here: once the parser is past the message, it says no to every connection.
             self.keep_alive = self.parser.should_keep_alive()
 
     def _answered(self) -> None:
-        status = self.parser.get_status_code()
+        status = self.status
         answer = Answer(status, [], b"".join(self.body))
         not_processed = False
         for name, value in self.headers:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import os
 import socket
 from typing import Any
@@ -13,6 +14,9 @@
 
 from coralvale import interface as api
 from coralvale.interface import Outcome
+from coralvale.net.node import Held
+from coralvale.net.server import Exchange
+from coralvale.net.upstream import Attempt
 
 
 def send_all(w: World, *servers: str, until_in: float = 60.0) -> None:
@@ -216,6 +220,28 @@
     assert "Broken: by design" in caplog.text and "Traceback" in caplog.text
 
 
+def test_a_finished_request_leaves_nothing_behind() -> None:
+    async def test() -> None:
+        host = await Peer(answer()).start()
+        async with world(entry("s-1", host.port)) as w:
+            send_all(w, *["s-1"] * 20)
+            client = await w.client()
+            assert (await client.ask(request("r0"))).status == 200
+            gc.collect()
+            gc.disable()
+            try:
+                for i in range(1, 20):
+                    assert (await client.ask(request(f"r{i}"))).status == 200
+                await w.done(20)
+                left = [o for o in gc.get_objects() if isinstance(o, Held | Attempt | Exchange)]
+            finally:
+                gc.enable()
+            assert len(left) <= 3  # what the frames of the last one may still name
+        host.stop()
+
+    run(test())
+
+
 def test_probes_and_counts_are_answered() -> None:
     async def test() -> None:
         host = await Peer(answer()).start()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -226,6 +226,22 @@
     run(test())
 
 
+def test_a_second_answer_is_not_taken_for_the_next_request() -> None:
+    async def test() -> None:
+        async with bench() as b:
+            b.send()
+            (await b.host.next()).reply(answer(body=b"own") + answer(500, body=b"nobody's"))
+            _, outcome, own = await soon(b.ended.get())
+            assert outcome is Outcome.OK and own is not None and own.body == b"own"
+            b.send()
+            arrived = await b.host.next()
+            assert arrived.connection == 2
+            arrived.reply(answer())
+            assert await b.outcome() is Outcome.OK
+
+    run(test())
+
+
 def test_an_attempt_given_up_closes_its_connection() -> None:
     async def test() -> None:
         async with bench() as b:
