--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -200,7 +200,6 @@
         held = Held(exchange, arrival, expires_at)
         exchange.held = held
         self.held[arrival.id] = held
-        held.timer = self.loop.call_later(max(0.0, expires_at - now), self._expire, held)
         self.feed(
             api.Request(
                 id=arrival.id,
@@ -212,6 +211,8 @@
                 units=arrival.units,
             )
         )
+        if not held.answered:  # most requests of a busy day are refused at once and need no timer
+            held.timer = self.loop.call_later(max(0.0, expires_at - now), self._expire, held)
 
     def client_left(self, exchange: Exchange) -> None:
         held = exchange.held
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -49,6 +49,7 @@
 }  # fmt: skip
 COOKIE = re.compile(rb"(?:^|;)\s*client=([^;]*)")
 HEX = re.compile(rb"[0-9a-fA-F]{16}")
+PAIR = re.compile(rb"([a-z]+)=([^,; ]*)")
 TOKEN = re.compile(rb"[!-~]{1,128}")
 NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
@@ -141,10 +142,7 @@
         if self.customer >= 2**33:
             raise BadRequest("cookie: the client is too large a number")
         self.time_out = number("x-timeout", need(b"x-timeout"))
-        quota = dict(
-            (part.partition(b"=")[0].strip(), part.partition(b"=")[2].strip())
-            for part in need(b"quota-info").split(b",")
-        )
+        quota = dict(PAIR.findall(need(b"quota-info")))
         self.units = number("quota-info units", quota.get(b"units", b""))
         self.entries = whole("quota-info spread", quota.get(b"spread", b""), 1, settings.gateways)
         self.first = whole("quota-info first", quota.get(b"first", b""), 0, settings.gateways - 1)
