Bound the descriptors for small limits too, and test a flood of connections

With the reserve fixed at 64 a limit of 64 descriptors left no client at all, and the connections that are told 503 were not part of the sum. Clients with the surplus and hosts now share what a reserve of at most a quarter leaves. The new test starts the program with 64 descriptors and 150 clients: bounded by itself, and, told of 1,024, running out of them (the log says 'cannot accept'); it serves on and ends with 0 both times.

--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -77,10 +77,11 @@
         self.events: deque[api.Event] = deque()
         self.handling = False
         self.delays: dict[int, float] = {}  # the module's timers by token, to set one again that was lost
-        most = (config.sockets - RESERVE) // 2
-        self.server = Server(config.listen, config.settings, self, most)
+        share = (config.sockets - min(RESERVE, config.sockets // 4)) // 2  # for clients, and for hosts
+        surplus = share // 8
+        self.server = Server(config.listen, config.settings, self, share - surplus, surplus)
         self.upstreams = Upstreams(
-            self.clock, config.connect_timeout, config.conn_idle, most - 32, config.settings.report_fields
+            self.clock, config.connect_timeout, config.conn_idle, share, config.settings.report_fields
         )
         self.discovery = Discovery(config.discovery, config.zones, config.kinds, self.clock, self._listed)
         self.counter: Counter | None = None
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -27,7 +27,6 @@
 LINGER = 2.0  # s in which what still comes behind a request that cannot be read is thrown away
 IDLE = 120.0  # s that a connection may stand idle
 STUCK = 30.0  # s that a client may leave an answer unread
-SURPLUS = 32  # connections beyond the limit that are told 503; past that they wait in the kernel
 PAUSE = 0.05  # s without accepting after an accept has failed
 SWEEP = 1.0
 
@@ -329,8 +328,11 @@
 
     once = {b"x-request-id", b"x-priority-class", b"plan", b"cookie", b"x-timeout", b"quota-info"}
 
-    def __init__(self, address: Address, settings: api.Settings, handler: Handler, most: int) -> None:
-        self.handler, self.most = handler, most
+    def __init__(
+        self, address: Address, settings: api.Settings, handler: Handler, most: int, surplus: int
+    ) -> None:
+        # Past `most` connections are told 503 and closed; past `surplus` more they wait in the kernel.
+        self.handler, self.most, self.surplus = handler, most, surplus
         self.names, self.max_advice = Names(settings), settings.max_advice
         self.loop = asyncio.get_running_loop()
         self.connections: set[ClientConnection] = set()
@@ -365,7 +367,7 @@
 
     def _accept(self) -> None:
         for _ in range(64):
-            if len(self.connections) >= self.most + SURPLUS:
+            if len(self.connections) >= self.most + self.surplus:
                 self._pause()
                 self.loop.call_later(PAUSE, self._resume)
                 return
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -36,7 +37,7 @@
     return {**data, **more}
 
 
-async def start(path: Path) -> asyncio.subprocess.Process:
+async def start(path: Path, descriptors: int = 1024) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -44,9 +45,30 @@
         cwd=ROOT,
         env={**os.environ, "LB_CONFIG": str(path)},
         stderr=asyncio.subprocess.PIPE,
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)),
     )
 
 
+async def up(port: int) -> Client:
+    """A connection to a program that has become ready."""
+    async with asyncio.timeout(LIMIT):
+        while True:
+            try:
+                client = Client(*await asyncio.open_connection("127.0.0.1", port))
+                if (await client.ask(b"GET /up HTTP/1.1\r\n\r\n")).status == 200:
+                    return client
+                client.close()
+            except (ConnectionError, asyncio.IncompleteReadError):
+                pass
+            await asyncio.sleep(0.02)
+
+
+def free_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return int(free.getsockname()[1])
+
+
 def test_nested_settings_take_the_paths_of_the_wire() -> None:
     objects = [{"x": "y z"}, {"x": ""}]
     pairs = flatten({"a": {"b": 1.5, "on": True}, "list": objects, "words": ["p", "q"], "no": []})
@@ -122,23 +144,13 @@
     async def test() -> None:
         host, registry = await Peer(answer(body=b"served")).start(), Registry()
         await registry.start()
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            port = free.getsockname()[1]
+        port = free_port()
         known = {"index": 1, "snapshot": True, "endpoints": [entry("s-1", host.port)]}
         path = tmp_path / "config.json"
         more = {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{registry.port}", "known": known}
         path.write_text(json.dumps(config(**more)))
         process = await start(path)
-        async with asyncio.timeout(LIMIT):
-            while True:
-                try:
-                    client = Client(*await asyncio.open_connection("127.0.0.1", port))
-                    break
-                except ConnectionRefusedError:
-                    await asyncio.sleep(0.02)
-            while (await client.ask(b"GET /up HTTP/1.1\r\n\r\n")).status != 200:
-                await asyncio.sleep(0.02)
+        client = await up(port)
         assert (await client.ask(request())).body == b"served"
         process.send_signal(signal.SIGTERM)
         assert await client.at_end()
@@ -148,3 +160,41 @@
         registry.stop()
 
     run(test())
+
+
+@pytest.mark.parametrize("sockets", [64, 1024])
+def test_a_flood_of_connections_is_survived(tmp_path: Path, sockets: int) -> None:
+    """With 64 its own bounds hold it under the limit; told 1,024 it runs out of descriptors, and goes on."""
+
+    async def test() -> None:
+        host, registry, port = await Peer(answer(body=b"served")).start(), Registry(), free_port()
+        await registry.start()
+        more = {
+            "listen": f"127.0.0.1:{port}",
+            "discovery": f"127.0.0.1:{registry.port}",
+            "known": {"index": 1, "snapshot": True, "endpoints": [entry("s-1", host.port)]},
+            "limits": {"sockets": sockets},
+        }
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config(**more)))
+        process = await start(path, descriptors=64)
+        first = await up(port)
+        first.send(request("first")[:-2])  # a request under way, so that it is not closed as idle
+        flood = [Client(*await asyncio.open_connection("127.0.0.1", port)) for _ in range(150)]
+        for client in flood:
+            client.send(request()[:-2])
+        if sockets > 64:
+            assert process.stderr is not None
+            await soon(process.stderr.readuntil(b"cannot accept"))
+        for client in flood:
+            client.writer.transport.abort()
+        assert (await (await up(port)).ask(request("after"))).body == b"served"
+        first.send(b"\r\n")
+        assert (await first.receive()).body == b"served"
+        process.send_signal(signal.SIGTERM)
+        _, err = await soon(process.communicate())
+        assert process.returncode == 0 and b"Traceback" not in err
+        host.stop()
+        registry.stop()
+
+    run(test())
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -179,7 +179,7 @@
     async def test() -> None:
         async with world() as w:
             refuse_all(w)
-            w.node.server.most = 2
+            w.node.server.most, w.node.server.surplus = 2, 1
             first, second = await w.client(), await w.client()
             await first.ask(request("r1"))
             await second.ask(request("r2"))
