Wait 1 s at most between watches

The agent is on the same machine and answers at no cost, so a long backoff only adds to how late news is after discovery has been down; 2 s with jitter could make 3 s of the 6 s after which news counts as told.

--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -21,7 +21,7 @@
 SILENT = 3.5  # s without a line, of which one is due every 2 s, after which a watch is dead
 ANSWER = 1.5  # s that the agent, which answers at once, may take for the head of its answer
 CONNECT = 1.0  # s for a connection to the agent, which is on this machine
-BACKOFF, MOST_BACKOFF = 0.05, 2.0  # s before the next try, doubled each time, and jittered
+BACKOFF, MOST_BACKOFF = 0.05, 1.0  # s before the next try, doubled each time, and jittered
 MAX_LINE = 8 * 1024 * 1024
 STATES = {
     "active": api.ServerState.HEALTHY,
