Do without libuv's io_uring: its kernel thread polled away all CPU under a limit

Ruled out: few descriptors (the same with 1,024), a loop in Python (the main thread slept in epoll_wait between events, 0.3 s in all). To blame: the thread iou-sqp, with 8.1 of 8.4 s, which libuv starts for io_uring. __main__.py now turns that off before the loop is made. A test looks for such threads.

--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -47,6 +47,8 @@
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
     logging.getLogger().handlers[0].addFilter(Sparing())
+    # libuv's io_uring comes with a kernel thread that polls: with less than a core it used all there was.
+    os.environ.setdefault("UV_USE_IO_URING", "0")
     path = os.environ.get("LB_CONFIG")
     if not path:
         print("coralvale: LB_CONFIG is not set", file=sys.stderr)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -152,6 +152,8 @@
         process = await start(path)
         client = await up(port)
         assert (await client.ask(request())).body == b"served"
+        threads = [p.read_text() for p in Path(f"/proc/{process.pid}/task").glob("*/comm")]
+        assert not [name for name in threads if name.startswith("iou-")]  # kernel threads that poll
         process.send_signal(signal.SIGTERM)
         assert await client.at_end()
         await soon(process.communicate())
