--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -15,6 +15,8 @@
 from coralvale.net.config import Config, ConfigError, read_config
 from coralvale.net.node import Node
 
+log = logging.getLogger(__name__)
+
 
 class Sparing(logging.Filter):
     """Lets through a few lines of a kind in some seconds: a fault in every request must not fill the log."""
@@ -31,11 +33,22 @@
         return count <= self.most
 
 
-async def serve(config: Config) -> None:
+def reload(node: Node, path: str) -> None:
+    """SIGHUP: takes the file as it is now; one that cannot be used changes nothing."""
+    try:
+        config = read_config(path)
+    except ConfigError as error:
+        log.error("keeping the old configuration: %s", error)
+        return
+    node.reload(config)
+
+
+async def serve(config: Config, path: str) -> None:
     loop = asyncio.get_running_loop()
     node = Node(config)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload, node, path)
     node.start()
     # What start-up made lives for good: collecting it again and again would only cost time.
     gc.collect()
@@ -49,12 +62,15 @@
     logging.getLogger().handlers[0].addFilter(Sparing())
     # libuv's io_uring comes with a kernel thread that polls: with less than a core it used all there was.
     os.environ.setdefault("UV_USE_IO_URING", "0")
+    signal.signal(
+        signal.SIGHUP, signal.SIG_IGN
+    )  # one that comes before the loop runs must not end the program
     path = os.environ.get("LB_CONFIG")
     if not path:
         print("coralvale: LB_CONFIG is not set", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(read_config(path)))
+        uvloop.run(serve(read_config(path), path))
     except ConfigError as error:
         print(f"coralvale: {error}", file=sys.stderr)
         return 2
--- a/coralvale/net/counter.py
+++ b/coralvale/net/counter.py
@@ -65,6 +65,14 @@
             if line:
                 line.close()
 
+    def retire(self) -> None:
+        """Takes no more calls; those in hand end as ever, each with its one reply; then it closes."""
+        for line in self.lines:
+            if line:
+                line.last = True
+                line.rest()
+        self.loop.call_later(max(STUCK, self.time_out), self.close)
+
     async def _connect(self, line: Line) -> None:
         try:
             async with asyncio.timeout(self.connect_timeout):
@@ -96,6 +104,7 @@
         self.calls: deque[Call] = deque()
         self.transport: asyncio.Transport | None = None
         self.idle: asyncio.TimerHandle | None = None
+        self.last = False  # closed as soon as its calls are answered
 
     def add(self, call: Call) -> None:
         self.calls.append(call)
@@ -116,10 +125,12 @@
         self.calls = deque(call for call in self.calls if not call.done)  # the others are not made any more
         for call in self.calls:
             self._write(call)
-        self._rest()
+        self.rest()
 
-    def _rest(self) -> None:
-        if not self.calls and not self.idle:
+    def rest(self) -> None:
+        if self.last and not self.calls and self.transport:
+            self.close()
+        elif not self.calls and not self.idle:
             self.idle = self.owner.loop.call_later(IDLE, self.close)
 
     def data_received(self, data: bytes) -> None:
@@ -127,7 +138,7 @@
             self.parser.feed_data(data)
         except httptools.HttpParserError:
             self.close()
-        self._rest()
+        self.rest()
 
     def on_body(self, body: bytes) -> None:
         self.body += body
--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -58,6 +58,8 @@
         self.index: int | None = None
         self.random = random.Random()
         self.connection: Watch | None = None
+        self.backoff = BACKOFF
+        self.moved = asyncio.Event()  # set when the address has changed: there is nothing to wait for
         self.on_answer: Callable[[], None] | None = None  # called when a watch has been answered
 
     def apply(self, message: dict[str, Any], cached: bool = False) -> None:
@@ -115,12 +117,34 @@
         if self.connection:
             self.connection.close()
 
+    def move(self, address: Address) -> None:
+        """Follows another agent from now on, from no version: an index means nothing to a stranger.
+
+        The list stays as it is until the new agent has told its own.
+        """
+        self.address, self.backoff = address, BACKOFF
+        self.refresh()
+        self.moved.set()
+
     async def run(self) -> None:
-        backoff = BACKOFF
+        """Watches for good. Nothing that goes wrong in one watch may end this: the list would age unseen."""
         while True:
-            backoff = BACKOFF if await self._watch() else min(2 * backoff, MOST_BACKOFF)
-            # Jittered, so that gateways that lost discovery together do not come back together.
-            await asyncio.sleep(backoff * (0.5 + self.random.random()))
+            self.moved.clear()
+            watching = asyncio.ensure_future(self._watch())
+            moved = asyncio.ensure_future(self.moved.wait())
+            try:
+                await asyncio.wait([watching, moved], return_when=asyncio.FIRST_COMPLETED)
+                if moved.done():  # a connect to the old address may hang, so it is not waited for
+                    continue
+                if error := watching.exception():
+                    log.error("discovery: a watch failed", exc_info=error)
+                useful = not error and watching.result()
+                self.backoff = BACKOFF if useful else min(2 * self.backoff, MOST_BACKOFF)
+                # Jittered, so that gateways that lost discovery together do not come back together.
+                await asyncio.wait([moved], timeout=self.backoff * (0.5 + self.random.random()))
+            finally:
+                watching.cancel()
+                moved.cancel()
 
     async def _watch(self) -> bool:
         """Follows one watch to its end; tells whether it was of any use."""
@@ -178,6 +202,9 @@
             self.owner.on_answer()
 
     def on_body(self, body: bytes) -> None:
+        if self.owner.connection is not self:  # what an agent left behind still had to say
+            self.close()
+            return
         *lines, self.rest = (self.rest + body).split(b"\n")
         if len(self.rest) > MAX_LINE:
             raise ValueError("a line without end")
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -84,10 +84,7 @@
             self.clock, config.connect_timeout, config.conn_idle, share, config.settings.report_fields
         )
         self.discovery = Discovery(config.discovery, config.zones, config.kinds, self.clock, self._listed)
-        self.counter: Counter | None = None
-        if config.counter:
-            time_out = config.settings.counter_timeout
-            self.counter = Counter(config.counter, time_out, config.connect_timeout, self.feed)
+        self.counter = self._make_counter(config.counter)
         self.actions: dict[type, Callable[[Any], None]] = {
             api.Send: self._send,
             api.Cancel: self._cancel,
@@ -114,6 +111,26 @@
     def _be_ready(self) -> None:
         self.ready = self.ends_at is None
 
+    def reload(self, config: Config) -> None:
+        """Moves discovery and the counter to their new addresses; clients, hosts and requests go on.
+
+        Only these two can change under way. The limits and the settings hold from start to end.
+        """
+        if config.discovery != self.discovery.address:
+            log.info("discovery is now at %s", config.discovery)
+            self.discovery.move(config.discovery)
+        if config.counter == (self.counter.address if self.counter else None):
+            return
+        log.info("the counter is now at %s", config.counter)
+        if self.counter:
+            self.counter.retire()
+        self.counter = self._make_counter(config.counter)
+
+    def _make_counter(self, address: Address | None) -> Counter | None:
+        if address is None:
+            return None
+        return Counter(address, self.settings.counter_timeout, self.config.connect_timeout, self.feed)
+
     def close(self) -> None:
         """Lets go of all sockets, at once."""
         self.watching.cancel()
--- a/tests/test_counter_calls.py
+++ b/tests/test_counter_calls.py
@@ -134,3 +134,30 @@
 
     monkeypatch.setattr("coralvale.net.counter.IDLE", 0.01)
     run(test())
+
+
+def test_a_retired_counter_ends_its_calls_with_their_one_reply_and_closes() -> None:
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            arrived = await peer.next()
+            calls.retire()
+            arrived.reply(total("3"))
+            assert await soon(replies.get()) == CounterReply(8, True, 3.0)
+            await until(lambda: peer.closed == 1)
+            assert replies.empty()
+
+    run(test())
+
+
+def test_a_call_that_a_retired_counter_leaves_unanswered_may_have_been_added() -> None:
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            await peer.next()
+            calls.retire()
+            peer.stop()
+            assert await soon(replies.get()) == CounterReply(8, False, 0.0, maybe_added=True)
+            assert replies.empty()
+
+    run(test())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
-from net_helpers import LIMIT, Registry, chunk, entry, line, run, soon
+from net_helpers import LIMIT, Registry, chunk, entry, line, run, soon, until
 
 from coralvale import interface as api
 from coralvale.net.clock import Clock
@@ -141,3 +142,51 @@
             assert (await b.registry.watch()).message.first == b"GET /discovery/hosts?stream=1 HTTP/1.1"
 
     run(test())
+
+
+def test_a_move_begins_anew_at_the_new_address_and_keeps_the_list_till_then() -> None:
+    async def test() -> None:
+        async with bench() as b:
+            await b.told()
+            await b.registry.watch()
+            other = Registry()
+            await other.start()
+            b.discovery.move(other.address)
+            watch = await other.watch()
+            assert watch.message.first == b"GET /discovery/hosts?stream=1 HTTP/1.1"
+            assert set(b.discovery.endpoints) == {"s-1", "s-2"}
+            await until(lambda: b.registry.closed == 1)
+            watch.reply(chunk(line(3, entry("s-4", 4), snapshot=True)))
+            kind, servers, _ = await b.told()
+            assert kind is api.ListKind.FULL and [s.id for s in servers] == ["s-4"]
+            other.stop()
+
+    run(test())
+
+
+def test_a_move_does_not_wait_for_a_connect_that_hangs_nor_for_a_long_pause() -> None:
+    """As often as it moves: also before anything has come of the move before."""
+
+    async def test() -> None:
+        async with bench() as b:
+            await b.told()
+            b.registry.stop()
+            b.discovery.backoff = 10 * LIMIT
+            other = Registry()
+            await other.start()
+            with socket.socket() as full:  # a listener with a full backlog answers no further SYN
+                full.bind(("127.0.0.1", 0))
+                full.listen(0)
+                fillers = [socket.socket() for _ in range(4)]
+                for filler in fillers:
+                    filler.setblocking(False)
+                    filler.connect_ex(full.getsockname())
+                b.discovery.move(full.getsockname())
+                await asyncio.sleep(0)
+                b.discovery.move(other.address)
+                await other.watch()
+                for filler in fillers:
+                    filler.close()
+            other.stop()
+
+    run(test())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,7 +14,20 @@
 from typing import Any
 
 import pytest
-from net_helpers import LIMIT, Client, Peer, Registry, answer, entry, request, run, settings, soon
+from net_helpers import (
+    LIMIT,
+    Client,
+    Peer,
+    Registry,
+    answer,
+    chunk,
+    entry,
+    line,
+    request,
+    run,
+    settings,
+    soon,
+)
 
 from coralvale.adapter import read_settings
 from coralvale.net.clock import Clock
@@ -200,3 +213,48 @@
         registry.stop()
 
     run(test())
+
+
+def test_sighup_moves_discovery_and_counter_and_disturbs_nobody(tmp_path: Path) -> None:
+    """A bad file changes nothing; a request out at the time is answered; the list moves with its agent."""
+
+    async def test() -> None:
+        host, other = await Peer().start(), await Peer(answer(body=b"other")).start()
+        registry, moved = Registry(), Registry()
+        await registry.start()
+        await moved.start()
+        port = free_port()
+        known = {"index": 1, "snapshot": True, "endpoints": [entry("s-1", host.port)]}
+        path = tmp_path / "config.json"
+        more = {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{registry.port}", "known": known}
+        path.write_text(json.dumps(config(**more)))
+        process = await start(path)
+        assert process.stderr is not None
+        client = await up(port)
+        client.send(request())
+        arrived = await host.next()
+        path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        await soon(process.stderr.readuntil(b"keeping the old configuration"))
+        path.write_text(json.dumps(config(**more)))
+        process.send_signal(signal.SIGHUP)  # nothing is new in it
+        more |= {"discovery": f"127.0.0.1:{moved.port}", "counter": f"127.0.0.1:{free_port()}"}
+        path.write_text(json.dumps(config(**more)))
+        process.send_signal(signal.SIGHUP)
+        watch = await moved.watch()
+        process.send_signal(signal.SIGHUP)
+        watch.reply(chunk(line(1, entry("s-2", other.port), snapshot=True)))
+        arrived.reply(answer(body=b"served"))
+        assert (await client.receive()).body == b"served"
+        async with asyncio.timeout(LIMIT):
+            while (await client.ask(request(os.urandom(4).hex()))).body != b"other":
+                await asyncio.sleep(0.01)
+        assert moved.connections == 1
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        await soon(process.communicate())
+        assert process.returncode == 0
+        for peer in (host, other, registry, moved):
+            peer.stop()
+
+    run(test())
