--- a/coralvale/adapter.py
+++ b/coralvale/adapter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 import sys
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, TextIO
@@ -138,6 +139,7 @@
         report_fields=get("load_info.columns", words, ()),
         advice=get("ceilings.retry_after", flag, False),
         max_advice=get("ceilings.max_retry_after_s", float, 0.0),
+        most_units=get("family_info.most_units", float, math.inf),
     )
 
 
--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -118,6 +118,7 @@
     report_fields: tuple[str, ...] = ()
     advice: bool = True
     max_advice: float = 0.0
+    most_units: float = math.inf  # that one request may take
 
     def __post_init__(self) -> None:
         _require("gateways", self.gateways, 1)
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -205,7 +205,7 @@
 
     def take(self, exchange: Exchange, arrival: Arrival) -> None:
         if arrival.id in self.held:  # ids are new with every request; two under one cannot be told apart
-            exchange.reply(400, b"x-request-id: in use\n")
+            exchange.refuse(400, b"x-request-id: in use\n")
             return
         if len(self.held) >= self.config.most_held:
             exchange.reply(503, retry_after=self.settings.max_advice)
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -10,7 +10,8 @@
 import select
 import socket
 import time
-from collections import deque
+from collections import OrderedDict, deque
+from itertools import islice
 from typing import Any, Protocol
 
 import httptools
@@ -23,17 +24,21 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024  # bytes of headers
 PIPELINED = 16  # requests of one connection in hand, past which it is not read
-PARTIAL = 10.0  # s that a request may take to arrive
-LINGER = 2.0  # s in which what still comes behind a request that cannot be read is thrown away
-IDLE = 120.0  # s that a connection may stand idle
-STUCK = 30.0  # s that a client may leave an answer unread
+PARTIAL = 2.0  # s that a request may take to arrive, or its connection may say nothing before it
+LINGER = 1.0  # s for an answer to arrive that was sent in the middle of what still comes
+LINGERING = 32  # connections in that state, past which the oldest is cut off
+IDLE = 10.0  # s that a connection may stand idle between requests
+SHORT_IDLE = 2.0  # the same when connections are getting short: more than half of the bound is taken
+SETTLING = 0.25  # s that a new connection has to say something, where another waits for its place
+STUCK = 10.0  # s that a client may leave an answer unread
 PAUSE = 0.05  # s without accepting after an accept has failed
-SWEEP = 1.0
+SWEEP = 0.25
 
 REASONS = {
     200: "OK",
     400: "Bad Request",
     404: "Not Found",
+    408: "Request Timeout",
     413: "Content Too Large",
     500: "Internal Server Error",
     502: "Bad Gateway",
@@ -50,7 +55,7 @@
 HEX = re.compile(rb"[0-9a-fA-F]{16}")
 PAIR = re.compile(rb"([a-z]+)=([^,; ]*)")
 TOKEN = re.compile(rb"[!-~]{1,128}")
-NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
+NUMBER = re.compile(rb"(\d{1,15}(\.\d*)?|\.\d+)")
 
 
 class BadRequest(ValueError):
@@ -95,6 +100,11 @@
         self.answer = b"".join(parts)
         self.connection.flush()
 
+    def refuse(self, status: int, body: bytes = b"") -> None:
+        """Turns away what the protocol does not know, and ends the connection: the next may be no better."""
+        self.close = True
+        self.reply(status, body)
+
 
 class Handler(Protocol):
     """What takes the requests: the node."""
@@ -142,7 +152,10 @@
             raise BadRequest("cookie: the client is too large a number")
         self.time_out = number("x-timeout", need(b"x-timeout"))
         quota = dict(PAIR.findall(need(b"quota-info")))
+        # Units fill the customer's bucket, ceiling and counter window: nobody may name what he likes.
         self.units = number("quota-info units", quota.get(b"units", b""))
+        if not 1 <= self.units <= settings.most_units:
+            raise BadRequest(f"quota-info units: not from 1 to {settings.most_units:g}")
         self.entries = whole("quota-info spread", quota.get(b"spread", b""), 1, settings.gateways)
         self.first = whole("quota-info first", quota.get(b"first", b""), 0, settings.gateways - 1)
 
@@ -160,6 +173,13 @@
     return int(text)
 
 
+def readable(descriptor: int) -> bool:
+    """Whether the kernel has something for us that the loop has not been told of yet."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Names:
     """Classes and plans by name, as headers give them, and each class's method."""
 
@@ -167,7 +187,7 @@
         self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self.plans = {p.name.encode(): i for i, p in enumerate(settings.plans)}
         self.methods = [b"GET" if c.repeat is api.Repeat.SAFE else b"POST" for c in settings.classes]
-        self.gateways = settings.gateways
+        self.gateways, self.most_units = settings.gateways, settings.most_units
 
 
 class ClientConnection(asyncio.Protocol):
@@ -179,24 +199,27 @@
         self.exchanges: deque[Exchange] = deque()
         self.reading: Exchange | None = None
         self.complete: list[Exchange] = []
-        self.active_at = time.monotonic()
+        self.active_at = self.opened_at = time.monotonic()
         self.begun_at = 0.0
+        self.asked = False  # whether a whole request has ever come
         self.size = self.head_size = 0
         self.in_body = False
         self.failed = 0  # the status that ends this connection
-        self.paused = self.stuck = False
+        self.paused = self.stuck = self.ended = False
         self.surplus = False  # beyond the bound: it is told so, then closed
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
         self.transport = transport
         self.parser = httptools.HttpRequestParser(self)
+        self.rest()
 
     # Reading
 
     def data_received(self, data: bytes) -> None:
-        if self.failed:
+        if self.failed or self.ended:
             return  # what follows a malformed request cannot be told apart
         self.active_at = time.monotonic()
+        self.server.waiting.pop(self, None)
         if not self.in_body:
             self.head_size += len(data)  # a header that does not end is seen here only
         try:
@@ -207,15 +230,36 @@
             self.failed = self.failed or 400
         complete, self.complete = self.complete, []
         for exchange in complete:
+            if self.ended:  # an answer ahead of it was the connection's last
+                break
             self.server.request(exchange)
         if self.failed:
-            exchange = Exchange(self)
-            exchange.close = True
-            self.exchanges.append(exchange)
-            exchange.reply(self.failed)
+            self._answer_failed()
         elif len(self.exchanges) >= PIPELINED and self.transport and not self.paused:
             self.paused = True
             self.transport.pause_reading()
+        self.rest()
+
+    def _answer_failed(self) -> None:
+        """The last answer, behind those still owed. Nothing more is read: 60 MB may be on their way."""
+        if self.transport and not self.paused:
+            self.paused = True
+            self.transport.pause_reading()
+        exchange = Exchange(self)
+        exchange.close = True
+        self.exchanges.append(exchange)
+        exchange.reply(self.failed)
+
+    def rest(self) -> None:
+        """Notes that it stands idle, or does not: the longest idle is the first to make room."""
+        if self.idle():
+            self.server.waiting[self] = None
+
+    def time_out(self) -> None:
+        """Half a request: the client is told so, as long as no other answer is owed ahead of it."""
+        self.failed = 408
+        self.reading = None
+        self._answer_failed()
 
     def on_message_begin(self) -> None:
         self.reading = Exchange(self)
@@ -244,9 +288,17 @@
         exchange.method = self.parser.get_method()
         self.size, self.in_body = 0, True
         length = exchange.fields.get(b"content-length", b"0")
-        if len(length) > 6 or int(length) > MAX_BODY:
+        if b"transfer-encoding" in exchange.fields:
+            # With a length beside it, it may hide a second request in the body of the first.
+            if b"content-length" in exchange.fields or exchange.fields[b"transfer-encoding"] != b"chunked":
+                self.failed = 400
+        elif not length.isdigit():  # a sign, a list, or two of them
+            self.failed = 400
+        elif len(length) > 6 or int(length) > MAX_BODY:
             self.failed = 413
-        elif exchange.fields.get(b"expect", b"").lower() == b"100-continue" and not self.exchanges:
+        if self.failed:
+            raise ValueError("the length cannot be used")  # no byte of the body is looked at
+        if exchange.fields.get(b"expect", b"").lower() == b"100-continue" and not self.exchanges:
             assert self.transport is not None
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -263,6 +315,7 @@
         self.head_size, self.in_body = 0, False
         if exchange is None or self.failed:
             return
+        self.asked = True
         exchange.close = not self.parser.should_keep_alive()
         self.exchanges.append(exchange)
         self.complete.append(exchange)
@@ -279,6 +332,7 @@
             if exchange.close:
                 self.leave()
                 return
+        self.rest()
         if self.paused and len(self.exchanges) < PIPELINED:
             self.paused = False
             self.transport.resume_reading()
@@ -286,13 +340,23 @@
     def leave(self) -> None:
         """Closes once what is written has gone out; requests behind a closing one are not answered."""
         assert self.transport is not None
-        if self.failed:
+        self.ended = True
+        self.server.waiting.pop(self, None)
+        if self.failed or self.reading or self.exchanges or self.unread():
             # Closing on bytes that are still coming in would reset the connection and take the answer along.
             self.transport.write_eof()
-            self.server.loop.call_later(LINGER, self.transport.abort)
+            if not self.paused:
+                self.paused = True
+                self.transport.pause_reading()
+            self.server.linger(self)
         else:
             self.transport.close()
 
+    def unread(self) -> bool:
+        """Whether the kernel holds something of the client that the loop has not been told of yet."""
+        assert self.transport is not None
+        return readable(self.transport.get_extra_info("socket").fileno())
+
     def pause_writing(self) -> None:
         self.stuck = True
 
@@ -308,17 +372,17 @@
         self.exchanges.clear()
 
     def idle(self) -> bool:
-        return not self.exchanges and self.reading is None and self.transport is not None
+        return (
+            not (self.exchanges or self.reading or self.ended or self.failed) and self.transport is not None
+        )
 
     def close_idle(self) -> bool:
         """Closes it between requests, unless the next request is there already, unread."""
-        if not self.idle():
+        if not self.idle() or self.unread():
             return False
         assert self.transport is not None
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        if poll.poll(0):
-            return False
+        self.ended = True
+        self.server.waiting.pop(self, None)
         self.transport.close()
         return True
 
@@ -326,7 +390,10 @@
 class Server:
     """Accepts clients, keeps their number under a bound, and hands their requests to the handler."""
 
-    once = {b"x-request-id", b"x-priority-class", b"plan", b"cookie", b"x-timeout", b"quota-info"}
+    once = {
+        b"x-request-id", b"x-priority-class", b"plan", b"cookie", b"x-timeout", b"quota-info",
+        b"content-length", b"transfer-encoding",
+    }  # fmt: skip
 
     def __init__(
         self, address: Address, settings: api.Settings, handler: Handler, most: int, surplus: int
@@ -336,6 +403,9 @@
         self.names, self.max_advice = Names(settings), settings.max_advice
         self.loop = asyncio.get_running_loop()
         self.connections: set[ClientConnection] = set()
+        # Those on which no request is open, by how long: looked at from the front only, never sorted.
+        self.waiting: OrderedDict[ClientConnection, None] = OrderedDict()
+        self.lingering: OrderedDict[ClientConnection, asyncio.TimerHandle] = OrderedDict()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.closing = self.accepting = False
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -368,6 +438,11 @@
     def _accept(self) -> None:
         for _ in range(64):
             if len(self.connections) >= self.most + self.surplus:
+                if not readable(self.socket.fileno()):
+                    return
+                # A flood of silent ones must not keep out who waits in the kernel.
+                if not self._close_silent():
+                    self._make_room()
                 self._pause()
                 self.loop.call_later(PAUSE, self._resume)
                 return
@@ -400,11 +475,31 @@
             accepted.close()
 
     def _make_room(self) -> bool:
-        idle = sorted((c for c in self.connections if c.idle()), key=lambda c: c.active_at)
-        return any(connection.close_idle() for connection in idle)
+        """Closes the connection that has stood idle longest; a new one is given time to say something."""
+        now = time.monotonic()
+        some = list(islice(self.waiting, 8))
+        return any(c.close_idle() for c in some if c.asked or now - c.active_at >= SETTLING)
+
+    def _close_silent(self) -> int:
+        """Closes those that have not said anything in the time that they had for it."""
+        now = time.monotonic()
+        some = [c for c in islice(self.waiting, 64) if not c.asked and now - c.active_at >= SETTLING]
+        return sum(connection.close_idle() for connection in some)
+
+    def linger(self, connection: ClientConnection) -> None:
+        """Cuts a connection off when its last answer has had time to arrive; only so many wait for that."""
+        assert connection.transport is not None
+        self.lingering[connection] = self.loop.call_later(LINGER, connection.transport.abort)
+        if len(self.lingering) > LINGERING:
+            oldest = next(iter(self.lingering))
+            assert oldest.transport is not None
+            oldest.transport.abort()
 
     def lost(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
+        self.waiting.pop(connection, None)
+        if timer := self.lingering.pop(connection, None):
+            timer.cancel()
 
     # Requests
 
@@ -418,25 +513,31 @@
             try:
                 arrival = Arrival(self.names, exchange)
             except BadRequest as error:
-                exchange.reply(400, f"{error}\n".encode())
+                exchange.refuse(400, f"{error}\n".encode())
                 return
             self.handler.take(exchange, arrival)
         elif path == b"/up" and exchange.method in (b"GET", b"HEAD"):
             exchange.reply(200 if self.handler.ready else 503)
         else:
-            exchange.reply(404)
+            exchange.refuse(404)
 
     def _sweep(self) -> None:
         self.sweep = self.loop.call_later(SWEEP, self._sweep)
-        now = time.monotonic()
+        now, room = time.monotonic(), 2 * len(self.connections) < self.most
         for connection in list(self.connections):
             quiet = now - connection.active_at
-            if connection.stuck and quiet > STUCK and connection.transport:
+            if not connection.transport:
+                continue
+            if connection.stuck and quiet > STUCK:
                 connection.transport.abort()
-            elif connection.idle() and quiet > IDLE:
-                connection.close_idle()
+            elif connection.ended:
+                continue
+            elif connection.idle():
+                most = IDLE if connection.asked and room else SHORT_IDLE if connection.asked else PARTIAL
+                if quiet > most:
+                    connection.close_idle()
             elif connection.reading and now - connection.begun_at > PARTIAL and not connection.exchanges:
-                connection.leave()  # never came whole, so it was not taken
+                connection.time_out()  # never came whole, so it was not taken
 
     # The end
 
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -37,7 +37,7 @@
         "max_retry_after_s": 0.5,
         "may_cancel": True,
     },
-    "family_info": {"may_count": True, "count_wait_s": 5.0, "use_period_s": 0.5},
+    "family_info": {"may_count": True, "count_wait_s": 5.0, "use_period_s": 0.5, "most_units": 4},
     "rules": {
         "stop_sending_within_s": 10.0,
         "cold_from": 0.5,
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -61,6 +61,17 @@
         (request().replace(b"Plan: team\r\n", b"Plan: team\r\nPlan: team\r\n"), 400),
         (request(cls="write", body=b"x" * (64 * 1024 + 1)), 413),
         (request(cls="write", Content_Length="99999999999"), 413),
+        (request(cls="write", Content_Length="-1"), 400),
+        (request(cls="write", Content_Length="+1") + b"x", 400),
+        (request(cls="write", Content_Length="1, 1") + b"x", 400),
+        (request(cls="write", Content_Length="1\r\nContent-Length: 1") + b"x", 400),
+        (request(cls="write", Content_Length="5", Transfer_Encoding="chunked") + b"0\r\n\r\n", 400),
+        (request(cls="write", Transfer_Encoding="chunked", Content_Length="5") + b"0\r\n\r\n", 400),
+        (request(cls="write", Transfer_Encoding="gzip, chunked") + b"0\r\n\r\n", 400),
+        (request(Quota_Info="units=1e9,spread=2,first=1"), 400),
+        (request(Quota_Info="units=4.5,spread=2,first=1"), 400),
+        (request(Quota_Info="units=0.001,spread=2,first=1"), 400),
+        (request(Quota_Info="units=-1,spread=2,first=1"), 400),
         (request(target="/other"), 404),
         (request(target="/api/more"), 404),
         (request(target="/"), 404),
@@ -227,15 +238,99 @@
 def test_idle_clients_and_requests_that_never_come_whole_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         async with world() as w:
-            idle, slow = await w.client(), await w.client()
+            refuse_all(w)
+            silent, slow, body, usual = [await w.client() for _ in range(4)]
             slow.send(request()[:-10])
-            assert await idle.at_end() and await slow.at_end()
+            body.send(request(cls="write", Content_Length="9") + b"x")
+            assert (await usual.ask(request("r1"))).status == 503
+            for client in (slow, body):  # they are told why, as nothing was taken of them
+                assert (await client.receive()).status == 408
+                assert await client.at_end()
+            assert await silent.at_end()
+            assert (await usual.ask(request("r2"))).status == 503  # one that asks is not hurried
+            monkeypatch.setattr("coralvale.net.server.IDLE", 0.01)
+            assert await usual.at_end()
+            assert len(w.script.of(api.Request)) == 2
 
-    for name in ("IDLE", "PARTIAL", "SWEEP"):
+    for name in ("PARTIAL", "SWEEP", "LINGER"):
         monkeypatch.setattr(f"coralvale.net.server.{name}", 0.01)
     run(test())
 
 
+def test_idle_connections_are_closed_sooner_when_room_is_short(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with world() as w:
+            refuse_all(w)
+            w.node.server.most = 3
+            first, second = await w.client(), await w.client()
+            await first.ask(request("r1"))
+            await second.ask(request("r2"))
+            assert await first.at_end()
+
+    monkeypatch.setattr("coralvale.net.server.SHORT_IDLE", 0.01)
+    monkeypatch.setattr("coralvale.net.server.SWEEP", 0.01)
+    run(test())
+
+
+def test_silent_connections_give_way_to_those_that_ask(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nobody gains by connecting a hundred times and saying nothing."""
+
+    async def test() -> None:
+        async with world() as w:
+            refuse_all(w)
+            w.node.server.most, w.node.server.surplus = 4, 0
+            silent = [await w.client() for _ in range(100)]
+            assert (await w.ask(request())).headers[b"retry-after"] == b"0.250"
+            assert len(w.node.server.connections) <= 4
+            assert await silent[0].at_end()
+
+    monkeypatch.setattr("coralvale.net.server.SETTLING", 0.0)
+    run(test())
+
+
+def test_a_bad_request_is_the_last_of_its_connection() -> None:
+    """Else the same could come again at full speed; what follows it at once is not looked at."""
+
+    async def test() -> None:
+        async with world() as w:
+            refuse_all(w)
+            bad = await w.client()
+            assert (await bad.ask(request("bad", Plan="other") + request("r2"))).status == 400
+            assert await bad.at_end()
+            assert not w.script.of(api.Request)
+
+    run(test())
+
+
+def test_what_comes_behind_a_bad_head_is_not_read_and_the_answer_arrives() -> None:
+    async def test() -> None:
+        async with world() as w:
+            bad = await w.client()
+            bad.send(request(cls="write", Content_Length="60000000"))
+            assert (await bad.receive()).status == 413
+            (connection,) = w.node.server.connections
+            assert connection.transport is not None and not connection.transport.is_reading()
+            bad.send(b"x" * 1_000_000)
+            assert await bad.at_end()
+            await until(lambda: not w.node.server.connections)  # it does not stay for good
+
+    run(test())
+
+
+def test_only_so_many_connections_wait_for_their_last_answer_to_arrive(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with world() as w:
+            for _ in range(5):
+                assert (await w.ask(b"nonsense\r\n\r\n")).status == 400
+            await until(lambda: len(w.node.server.connections) == 2)
+
+    monkeypatch.setattr("coralvale.net.server.LINGER", 60.0)
+    monkeypatch.setattr("coralvale.net.server.LINGERING", 2)
+    run(test())
+
+
 def test_up_is_told_once_the_list_is_there() -> None:
     async def up(client: Client) -> int:
         return (await client.ask(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")).status
