--- a/coralvale/net/counter.py
+++ b/coralvale/net/counter.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
+import re
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,7 +16,12 @@
 
 LINES = 2  # connections; a name keeps to one, so that its answers come in the order of its calls
 IDLE = 4.0  # s after which an idle one is closed here, well before the counter does at up to 10 s
-STUCK = 1.0  # s without the answer to the oldest call after which a connection is given up
+MAX_BODY = 64  # bytes of a total
+MAX_ANSWER = 4096  # bytes without a whole answer: a head that does not end would fill the memory
+STUCK = 0.5  # s without the answer to the oldest call after which a connection is given up
+
+
+NUMBER = re.compile(rb"\s*-?\d{1,15}(\.\d{0,15})?([eE][-+]?\d{1,2})?\s*")  # float() takes 1_0 and inf as well
 
 
 @dataclass(slots=True, eq=False)
@@ -104,6 +109,7 @@
         self.calls: deque[Call] = deque()
         self.transport: asyncio.Transport | None = None
         self.idle: asyncio.TimerHandle | None = None
+        self.size = 0
         self.last = False  # closed as soon as its calls are answered
 
     def add(self, call: Call) -> None:
@@ -134,6 +140,13 @@
             self.idle = self.owner.loop.call_later(IDLE, self.close)
 
     def data_received(self, data: bytes) -> None:
+        if not self.calls:  # nothing was asked
+            self.close()
+            return
+        self.size += len(data)
+        if self.size > MAX_ANSWER:
+            self.close()
+            return
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
@@ -142,24 +155,26 @@
 
     def on_body(self, body: bytes) -> None:
         self.body += body
+        if len(self.body) > MAX_BODY:
+            raise ValueError("a total without end")
+
+    def on_message_begin(self) -> None:
+        if not self.calls:  # more than belongs to the last call
+            raise ValueError("an answer that nobody asked for")
 
     def on_message_complete(self) -> None:
+        self.size = 0
         status, body, self.body = self.parser.get_status_code(), self.body, b""
         if status < 200:
             return
-        if not self.calls:
-            self.close()
-            return
         call = self.calls.popleft()
-        try:
-            total = float(body) if status == 200 else math.nan
-        except ValueError:
-            total = math.nan
-        if math.isfinite(total):
-            self.owner.reply(call, CounterReply(call.name, True, total))
+        if status == 200 and NUMBER.fullmatch(body):
+            self.owner.reply(call, CounterReply(call.name, True, float(body)))
         else:  # 503, 400 and 404 have added nothing; anything else may have
             plain = status in (503, 400, 404)
             self.owner.reply(call, CounterReply(call.name, False, 0.0, maybe_added=not plain))
+            if not plain:  # an answer without a number: nothing on this connection can be relied on
+                self.close()
         if not self.parser.should_keep_alive():
             self.close()
 
--- a/coralvale/net/discovery.py
+++ b/coralvale/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,7 +15,7 @@
 
 from coralvale import interface as api
 from coralvale.net.clock import Clock
-from coralvale.net.config import Address, read_address
+from coralvale.net.config import Address, Place, read_address
 
 log = logging.getLogger(__name__)
 
@@ -38,9 +39,13 @@
     address: Address
     leaving_since: float | None = None
 
+    @property
+    def place(self) -> Place:
+        return self.server.id, self.server.started_at, self.address
+
 
 class Discovery:
-    """Follows the list; `on_change(kind, servers, stale)` gets what changed and addresses not to reuse."""
+    """Follows the list; `on_change(kind, servers, stale)` gets what changed and which hosts to let go."""
 
     def __init__(
         self,
@@ -48,7 +53,7 @@
         zones: tuple[str, ...],
         kinds: tuple[str, ...],
         clock: Clock,
-        on_change: Callable[[api.ListKind, tuple[api.Server, ...], list[Address]], None],
+        on_change: Callable[[api.ListKind, tuple[api.Server, ...], list[Place]], None],
         silent: float = SILENT,
     ) -> None:
         self.address, self.clock, self.on_change, self.silent = address, clock, on_change, silent
@@ -64,15 +69,21 @@
 
     def apply(self, message: dict[str, Any], cached: bool = False) -> None:
         """Merges one message into the list; an entry that cannot be read is left out and named in the log."""
+        entries, index = message.get("endpoints", []), message.get("index")
+        if not isinstance(entries, list):
+            raise ValueError("endpoints: no list")
         full, now = bool(message.get("snapshot")) or cached, self.clock.now()
         changed: list[api.Server] = []
         before, listed = self.endpoints, {} if full else dict(self.endpoints)
-        for entry in message.get("endpoints", []):
+        for entry in entries:
             try:
                 endpoint = self._read(entry)
-            except (KeyError, ValueError, TypeError) as error:
-                log.warning("discovery: cannot use entry %r: %r", entry, error)
-                continue
+            except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
+                log.warning("discovery: cannot use entry %.200r: %r", entry, error)
+                known = isinstance(entry, dict) and before.get(str(entry.get("name")))
+                if not (full and known):
+                    continue
+                endpoint = known  # one bad field must not take a host from the list
             name, old = endpoint.server.id, before.get(endpoint.server.id)
             changed.append(endpoint.server)
             if endpoint.server.state is api.ServerState.GONE:
@@ -84,9 +95,9 @@
             listed[name] = endpoint
         self.endpoints = listed
         # A host that drains, has gone, restarted or moved: connections kept to it serve nothing new.
-        stale = [old.address for name, old in before.items() if self._replaced(old, listed.get(name))]
-        if (index := message.get("index")) is not None:
-            self.index = int(index)
+        stale = [old.place for name, old in before.items() if self._replaced(old, listed.get(name))]
+        # Without an index that can be read, the next watch begins with the whole list.
+        self.index = index if type(index) is int and index >= 0 else None
         if cached or full or changed:
             kind = api.ListKind.CACHED if cached else api.ListKind.FULL if full else api.ListKind.CHANGES
             self.on_change(kind, tuple(changed), stale)
@@ -100,14 +111,17 @@
     def _read(self, entry: dict[str, Any]) -> Endpoint:
         state = STATES[entry["status"]]
         gone = state is api.ServerState.GONE
+        weight, since = float(entry.get("weight", 1.0)), float(entry.get("since_ms") or 0)
+        if not (math.isfinite(weight) and math.isfinite(since)):
+            raise ValueError("weight or since_ms: no finite number")
         server = api.Server(
             id=str(entry["name"]),
             state=state,
-            scale=float(entry.get("weight", 1.0)),
+            scale=weight,
             zone=self.zones.get(entry.get("zone", ""), -1),
             cell=int(entry.get("group") or 0),
             kind=self.kinds.get(entry.get("type", ""), -1),
-            started_at=float(entry.get("since_ms") or 0) / 1000,
+            started_at=since / 1000,
         )
         return Endpoint(server, ("", 0) if gone else read_address(entry["address"]))
 
@@ -164,7 +178,7 @@
                 log.warning("discovery: nothing heard for %.1f s, watching anew", limit)
                 watch.close()
             await asyncio.wait([watch.lost], timeout=max(left, 0.1))
-        return watch.lines > 0
+        return watch.lines > 0 and not watch.broken
 
 
 class Watch(asyncio.Protocol):
@@ -172,6 +186,7 @@
 
     def __init__(self, owner: Discovery) -> None:
         self.owner, self.rest, self.lines, self.answered = owner, b"", 0, False
+        self.broken = False
         self.transport: asyncio.Transport | None = None
         loop = asyncio.get_running_loop()
         self.lost: asyncio.Future[None] = loop.create_future()
@@ -211,8 +226,20 @@
         for line in lines:
             self.heard_at = self.clock()
             if line.strip():
-                self.owner.apply(json.loads(line))
+                self._line(line)
             self.lines += 1
+        if self.broken:
+            self.close()
+
+    def _line(self, line: bytes) -> None:
+        """One bad line must not lose the others; what it told is asked for anew, with the whole list."""
+        try:
+            self.owner.apply(json.loads(line))
+        except (ValueError, TypeError, AttributeError, RecursionError) as error:
+            log.warning("discovery: cannot use line %.200r: %r", line, error)
+            self.broken = True
+        if self.broken:
+            self.owner.index = None
 
     def on_message_complete(self) -> None:
         self.close()
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -18,9 +18,9 @@
 from coralvale import interface as api
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
-from coralvale.net.config import Address, Config
+from coralvale.net.config import Address, Config, Place
 from coralvale.net.counter import Counter
-from coralvale.net.discovery import Discovery
+from coralvale.net.discovery import Discovery, Endpoint
 from coralvale.net.server import NOT_PASSED_ON, Arrival, Exchange, Server
 from coralvale.net.upstream import Answer, Attempt, Upstreams
 
@@ -264,12 +264,13 @@
         until = min(action.until or held.expires_at, held.expires_at)
 
         def payload() -> bytes | None:
-            if held.answered or not self._may_go(action.server, endpoint.server.started_at, endpoint.address):
+            if held.answered or not self._may_go(endpoint):
                 return None
             left = until - self.clock.now()
             return self._payload(held, left) if left > 0 else None
 
         attempt = Attempt(action.server, endpoint.address, payload, partial(self._done, held), number, now)
+        attempt.started_at = endpoint.server.started_at
         held.attempts.append(attempt)
         if until < held.expires_at - 0.001:
             attempt.timer = self.loop.call_later(
@@ -277,10 +278,10 @@
             )
         self.upstreams.send(attempt)
 
-    def _may_go(self, server: str, started_at: float, address: tuple[str, int]) -> bool:
+    def _may_go(self, chosen: Endpoint) -> bool:
         """Whether a host is still the one that was chosen, and not leaving for longer than is allowed."""
-        endpoint = self.discovery.endpoints.get(server)
-        if endpoint is None or endpoint.server.started_at != started_at or endpoint.address != address:
+        endpoint = self.discovery.endpoints.get(chosen.server.id)
+        if endpoint is None or endpoint.place != chosen.place:
             return False
         since = endpoint.leaving_since
         return since is None or self.clock.now() - since < self.settings.drain_grace / 2
@@ -349,6 +350,7 @@
         if endpoint is None:
             attempt.end(Outcome.NOT_SENT)
             return
+        attempt.started_at = endpoint.server.started_at
         attempt.timer = self.loop.call_later(
             self.config.connect_timeout, self.upstreams.give_up, attempt, Outcome.TIMEOUT
         )
@@ -362,9 +364,9 @@
 
     # The list of hosts
 
-    def _listed(self, kind: api.ListKind, servers: tuple[api.Server, ...], stale: list[Address]) -> None:
-        for address in stale:
-            self.upstreams.close_idle(address)
+    def _listed(self, kind: api.ListKind, servers: tuple[api.Server, ...], stale: list[Place]) -> None:
+        for place in stale:
+            self.upstreams.retire(place)
         self.feed(api.ServerList(kind, servers))
 
     # The end
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -8,7 +8,9 @@
 
 import asyncio
 import json
+import logging
 import math
+import re
 import select
 from collections import deque
 from collections.abc import Callable
@@ -19,9 +21,13 @@
 
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
-from coralvale.net.config import Address
+from coralvale.net.config import Address, Place
 
 MAX_BODY = 64 * 1024
+MAX_HEAD = 64 * 1024  # bytes before the body of an answer, interim answers among them
+INTERIM = 8  # answers 1xx ahead of the real one
+REST = 0.002  # s between an answer and the next use of its connection: what follows the answer shows up in it
+MOST_USE, MOST_LOAD = 1000.0, 1e6  # figures past these are not taken for figures
 IDLE_SHARE = 0.8  # of the hosts' idle limit, after which a kept connection is closed on this side
 SWEEP = 1.0  # s between looks for connections that have stood idle for too long
 
@@ -32,6 +38,11 @@
 }  # fmt: skip
 
 
+NUMBER = re.compile(rb"\d{1,15}(\.\d{0,15})?")
+
+log = logging.getLogger(__name__)
+
+
 @dataclass(slots=True)
 class Answer:
     """A host's whole answer."""
@@ -53,10 +64,15 @@
     on_end: Callable[[Attempt, Outcome, Answer | None], None]
     number: int = 0
     sent_at: float = 0.0
+    started_at: float = 0.0
     timer: asyncio.TimerHandle | None = None
     connection: Connection | None = field(default=None, repr=False)
     ended: bool = False
 
+    @property
+    def place(self) -> Place:
+        return self.server, self.started_at, self.address
+
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         if not self.ended:
             self.ended, self.connection = True, None
@@ -79,7 +95,8 @@
     def _clear(self) -> None:
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
-        self.size = self.status = 0
+        self.size = self.status = self.head_size = self.interim = 0
+        self.in_body = False
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
         self.transport = transport
@@ -118,6 +135,16 @@
         if self.attempt is None:  # nothing was asked
             self.close()
             return
+        try:
+            self._read(data)
+        except Exception:
+            # Whatever goes wrong in reading an answer, its attempt ends, once, and the connection with it.
+            log.exception("cannot read an answer")
+            self._finish(Outcome.ERROR)
+
+    def _read(self, data: bytes) -> None:
+        if not self.in_body:
+            self.head_size += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -127,7 +154,7 @@
                 return
         if self.complete:
             self._answered()
-        elif self.size > MAX_BODY:
+        elif self.size > MAX_BODY or (not self.in_body and self.head_size > MAX_HEAD):
             self._finish(Outcome.ERROR)
 
     def on_message_begin(self) -> None:
@@ -138,6 +165,14 @@
         if not self.complete:
             self.headers.append((name, value))
 
+    def on_headers_complete(self) -> None:
+        if self.complete or self.parser.get_status_code() < 200:
+            return
+        self.in_body = True
+        for name, value in self.headers:
+            if name.lower() == b"content-length" and (len(value) > 6 or int(value) > MAX_BODY):
+                raise ValueError("too large")  # 3 GB need not be waited for
+
     def on_body(self, body: bytes) -> None:
         if not self.complete:
             self.body.append(body)
@@ -147,7 +182,10 @@
         if self.complete:
             return
         if self.parser.get_status_code() < 200:  # an interim answer: the real one follows
-            self._clear()
+            self.headers.clear()
+            self.interim += 1
+            if self.interim > INTERIM:
+                raise ValueError("interim answers without end")
         else:
             self.complete = True
             self.status = self.parser.get_status_code()
@@ -204,10 +242,11 @@
 
 
 class Pool:
-    """The connections to one address: idle ones, newest last, and attempts that wait for one."""
+    """The connections to one host: idle ones, newest last, and attempts that wait for one."""
 
     def __init__(self, owner: Upstreams, address: Address) -> None:
         self.owner, self.address = owner, address
+        self.retired = False  # the host is no longer listed as it was: nothing is kept any more
         self.idle: list[Connection] = []
         self.waiting: deque[Attempt] = deque()
         self.open = 0
@@ -216,14 +255,20 @@
         self.open += more
         self.owner.open += more
 
-    def send(self, attempt: Attempt) -> None:
+    def send(self, attempt: Attempt, rested: bool = False) -> None:
+        if attempt.ended:
+            return
         now = self.owner.clock.now()
-        while self.idle:
-            connection = self.idle.pop()  # the newest first: the others may grow old and be closed
+        # The newest first: the others may grow old and be closed.
+        while connection := next((c for c in reversed(self.idle) if now - c.idle_since >= REST), None):
+            self.idle.remove(connection)
             if not connection.stale(now):
                 connection.start(attempt)
                 return
             connection.close()
+        if self.idle and not rested:
+            self.owner.loop.call_later(REST, self.send, attempt, True)
+            return
         if not self.owner.make_room():
             attempt.end(Outcome.NOT_SENT)
             return
@@ -231,14 +276,38 @@
         self.owner.connect(self, attempt)
 
     def release(self, connection: Connection) -> None:
-        """A connection is free: the attempt that has waited longest takes it, else it stands idle."""
+        """A connection is free. It is not used again at once, even if somebody waits.
+
+        What came right behind the last answer would be taken for the answer to the next request.
+        """
+        if self.retired:
+            connection.close()
+            return
         connection.idle_since = self.owner.clock.now()
+        self.idle.append(connection)
+        if self.waiting:
+            self.owner.loop.call_later(REST, self._serve, connection)
+
+    def _serve(self, connection: Connection) -> None:
+        """The attempt that has waited longest takes a connection that has rested."""
+        if connection not in self.idle:
+            return
         while self.waiting:
             attempt = self.waiting.popleft()
-            if not attempt.ended:
+            if attempt.ended:
+                continue
+            self.idle.remove(connection)
+            if connection.stale(self.owner.clock.now()):
+                self.waiting.appendleft(attempt)  # its own connection is on its way
+                connection.close()
+            else:
                 connection.start(attempt)
-                return
-        self.idle.append(connection)
+            return
+
+    def retire(self) -> None:
+        self.retired = True
+        for connection in list(self.idle):
+            connection.close()
 
     def drop(self, connection: Connection) -> None:
         if connection in self.idle:
@@ -265,23 +334,24 @@
         self.idle_limit = idle * IDLE_SHARE
         self.report_fields = report_fields
         self.open = 0  # connections up or being opened
-        self.pools: dict[Address, Pool] = {}
+        self.pools: dict[Place, Pool] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections: set[Connection] = set()
         self.loop = asyncio.get_running_loop()
         self.sweep = self.loop.call_later(SWEEP, self._sweep)
 
     def send(self, attempt: Attempt) -> None:
-        pool = self.pools.get(attempt.address)
+        # Not by address alone: a new host there must not inherit connections, nor what they still bring.
+        pool = self.pools.get(attempt.place)
         if pool is None:
-            pool = self.pools[attempt.address] = Pool(self, attempt.address)
+            pool = self.pools[attempt.place] = Pool(self, attempt.address)
         pool.send(attempt)
 
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         """Ends an attempt with `outcome`, by closing its connection; what was not written is not sent."""
         connection = attempt.connection
         if connection is None:
-            if not attempt.ended and (pool := self.pools.get(attempt.address)) and attempt in pool.waiting:
+            if not attempt.ended and (pool := self.pools.get(attempt.place)) and attempt in pool.waiting:
                 pool.waiting.remove(attempt)
             attempt.end(Outcome.NOT_SENT)
             return
@@ -322,14 +392,15 @@
             return
         if attempt in pool.waiting:
             pool.waiting.remove(attempt)
-            connection.start(attempt)
-        else:
-            pool.release(connection)
+            if not attempt.ended:
+                connection.start(attempt)
+                return
+        pool.release(connection)
 
-    def close_idle(self, address: Address) -> None:
-        if pool := self.pools.get(address):
-            for connection in list(pool.idle):
-                connection.close()
+    def retire(self, place: Place) -> None:
+        """A host drains, has gone, restarted or moved: what is out ends as ever, no connection is kept."""
+        if pool := self.pools.pop(place, None):
+            pool.retire()
 
     def close(self) -> None:
         self.sweep.cancel()
@@ -341,25 +412,26 @@
     def _sweep(self) -> None:
         self.sweep = self.loop.call_later(SWEEP, self._sweep)
         now = self.clock.now()
-        for address, pool in list(self.pools.items()):
+        for place, pool in list(self.pools.items()):
             while pool.idle and now - pool.idle[0].idle_since >= self.idle_limit:
                 pool.idle[0].close()
             if not pool.open:
-                del self.pools[address]  # addresses come and go with the day
+                del self.pools[place]  # hosts come and go with the day
 
 
 def read_usage(value: bytes) -> float | None:
     """`Usage-Percent` is the customer's use itself, not the wire's figure that is one more."""
-    try:
-        usage = float(value) / 100
-    except ValueError:
+    if not NUMBER.fullmatch(value):
         return None
-    return usage if 0 <= usage < math.inf else None
+    usage = float(value) / 100
+    return usage if usage <= MOST_USE else None
 
 
 def read_load(value: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
+    """The fields' figures; what is no plausible figure must not mislead the decisions."""
     try:
         report = json.loads(value)
-        return tuple(float(report.get(name, math.nan)) for name in fields)
-    except (ValueError, TypeError, AttributeError):
+        figures = tuple(float(report.get(name, math.nan)) for name in fields)
+    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError):
         return ()
+    return tuple(figure if 0 <= figure <= MOST_LOAD else math.nan for figure in figures)
--- a/tests/test_counter_calls.py
+++ b/tests/test_counter_calls.py
@@ -161,3 +161,47 @@
             assert replies.empty()
 
     run(test())
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"nan", b"inf", b"1_0", b"+3", b"0x1", b"9" * 100, b"<html>", b"x" * 9000]
+)
+def test_an_answer_without_a_number_ends_its_connection(body: bytes) -> None:
+    """The amount was added; what else comes on that connection is of no use."""
+
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            (await peer.next()).reply(answer(body=body))
+            assert await soon(replies.get()) == CounterReply(8, False, 0.0, maybe_added=True)
+            await until(lambda: peer.closed == 1)
+            calls.add(8, 1.0, 4.0)
+            (await peer.next()).reply(total("2"))
+            assert await soon(replies.get()) == CounterReply(8, True, 2.0)
+
+    run(test())
+
+
+def test_what_was_not_asked_for_ends_the_connection_and_is_nobodys_total() -> None:
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            (await peer.next()).reply(total("5") + total("77"))
+            assert await soon(replies.get()) == CounterReply(8, True, 5.0)
+            await until(lambda: peer.closed == 1)
+            calls.add(8, 1.0, 4.0)
+            (await peer.next()).reply(total("6"))
+            assert await soon(replies.get()) == CounterReply(8, True, 6.0)
+
+    run(test())
+
+
+def test_a_head_without_end_ends_the_connection() -> None:
+    async def test() -> None:
+        async with counter() as (calls, peer, replies):
+            calls.add(8, 1.0, 4.0)
+            (await peer.next()).reply(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 100_000)
+            assert await soon(replies.get()) == CounterReply(8, False, 0.0, maybe_added=True)
+            await until(lambda: peer.closed == 1)
+
+    run(test())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,18 +4,21 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from typing import Any
 
+import pytest
 from net_helpers import LIMIT, Registry, chunk, entry, line, run, soon, until
 
 from coralvale import interface as api
 from coralvale.net.clock import Clock
-from coralvale.net.config import Address
+from coralvale.net.config import Place
 from coralvale.net.discovery import Discovery
 
-News = tuple[api.ListKind, tuple[api.Server, ...], list[Address]]
+News = tuple[api.ListKind, tuple[api.Server, ...], list[Place]]
 
 
 @dataclass
@@ -72,11 +75,11 @@
                 chunk(b"\n") + chunk(news[:50]) + chunk(news[50:] + line(43, entry("s-2", 2, status="left")))
             )
             kind, servers, stale = await b.told()
-            assert kind is api.ListKind.CHANGES and stale == [("127.0.0.1", 1)]
+            assert kind is api.ListKind.CHANGES and stale == [("s-1", 0.0, ("127.0.0.1", 1))]
             assert servers[0].state is api.ServerState.DRAINING
             assert (servers[1].zone, servers[1].started_at) == (0, 1.5)
             _, (gone,), stale = await b.told()
-            assert gone.state is api.ServerState.GONE and ("127.0.0.1", 2) in stale
+            assert gone.state is api.ServerState.GONE and ("s-2", 0.0, ("127.0.0.1", 2)) in stale
             assert set(b.discovery.endpoints) == {"s-1", "s-3"}
             watch.reply(chunk(line(50, entry("s-4", 4), snapshot=True)))
             kind, _, _ = await b.told()
@@ -93,7 +96,10 @@
             await b.told()
             watch = await b.registry.watch()
             watch.reply(chunk(line(42, entry("s-1", 1, since_ms=9000), entry("s-2", 22))))
-            assert (await b.told())[2] == [("127.0.0.1", 1), ("127.0.0.1", 2)]
+            assert (await b.told())[2] == [
+                ("s-1", 0.0, ("127.0.0.1", 1)),
+                ("s-2", 0.0, ("127.0.0.1", 2)),
+            ]
 
     run(test())
 
@@ -190,3 +196,47 @@
             other.stop()
 
     run(test())
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"no json\n",
+        b"[]\n",
+        b'{"index":9,"snapshot":true,"endpoints":7}\n',
+        b"[" * 100_000 + b"\n",
+    ],
+)
+def test_a_line_that_cannot_be_used_loses_no_other_and_the_whole_list_is_asked_for(bad: bytes) -> None:
+    async def test() -> None:
+        async with bench() as b:
+            await b.told()
+            watch = await b.registry.watch()
+            watch.reply(chunk(bad + line(42, entry("s-3", 3))))
+            _, servers, _ = await b.told()
+            assert [s.id for s in servers] == ["s-3"] and set(b.discovery.endpoints) == {"s-1", "s-2", "s-3"}
+            again = await b.registry.watch()
+            assert again.message.first == b"GET /discovery/hosts?stream=1 HTTP/1.1"
+
+    run(test())
+
+
+def test_a_bad_index_or_field_costs_only_itself() -> None:
+    async def test() -> None:
+        async with bench() as b:
+            await b.told()
+            watch = await b.registry.watch()
+            news = {"index": "x", "snapshot": True}
+            hosts: list[Any] = [
+                entry("s-1", 1, weight="heavy"),
+                7,
+                entry("s-4", 4),
+                entry("s-5", 5, weight=1e999),
+            ]
+            watch.reply(chunk(json.dumps({**news, "endpoints": hosts}).encode() + b"\n"))
+            kind, servers, _ = await b.told()
+            assert kind is api.ListKind.FULL
+            assert [s.id for s in servers] == ["s-1", "s-4"]  # what was known of s-1 still holds
+            assert set(b.discovery.endpoints) == {"s-1", "s-4"} and b.discovery.index is None
+
+    run(test())
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -38,9 +39,11 @@
     host: Peer
     ended: asyncio.Queue[tuple[Attempt, Outcome, Answer | None]] = field(default_factory=asyncio.Queue)
 
-    def send(self, payload: bytes | None = PAYLOAD, address: tuple[str, int] | None = None) -> Attempt:
+    def send(
+        self, payload: bytes | None = PAYLOAD, address: tuple[str, int] | None = None, server: str = "s-1"
+    ) -> Attempt:
         attempt = Attempt(
-            "s-1", address or self.host.address, lambda: payload, lambda *end: self.ended.put_nowait(end)
+            server, address or self.host.address, lambda: payload, lambda *end: self.ended.put_nowait(end)
         )
         self.upstreams.send(attempt)
         return attempt
@@ -72,6 +75,13 @@
         (b"nonsense\r\n\r\n", Outcome.ERROR),
         (b"HTTP/1.1 100 Continue\r\n\r\n" + answer(), Outcome.OK),
         (answer(200, b"x" * (64 * 1024 + 1)), Outcome.ERROR),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", Outcome.ERROR),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nok", Outcome.ERROR),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nok", Outcome.ERROR),
+        (b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 20_000, Outcome.ERROR),
+        (b"HTTP/1.1 102 Processing\r\n\r\n" * 3 + answer(), Outcome.OK),
+        (b"HTTP/1.1 102 Processing\r\n\r\n" * 100, Outcome.ERROR),
+        (answer(Usage_Percent="1e999", X_Server_Load="[" * 9000), Outcome.OK),
     ],
 )
 def test_an_answer_has_the_outcome_of_the_protocols_table(reply: bytes, outcome: Outcome) -> None:
@@ -160,6 +170,7 @@
                 arrived.reply(answer())
                 assert await b.outcome() is Outcome.OK
             for _ in range(3):
+                b.clock.ahead += 1  # they have rested
                 b.send()
                 arrived = await b.host.next()
                 assert arrived.connection == second.connection
@@ -307,3 +318,67 @@
 def test_a_load_report_is_read_in_the_settings_order() -> None:
     assert read_load(b'{"queue":2,"inflight":7}', ("inflight", "queue")) == (7.0, 2.0)
     assert read_load(b"[]", ("inflight",)) == () and read_load(b"{", ("inflight",)) == ()
+    huge = b'{"inflight":1%s,"queue":-1}' % (b"0" * 400)
+    assert read_load(huge, ("inflight",)) == ()
+    (queue,) = read_load(b'{"queue":-1}', ("queue",))
+    assert math.isnan(queue)
+    assert read_load(b"[" * 100_000, ("inflight",)) == ()
+
+
+def test_a_new_host_at_an_old_address_inherits_no_connection() -> None:
+    """Idle or busy when the old one went: what the old host still sends must reach nobody's request."""
+
+    async def test() -> None:
+        async with bench() as b:
+            first, second = b.send(), b.send()
+            one, two = await b.host.next(), await b.host.next()
+            one.reply(answer())
+            assert await b.outcome() is Outcome.OK
+            b.upstreams.retire(first.place)  # one connection is idle, one busy
+            await until(lambda: b.host.closed == 1)
+            two.reply(answer())
+            assert await b.outcome() is Outcome.OK and second.ended
+            await until(lambda: b.host.closed == 2 and b.upstreams.open == 0)
+            b.send(server="s-2")
+            b.send(server="s-1")
+            assert {(await b.host.next()).connection, (await b.host.next()).connection} == {3, 4}
+
+    run(test())
+
+
+def test_what_comes_right_behind_an_answer_is_not_the_next_ones_answer() -> None:
+    """An attempt that waits does not take the connection in the turn of the answer."""
+
+    async def test() -> None:
+        async with bench() as b:
+            b.send()
+            arrived = await b.host.next()
+            b.upstreams.most = 1  # so that the next one has to wait
+            pool = next(iter(b.upstreams.pools.values()))
+            waits = Attempt("s-1", b.host.address, lambda: PAYLOAD, lambda *end: b.ended.put_nowait(end))
+            pool.waiting.append(waits)
+            arrived.reply(answer(body=b"right"))
+            _, outcome, got = await soon(b.ended.get())
+            assert outcome is Outcome.OK and got is not None and got.body == b"right"
+            assert not waits.connection  # not in the same turn
+            arrived.reply(answer(body=b"wrong"))
+            await until(lambda: b.upstreams.open == 0)
+            assert not waits.ended
+
+    run(test())
+
+
+def test_an_answer_whose_reading_fails_ends_its_attempt_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fail(value: bytes) -> float:
+        raise MemoryError
+
+    async def test() -> None:
+        async with bench() as b:
+            b.send()
+            (await b.host.next()).reply(answer(Usage_Percent="1"))
+            assert await b.outcome() is Outcome.ERROR
+            await until(lambda: b.upstreams.open == 0)
+            assert b.ended.empty()
+
+    monkeypatch.setattr("coralvale.net.upstream.read_usage", fail)
+    run(test())
