--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from coralvale import interface as api
+from coralvale.health import LOST, NEWS, SILENCE, Host
 from coralvale.interface import Outcome, Repeat
 from coralvale.state import Attempt, Held, Pace, Refusals
 
@@ -22,8 +23,6 @@
 QUIET = 4.0  # s without a reading after which it is stale: the meter's usual lateness twice over
 EASE = 0.25  # share of the way back to the floor in each step without readings
 IDLE = 60.0  # s after which an idle customer's restrictor is dropped, once its bucket is empty
-NEWS = 10.0  # s in which half of what is known of a server's delay is forgotten
-SILENCE = 4.0  # usual delays' worth of missing answers: by chance this happens to one attempt in fifty
 FAIL_PAUSE = 0.5  # s a failing server is passed over, doubled on each failure in a row up to four
 RETRY_SHARE = 0.2  # further attempts for each request: a broad failure must not double the load
 RETRY_SAVED = 0.5  # s of own traffic that further attempts saved up in calm times may match
@@ -34,6 +33,8 @@
 NEAR = 8  # servers that a gateway keeps to, so that its few attempts tell something of each
 FEWEST = 3  # of them drawn and compared for a request; more of both where few gateways share the fleet
 MEMORY = 0.05  # weight of the newest of own events: twenty of them give a mean to a fifth
+PATIENT = 5.0  # usual delays that an attempt is given at least: by chance one in a hundred takes longer
+ROOM = 3.0  # usual delays before the aim that are kept for another attempt in place of a late one
 SPARSE = 2.0  # times that a request is over the part of the burst where the bucket cannot know
 TRUST = 0.05  # share of the asking that comes back in a second after the counter was crowded
 DOUBT = 0.4  # share of the asking that one call without an answer in time takes away
@@ -108,40 +109,6 @@
         self.rate += DAMP * (max(self.floor, min(wanted, grown, self.plan.rate)) - self.rate)
 
 
-class Host:
-    """What this gateway knows of one server; all of it is computed from `now` when it is used."""
-
-    def __init__(self, info: api.Server, now: float) -> None:
-        self.info, self.scale = info, max(info.scale, 0.01)
-        self.out: dict[tuple[str, int], float] = {}  # attempts out, oldest first
-        self.slow, self.heard_at = 1.0, now  # its delay over the fleet's for the same class
-        self.failures, self.retry_at = 0.0, 0.0
-        self.reported, self.reported_at = 0.0, -math.inf
-
-    def warmth(self, settings: api.Settings, now: float) -> float:
-        """Share of its full capacity that a server surely has: never slower than evenly over the ramp."""
-        if not self.info.started_at or not settings.warm_after:
-            return 1.0
-        age = max(0.0, now - self.info.started_at) / settings.warm_after
-        return min(1.0, settings.cold_share + (1 - settings.cold_share) * age)
-
-    def silence(self, now: float) -> float:
-        """Seconds for which it has left attempts without any answer."""
-        return now - max(self.heard_at, next(iter(self.out.values()))) if self.out else 0.0
-
-    def slowness(self, now: float) -> float:
-        return 1 + (self.slow - 1) * 0.5 ** ((now - self.heard_at) / NEWS)
-
-    def ill(self, now: float, usual: float) -> bool:
-        """Stalled, crashed, hung, ageing and refusing servers look alike: no answers in time, or bad ones."""
-        late = self.silence(now) * min(len(self.out), SILENCE) > SILENCE * usual * max(1.0, self.slow)
-        return late or now < self.retry_at or (self.failures >= 1 and bool(self.out))  # back: tried singly
-
-    def failed(self, now: float, pause: float) -> None:
-        self.retry_at = max(self.retry_at, now + pause * 2**self.failures)
-        self.failures = min(self.failures + 1, 4)
-
-
 class Gateway:
     """The decisions of one gateway; `handle` takes an event and returns the actions it calls for."""
 
@@ -267,9 +234,13 @@
         """
         usual, aim = self.usual[request.cls], self.settings.classes[request.cls].aim
         most = min(PRESSED * min(aim, request.expires_at - now), CROWD * self.calm[request.cls])
-        well = [len(h.out) for h in self.busy if now >= h.retry_at and h.silence(now) <= SILENCE * self.mean]
+        counts = {h: len(h.waiting(now, self.mean)) for h in self.busy}
+        well = [
+            n for h, n in counts.items()
+            if now >= h.retry_at and h.silence(now, self.mean) <= SILENCE * self.mean
+        ]  # fmt: skip
         if 2 * len(well) < len(self.busy):  # most of a fleet does not hang by chance: that is a jam
-            well = [len(h.out) for h in self.busy]
+            well = list(counts.values())
         rate, servers = self.done.rate(now), len(self.warm) + len(self.cold) - len(self.busy) + len(well)
         wait = (sum(well) + 1) / (rate + 1 / self.mean)
         # Answers late in spite of the forecast (others' load, thrashing servers, work given up) tighten both.
@@ -358,7 +329,15 @@
         self.busy[host] = None
         held.restrictor.open += 1
         held.attempts.append(Attempt(host, now))
-        self.actions.append(api.Send(held.request.id, host.info.id, held.request.expires_at))
+        self.actions.append(api.Send(held.request.id, host.info.id, self._until(now, held)))
+
+    def _until(self, now: float, held: Held) -> float:
+        """How long the newest attempt may take: a late one leaves time for another, if there may be one."""
+        cls, usual = self.settings.classes[held.request.cls], self.usual[held.request.cls]
+        last = min(held.request.expires_at, held.arrived + cls.aim) - ROOM * usual
+        again = cls.repeat is Repeat.SAFE and not cls.late_worth
+        again = again and len(held.attempts) < self.settings.max_attempts and last - now >= PATIENT * usual
+        return last if again else held.request.expires_at
 
     def _close(self, name: str, held: Held) -> None:
         held.live = False
@@ -421,7 +400,9 @@
             self.usual[cls] += MEMORY * (event.delay - self.usual[cls])
         elif event.outcome is Outcome.TIMEOUT:  # the delay is at least this; hung servers must not tell much
             self.usual[cls] += MEMORY * min(max(0.0, event.delay - self.usual[cls]), self.usual[cls])
-            if event.delay >= self.settings.classes[cls].aim:  # else only the client's patience was short
+            # Else only the patience was short, or, where others were answered since, the connection was bad.
+            patient = event.delay >= min(self.settings.classes[cls].aim, LOST * self.usual[cls])
+            if patient and host.heard_at < now - event.delay:
                 host.failed(now, FAIL_PAUSE)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
             answered = event.outcome in (Outcome.FULL, Outcome.ERROR)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -216,3 +216,30 @@
     assert len(bench.gateway.near) == 8
     sends = [a.server for a in bench.seen if isinstance(a, api.Send)]
     assert sends.count(slow) <= 5
+
+
+def test_a_lost_attempt_tells_nothing_against_its_server() -> None:
+    """Overtaken by later answers and long overdue it is lost: it keeps nobody waiting, now or later."""
+    bench = Bench(servers=(server("s0"), server("s1")))
+    _, (held, *_) = bench.request(customer=1)
+    for customer in range(2, 200, 4):
+        names = [bench.request(customer=customer + i)[0] for i in range(4)]
+        bench.wait(0.01)
+        for name in names:
+            bench.done(name, delay=0.01)
+    bench.wait(1.0)
+    picked = {bench.request(customer=customer)[1][0].server for customer in range(200, 205)}
+    assert held.server in picked
+
+
+def test_a_safe_request_is_tried_elsewhere_in_time_and_an_unsafe_one_waits() -> None:
+    for cls in (READ, UNSAFE):
+        bench = Bench(classes=(cls,))
+        for customer in range(200):
+            name, _ = bench.request(customer=customer)
+            bench.wait(0.01)
+            bench.done(name, delay=0.01)
+        begun = bench.now
+        _, (send, *_) = bench.request(customer=1000, expires_at=begun + 4.0)
+        assert (send.until < begun + cls.aim) == (cls is READ)
+        assert cls is UNSAFE or send.until > begun + cls.aim / 2  # slow ones may still come
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import pytest
-from net_helpers import Peer, World, answer, chunk, entry, line, request, run, soon, until, world
+from net_helpers import SETTINGS, Peer, World, answer, chunk, entry, line, request, run, soon, until, world
 
 from coralvale import interface as api
 from coralvale.interface import Outcome
@@ -323,3 +323,30 @@
 
     monkeypatch.setattr("coralvale.net.node.DEADLINE", 0.5)
     run(test())
+
+
+def test_a_request_that_a_host_leaves_unanswered_is_served_by_another_before_its_aim() -> None:
+    """The real module: an answer that stops short must not hold a safe request until the client gives up."""
+
+    async def test() -> None:
+        hosts = [await Peer(answer()).start(), await Peer(answer()).start()]
+        fast = {**SETTINGS["classes"][0], "aim_s": 2.0}
+        known = [entry(f"s-{host.port}", host.port) for host in hosts]
+        async with world(*known, real=True, classes=[fast, SETTINGS["classes"][1]]) as w:
+            client = await w.client()
+            for number in range(100):  # so that it knows what is usual
+                assert (await client.ask(request(f"r{number}"))).status == 200
+            for host in hosts:
+                host.auto, host.arrived = None, asyncio.Queue()
+            begun = w.node.clock.now()
+            client.send(request("late"))
+            tasks = [asyncio.create_task(host.arrived.get()) for host in hosts]
+            (first,), (other,) = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            first.result().reply(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort")
+            (await soon(other)).reply(answer(body=b"whole"))
+            assert (await client.receive()).body == b"whole"
+            assert w.node.clock.now() - begun < 20.0  # the client would wait for 30 s
+        for host in hosts:
+            host.stop()
+
+    run(test())
