--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -32,6 +32,7 @@
 ILL = 4.0  # times the wait counted for an ill server, which most of a fleet may be
 NEAR = 8  # servers that a gateway keeps to, so that its few attempts tell something of each
 FEWEST = 3  # of them drawn and compared for a request; more of both where few gateways share the fleet
+SOON = 0.25  # share of the aim after which one whom a quota refused may come back: later is too late
 MEMORY = 0.05  # weight of the newest of own events: twenty of them give a mean to a fifth
 PATIENT = 5.0  # usual delays that an attempt is given at least: by chance one in a hundred takes longer
 ROOM = 3.0  # usual delays before the aim that are kept for another attempt in place of a late one
@@ -321,6 +322,8 @@
 
     def _refuse(self, request: api.Request, reason: str, wait: float) -> None:
         self.refused.note(reason)
+        if reason.startswith("quota"):  # another of the customer's gateways may have room, and in time
+            wait = min(wait, self.settings.classes[request.cls].aim * SOON)
         advice = min(wait, self.settings.max_advice * self.settings.advice)
         self.actions.append(api.Refuse(request.id, advice))
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -350,3 +350,24 @@
             host.stop()
 
     run(test())
+
+
+def test_one_refused_by_its_quota_is_told_to_come_back_before_its_aim() -> None:
+    """Another of the customer's gateways may have room; an answer after the aim is worth nothing."""
+
+    async def test() -> None:
+        host = await Peer(answer()).start()
+        fast = {**SETTINGS["classes"][0], "aim_s": 1.0}
+        plan = {"name": "team", "per_second": 0.01, "most_at_once": 1.0}
+        changes = {"classes": [fast, SETTINGS["classes"][1]], "packages": [plan]}
+        async with world(
+            entry("s-1", host.port), real=True, family_info={"may_count": False}, **changes
+        ) as w:
+            client = await w.client()
+            assert (await client.ask(request("r1"))).status == 200
+            refused = await client.ask(request("r2"))
+            assert refused.status == 503
+            assert 0.2 < float(refused.headers[b"retry-after"]) <= 0.25
+        host.stop()
+
+    run(test())
