--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -13,15 +13,10 @@
 from coralvale import interface as api
 from coralvale.health import LOST, NEWS, SILENCE, Host
 from coralvale.interface import Outcome, Repeat
+from coralvale.restrictor import QUIET, STEP, Restrictor
 from coralvale.state import Attempt, Held, Pace, Refusals
 
 TICK = 0.1  # s between looks at what is overdue: well under any delay that a client would notice
-STEP = 1.0  # s between new leak rates, as the design sets it
-SMOOTH = 0.5  # weight of the newest second in own and metered use: two seconds of memory tame one odd reading
-DAMP = 0.5  # share of the way to the wanted leak rate taken at once, so that gateways do not chase each other
-GROWTH = 0.5  # most a leak rate grows in one step: a doubling takes two steps
-QUIET = 4.0  # s without a reading after which it is stale: the meter's usual lateness twice over
-EASE = 0.25  # share of the way back to the floor in each step without readings
 IDLE = 60.0  # s after which an idle customer's restrictor is dropped, once its bucket is empty
 FAIL_PAUSE = 0.5  # s a failing server is passed over, doubled on each failure in a row up to four
 RETRY_SHARE = 0.2  # further attempts for each request: a broad failure must not double the load
@@ -36,80 +31,11 @@
 MEMORY = 0.05  # weight of the newest of own events: twenty of them give a mean to a fifth
 PATIENT = 5.0  # usual delays that an attempt is given at least: by chance one in a hundred takes longer
 ROOM = 3.0  # usual delays before the aim that are kept for another attempt in place of a late one
-SPARSE = 2.0  # times that a request is over the part of the burst where the bucket cannot know
 TRUST = 0.05  # share of the asking that comes back in a second after the counter was crowded
 DOUBT = 0.4  # share of the asking that one call without an answer in time takes away
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
-class Restrictor:
-    """One customer's leaky bucket, its leak rate, and this gateway's share of the ceiling."""
-
-    def __init__(self, plan: api.Plan, entries: int, now: float, born: float) -> None:
-        self.plan, self.entries = plan, max(1, entries)
-        self.floor = self.rate = plan.rate / self.entries
-        self.length = plan.burst / plan.rate if plan.rate else 0.0  # s that the burst is worth
-        self.fill, self.at, self.seen_at = 0.0, now, now
-        self.passed, self.open = 0.0, 0  # units let through since the last step; attempts out
-        self.own = self.own_late = self.use = 0.0  # own_late lags own by as much as readings lag use
-        self.reading, self.heard_at = 0.0, -math.inf
-        self.uncounted, self.spent = 0.0, -1  # units let in here and not counted; the window used up
-        # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
-        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born))
-
-    def drain(self, now: float) -> None:
-        elapsed, self.at = max(0.0, now - self.at), max(self.at, now)
-        self.fill = max(0.0, self.fill - self.rate * elapsed)
-        self.ceiling = min(self.plan.ceiling_burst, self.ceiling + self.plan.ceiling_rate * elapsed)
-
-    def threshold(self, units: float) -> float:
-        """Burst scaled with the leak rate, one request at least; more where letting in wrongly costs less."""
-        # Let in wrongly a request costs c, refused wrongly its worth; the factor is 1 where these are equal.
-        cost = max(0.0, self.plan.excess_cost - self.plan.excess_worth)
-        return max(units, self.plan.burst * self.rate / max(self.plan.rate, 1e-9) * 2 / (1 + cost))
-
-    def wait(self, units: float) -> float:
-        """Seconds until the bucket has room, 0 when it has it now."""
-        return max(0.0, (self.fill + units - self.threshold(units)) / self.rate) if self.plan.rate else 0.0
-
-    def ceiling_wait(self, units: float) -> float:
-        short = units * self.entries - self.ceiling  # shares are even, so a request takes for all
-        return max(0.0, short / self.plan.ceiling_rate) if self.plan.ceiling_rate else 0.0
-
-    def sparse(self, units: float) -> bool:
-        """Whether this gateway's part of the burst is under half a request: own traffic tells little."""
-        return self.plan.rate > 0 and SPARSE * self.plan.burst < units * self.entries
-
-    def window(self, now: float, customer: int) -> tuple[int, float]:
-        """The counter's name for this burst's worth of time, and the time left in it."""
-        place = now / self.length + customer % 97 / 97  # customers' windows must not all begin at once
-        return customer << 24 | int(place) & 0xFFFFFF, (1 - place % 1) * self.length
-
-    def open_full(self) -> bool:
-        """Whether own attempts, hung ones too, reach the open limit, or its even part where no rate binds."""
-        limit = self.plan.open_limit / (1 if self.plan.rate else self.entries)
-        return limit > 0 and self.open >= max(1.0, limit)
-
-    def charge(self, units: float) -> None:
-        self.fill = max(self.fill, min(self.fill + units, self.threshold(units)))
-        self.passed += units
-        self.ceiling -= units * self.entries
-
-    def step(self, now: float) -> None:
-        """Sets the leak rate: own use times the quota over metered use of the same, late, time."""
-        self.drain(now)
-        self.own_late += SMOOTH * (self.own - self.own_late)
-        self.own += SMOOTH * (self.passed / STEP - self.own)
-        self.passed = 0.0
-        if now - self.heard_at > QUIET:
-            self.rate += EASE * (self.floor - self.rate)
-            return
-        self.use += SMOOTH * (self.reading - self.use)
-        grown = self.rate * (1 + GROWTH)
-        wanted = self.own_late / self.use if self.use > 0 else grown
-        self.rate += DAMP * (max(self.floor, min(wanted, grown, self.plan.rate)) - self.rate)
-
-
 class Gateway:
     """The decisions of one gateway; `handle` takes an event and returns the actions it calls for."""
 
@@ -154,15 +80,21 @@
 
     def _arrive(self, now: float, request: api.Request) -> None:
         self.settings.check(request)
-        restrictor = self.customers.get(request.customer)
+        plan, restrictor = self.settings.plans[request.plan], self.customers.get(request.customer)
         if restrictor is None:
-            restrictor = Restrictor(self.settings.plans[request.plan], request.entry_gateways, now, self.born)
+            restrictor = Restrictor(plan, request.entry_gateways, now, self.born)
             self.customers[request.customer] = restrictor
+        if restrictor.plan is not plan or restrictor.entries != request.entry_gateways:
+            restrictor.drain(now)
+            restrictor.settle(plan, request.entry_gateways)
+            restrictor.rate = max(restrictor.floor, min(restrictor.rate, plan.rate))
         restrictor.seen_at = now
         restrictor.drain(now)
         if now >= request.expires_at:
             return self._refuse(request, "too late", 0.0)
-        return None if self._ask(now, request, restrictor) else self._bucket(now, request, restrictor)
+        if not self._ask(now, request, restrictor):
+            self._bucket(now, request, restrictor)
+        restrictor.note(now, request.units)
 
     def _bucket(self, now: float, request: api.Request, restrictor: Restrictor) -> None:
         if wait := restrictor.wait(request.units):
--- /dev/null
+++ b/coralvale/restrictor.py
@@ -0,0 +1,103 @@
+"""One customer's quota at one gateway: NICC ND1621's leaky bucket, its leak rate, the part of a ceiling."""
+
+from __future__ import annotations
+
+import math
+
+from coralvale import interface as api
+
+SMOOTH = 0.5  # weight of the newest second in own and metered use: two seconds of memory tame one odd reading
+STEP = 1.0  # s between new leak rates, as the design sets it
+DAMP = 0.5  # share of the way to the wanted leak rate taken at once, so that gateways do not chase each other
+GROWTH = 0.5  # most a leak rate grows in one step: a doubling takes two steps
+QUIET = 4.0  # s without a reading after which it is stale: the meter's usual lateness twice over
+EASE = 0.25  # share of the way back to the floor in each step without readings
+ASKING = 8.0  # s over which a customer's asking here is averaged: its mean gap there is some seconds
+LIGHT, HEAVY = 0.4, 1.0  # times its quota that a customer asks for, by what it asks here: surely under, over
+SPARSE = 2.0  # times that a request is over the part of the burst where the bucket cannot know
+
+
+class Restrictor:
+    """One customer's leaky bucket, its leak rate, and this gateway's share of the ceiling."""
+
+    def __init__(self, plan: api.Plan, entries: int, now: float, born: float) -> None:
+        self.settle(plan, entries)
+        self.rate = self.floor
+        self.fill, self.at, self.seen_at = 0.0, now, now
+        self.passed, self.open = 0.0, 0  # units let through since the last step; attempts out
+        self.own = self.own_late = self.use = 0.0  # own_late lags own by as much as readings lag use
+        self.reading, self.heard_at = 0.0, -math.inf
+        self.asking, self.asked_at = 0.0, now  # units a second asked for here, refused ones too
+        self.uncounted, self.spent = 0.0, -1  # units let in here and not counted; the window used up
+        # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
+        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born))
+
+    def settle(self, plan: api.Plan, entries: int) -> None:
+        """Takes plan and set as a request names them: one that named others must not bind all that follow."""
+        self.plan, self.entries = plan, max(1, entries)
+        self.floor = plan.rate / self.entries
+        self.length = plan.burst / plan.rate if plan.rate else 0.0  # s that the burst is worth
+
+    def drain(self, now: float) -> None:
+        elapsed, self.at = max(0.0, now - self.at), max(self.at, now)
+        self.fill = max(0.0, self.fill - self.rate * elapsed)
+        if self.plan.ceiling_rate:  # a plan without one, named by mistake, leaves the customer's as it was
+            self.ceiling = min(self.plan.ceiling_burst, self.ceiling + self.plan.ceiling_rate * elapsed)
+
+    def threshold(self, units: float) -> float:
+        """Burst scaled with the leak rate, one request at least; more where letting in wrongly costs less."""
+        # Let in wrongly a request costs c, refused wrongly its worth; the factor is 1 where these are equal.
+        cost = max(0.0, self.plan.excess_cost - self.plan.excess_worth)
+        rate = max(self.plan.rate, 1e-9)
+        # One that asks for little overall has the burst to itself, whichever gateway it comes to: a part of
+        # it is a request or two, and by chance two that belong together come to the same gateway.
+        asks = self.asking * math.exp((self.asked_at - self.at) / ASKING) * self.entries / rate
+        spare = min(1.0, max(0.0, (HEAVY - asks) / (HEAVY - LIGHT)))
+        share = self.rate / rate
+        return max(units, self.plan.burst * (share + spare * (1 - share)) * 2 / (1 + cost))
+
+    def note(self, now: float, units: float) -> None:
+        """Takes down that the customer has asked, when all has been decided by what it asked before."""
+        self.asking = self.asking * math.exp((self.asked_at - now) / ASKING) + units / ASKING
+        self.asked_at = now
+
+    def wait(self, units: float) -> float:
+        """Seconds until the bucket has room, 0 when it has it now."""
+        return max(0.0, (self.fill + units - self.threshold(units)) / self.rate) if self.plan.rate else 0.0
+
+    def ceiling_wait(self, units: float) -> float:
+        short = units * self.entries - self.ceiling  # shares are even, so a request takes for all
+        return max(0.0, short / self.plan.ceiling_rate) if self.plan.ceiling_rate else 0.0
+
+    def sparse(self, units: float) -> bool:
+        """Whether this gateway's part of the burst is under half a request: own traffic tells little."""
+        return self.plan.rate > 0 and SPARSE * self.plan.burst < units * self.entries
+
+    def window(self, now: float, customer: int) -> tuple[int, float]:
+        """The counter's name for this burst's worth of time, and the time left in it."""
+        place = now / self.length + customer % 97 / 97  # customers' windows must not all begin at once
+        return customer << 24 | int(place) & 0xFFFFFF, (1 - place % 1) * self.length
+
+    def open_full(self) -> bool:
+        """Whether own attempts, hung ones too, reach the open limit, or its even part where no rate binds."""
+        limit = self.plan.open_limit / (1 if self.plan.rate else self.entries)
+        return limit > 0 and self.open >= max(1.0, limit)
+
+    def charge(self, units: float) -> None:
+        self.fill = max(self.fill, min(self.fill + units, self.threshold(units)))
+        self.passed += units
+        self.ceiling -= units * self.entries
+
+    def step(self, now: float) -> None:
+        """Sets the leak rate: own use times the quota over metered use of the same, late, time."""
+        self.drain(now)
+        self.own_late += SMOOTH * (self.own - self.own_late)
+        self.own += SMOOTH * (self.passed / STEP - self.own)
+        self.passed = 0.0
+        if now - self.heard_at > QUIET:
+            self.rate += EASE * (self.floor - self.rate)
+            return
+        self.use += SMOOTH * (self.reading - self.use)
+        grown = self.rate * (1 + GROWTH)
+        wanted = self.own_late / self.use if self.use > 0 else grown
+        self.rate += DAMP * (max(self.floor, min(wanted, grown, self.plan.rate)) - self.rate)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -371,3 +371,44 @@
         host.stop()
 
     run(test())
+
+
+def test_a_request_with_a_wrong_plan_or_set_does_not_settle_its_customer() -> None:
+    """The first request of a customer names a mean plan and a wide set; those that follow get their own."""
+
+    async def test() -> None:
+        host = await Peer(answer()).start()
+        plans = [
+            {"name": "mean", "per_second": 0.01, "most_at_once": 1.0},
+            {"name": "team", "per_second": 1000.0, "most_at_once": 1000.0},
+        ]
+        async with world(entry("s-1", host.port), real=True, packages=plans) as w:
+            client = await w.client()
+            wrong = request("r1", Plan="mean", Quota_Info="units=1,spread=3,first=0")
+            assert (await client.ask(wrong)).status == 200
+            for number in range(20):
+                assert (await client.ask(request(f"ok{number}"))).status == 200
+            (restrictor,) = w.node.gateway.customers.values()
+            assert (restrictor.plan.name, restrictor.entries) == ("team", 2)
+        host.stop()
+
+    run(test())
+
+
+def test_a_customer_that_asks_for_little_has_the_whole_burst_at_any_gateway() -> None:
+    """Requests that belong together come to one gateway by chance; one that asks on and on has its part."""
+
+    async def test() -> None:
+        host = await Peer(answer()).start()
+        plan = {"name": "team", "per_second": 1.0, "most_at_once": 6.0, "excess_cost": 1.0}
+        changes = {"packages": [plan], "family_info": {"may_count": False}}
+        async with world(entry("s-1", host.port), real=True, **changes) as w:
+            client = await w.client()
+            headers = {"Quota_Info": "units=1,spread=3,first=1"}
+            first = [(await client.ask(request(f"a{i}", **headers))).status for i in range(3)]
+            assert first == [200] * 3  # a third of the burst is two
+            more = [(await client.ask(request(f"b{i}", **headers))).status for i in range(20)]
+            assert more.count(200) <= 3
+        host.stop()
+
+    run(test())
