--- a/coralvale/health.py
+++ b/coralvale/health.py
@@ -8,6 +8,7 @@
 
 NEWS = 10.0  # s in which half of what is known of a server's delay is forgotten
 SILENCE = 4.0  # usual delays' worth of missing answers: by chance this happens to one attempt in fifty
+BREAKS = 3  # connections that break in a row, with no answer between, before it is the server's doing
 LOST = 16.0  # usual delays after which an attempt that others have overtaken is lost, not slow
 
 
@@ -19,6 +20,7 @@
         self.out: dict[tuple[str, int], float] = {}  # attempts out, oldest first
         self.slow, self.heard_at = 1.0, now  # its delay over the fleet's for the same class
         self.failures, self.retry_at = 0.0, 0.0
+        self.breaks = 0  # connections that broke since its last answer
         self.reported, self.reported_at = 0.0, -math.inf
 
     def warmth(self, settings: api.Settings, now: float) -> float:
@@ -49,3 +51,16 @@
     def failed(self, now: float, pause: float) -> None:
         self.retry_at = max(self.retry_at, now + pause * 2**self.failures)
         self.failures = min(self.failures + 1, 4)
+
+    def broke(self, now: float, pause: float) -> None:
+        """A lost connection is no lost server: idle limits, resets on the way and single faults break some.
+
+        A server that dies breaks all that is out at once, or takes no new connection: that is `failed`. This
+        does harm where one resets all that it is sent but is sent little: it has cost three attempts by then.
+        """
+        self.breaks += 1
+        if self.breaks >= BREAKS:
+            self.failed(now, pause)
+
+    def answered(self, now: float) -> None:
+        self.heard_at, self.breaks = now, 0
--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -199,7 +199,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptDone:
-    """`usage` is the customer's metered use as a fraction of its rate, or None; `units` the true units."""
+    """`usage` is the customer's metered use as a fraction of its rate, or None; `units` the true units.
+
+    `broke`: a connection that had come up broke, where RESET and CONNECT_FAILED do not tell that from a host
+    that takes none.
+    """
 
     request: str
     attempt: int
@@ -209,6 +213,7 @@
     usage: float | None = None
     units: float | None = None
     report: tuple[float, ...] = ()
+    broke: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -1,7 +1,7 @@
 """All decisions of the gateway. The types it takes and gives are in coralvale/interface.py.
 
 Ordinary path of a request: the customer's leaky bucket (NICC ND1621, clause 5 and figure 4), the guards, a
-server. Exception: a customer of whom this gateway sees too little is counted on the counter (docs/design.md).
+server. Exception: a customer of whom this gateway sees too little is counted on the counter (`_ask`).
 """
 
 from __future__ import annotations
@@ -330,7 +330,8 @@
             # What is seldom heard of a server counts for more: one that grows slower is left before it dies.
             weight, host.slow = max(0.1, 1 - 0.5 ** ((now - host.heard_at) / NEWS)), host.slowness(now)
             host.slow += weight * (event.delay / self.usual[cls] - host.slow)
-            host.heard_at, host.failures = now, 0.0 if host.failures < 1 else host.failures / 2
+            host.answered(now)
+            host.failures = 0.0 if host.failures < 1 else host.failures / 2
             self.calm[cls] = min(self.calm[cls], self.usual[cls])
             self.usual[cls] += MEMORY * (event.delay - self.usual[cls])
         elif event.outcome is Outcome.TIMEOUT:  # the delay is at least this; hung servers must not tell much
@@ -340,9 +341,13 @@
             if patient and host.heard_at < now - event.delay:
                 host.failed(now, FAIL_PAUSE)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
-            answered = event.outcome in (Outcome.FULL, Outcome.ERROR)
-            host.heard_at = now if answered else host.heard_at
-            host.failed(now, FAIL_PAUSE / 4 if answered else FAIL_PAUSE)
+            if event.broke:
+                host.broke(now, FAIL_PAUSE)
+            elif event.outcome in (Outcome.FULL, Outcome.ERROR):
+                host.answered(now)
+                host.failed(now, FAIL_PAUSE / 4)
+            else:
+                host.failed(now, FAIL_PAUSE)
         self.mean = sum(self.usual) / len(self.usual)
         told = zip(self.settings.report_fields, event.report, strict=False)
         if held := [v for name, v in told if name in ("inflight", "queue") and math.isfinite(v)]:
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -317,6 +317,7 @@
                 finished=held.answered,
                 usage=answer.usage if answer else None,
                 report=answer.report if answer else (),
+                broke=attempt.broke,
             )
         )
         self._forget(held)
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -68,6 +68,7 @@
     timer: asyncio.TimerHandle | None = None
     connection: Connection | None = field(default=None, repr=False)
     ended: bool = False
+    broke: bool = False  # its connection had come up, and broke
 
     @property
     def place(self) -> Place:
@@ -129,6 +130,7 @@
         self.attempt, attempt.connection = attempt, self
         self.transport.write(payload)
         if self.transport.is_closing():  # the write failed at once, so nothing has left this machine
+            attempt.broke = True
             self._finish(Outcome.CONNECT_FAILED)
 
     def data_received(self, data: bytes) -> None:
@@ -237,7 +239,7 @@
         self.pool.opened(-1)
         self.pool.owner.connections.discard(self)
         if attempt := self.attempt:
-            self.attempt = None
+            self.attempt, attempt.broke = None, True
             attempt.end(Outcome.CONNECT_FAILED if self.unwritten else Outcome.RESET)
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -412,3 +412,36 @@
         host.stop()
 
     run(test())
+
+
+def test_a_lost_connection_is_told_from_a_lost_host() -> None:
+    """Single breaks pause no host that goes on answering; breaks in a row, or a refused connection, do."""
+
+    async def test() -> None:
+        host = await Peer().start()
+        async with world(entry("s-1", host.port), real=True) as w:
+            client = await w.client()
+            seen = w.node.gateway.hosts["s-1"]
+            for number in range(5):
+                client.send(request(f"lost{number}"))
+                (await host.next()).reset()
+                assert (await client.receive()).status == 503
+                assert not seen.ill(w.node.clock.now(), 1.0) and not seen.retry_at
+                client.send(request(f"well{number}"))
+                (await host.next()).reply(answer())
+                assert (await client.receive()).status == 200
+            for number in range(3):
+                assert not seen.retry_at
+                client.send(request(f"down{number}"))
+                (await host.next()).reset()
+                assert (await client.receive()).status == 503
+            assert seen.retry_at > w.node.clock.now()
+        gone = await Peer().start()
+        async with world(entry("s-1", gone.port), real=True) as w:
+            gone.stop()
+            await soon(gone.server.wait_closed())
+            assert (await w.ask(request())).status == 503
+            assert w.node.gateway.hosts["s-1"].retry_at > w.node.clock.now()
+        host.stop()
+
+    run(test())
