--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -29,6 +29,10 @@
 REST = 0.002  # s between an answer and the next use of its connection: what follows the answer shows up in it
 MOST_USE, MOST_LOAD = 1000.0, 1e6  # figures past these are not taken for figures
 IDLE_SHARE = 0.8  # of the hosts' idle limit, after which a kept connection is closed on this side
+AGES = 36  # steps of the ages that are told apart, from 1 ms up, each longer by the square root of two
+CONNECT = 0.2  # what a new connection costs, as a share of what a request costs that is lost with a kept one
+LOSS = 0.5  # least loss, of that kind, for which an age is shunned: one break where nothing else was seen
+FORGET = 10.0  # s in which half of what was seen is forgotten
 SWEEP = 1.0  # s between looks for connections that have stood idle for too long
 
 # Headers that concern one connection only, and what hosts tell the gateway alone.
@@ -89,7 +93,8 @@
         self.pool = pool
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
-        self.idle_since = 0.0
+        self.idle_since = self.age = 0.0  # age: how long it had stood idle before its newest request
+        self.kept = False
         self.unwritten = self.complete = self.keep_alive = False
         self._clear()
 
@@ -117,7 +122,7 @@
     def stale(self, now: float) -> bool:
         """Whether the peer has closed it, even if the loop has not been told yet, or soon may."""
         assert self.transport is not None
-        closing = self.transport.is_closing() or now - self.idle_since >= self.pool.owner.idle_limit
+        closing = self.transport.is_closing() or now - self.idle_since >= self.pool.owner.idle_limit.now
         return closing or bool(self.poll.poll(0))
 
     def start(self, attempt: Attempt) -> None:
@@ -128,9 +133,10 @@
             attempt.end(Outcome.NOT_SENT)
             return
         self.attempt, attempt.connection = attempt, self
+        self.age = self.pool.owner.clock.now() - self.idle_since
         self.transport.write(payload)
         if self.transport.is_closing():  # the write failed at once, so nothing has left this machine
-            attempt.broke = True
+            self._broke(attempt)
             self._finish(Outcome.CONNECT_FAILED)
 
     def data_received(self, data: bytes) -> None:
@@ -195,6 +201,8 @@
             self.keep_alive = self.parser.should_keep_alive()
 
     def _answered(self) -> None:
+        if self.kept:
+            self.pool.owner.idle_limit.note(self.age, False)
         status = self.status
         answer = Answer(status, [], b"".join(self.body))
         not_processed = False
@@ -239,9 +247,47 @@
         self.pool.opened(-1)
         self.pool.owner.connections.discard(self)
         if attempt := self.attempt:
-            self.attempt, attempt.broke = None, True
+            self.attempt = None
+            self._broke(attempt)
             attempt.end(Outcome.CONNECT_FAILED if self.unwritten else Outcome.RESET)
 
+    def _broke(self, attempt: Attempt) -> None:
+        attempt.broke = True
+        if self.kept and not self.head_size:
+            self.pool.owner.idle_limit.note(self.age, True)
+
+
+class IdleLimit:
+    """How long a connection may stand idle and still be used, learned from how kept ones of each age fare.
+
+    Hosts, and what lies on the way to them, may close idle connections sooner than they say, and without a
+    word that is seen before the next request is written. Where all ages break alike nothing is shunned, since
+    a new connection would break as well. Hosts are not told apart, as each is seen too seldom: one that
+    closes sooner than the others goes unnoticed, or costs all of them new connections.
+    """
+
+    def __init__(self, most: float) -> None:
+        self.most = self.now = most
+        self.losses = [0.0] * AGES  # by using kept connections of an age, over what new ones would have cost
+
+    def note(self, age: float, broke: bool) -> None:
+        step = int(2 * math.log2(max(age, 0.001) / 0.001))
+        self.losses[min(step, AGES - 1)] += (1 - CONNECT) if broke else -CONNECT
+        if broke:
+            self._learn()
+
+    def forget(self, seconds: float) -> None:
+        self.losses = [loss * 0.5 ** (seconds / FORGET) for loss in self.losses]
+        self._learn()
+
+    def _learn(self) -> None:
+        """The age from which on most is lost."""
+        total, worst, self.now = 0.0, LOSS, self.most
+        for step in range(AGES - 1, -1, -1):
+            total += self.losses[step]
+            if total > worst:
+                worst, self.now = total, min(self.most, 0.001 * 2 ** (step / 2))
+
 
 class Pool:
     """The connections to one host: idle ones, newest last, and attempts that wait for one."""
@@ -285,7 +331,7 @@
         if self.retired:
             connection.close()
             return
-        connection.idle_since = self.owner.clock.now()
+        connection.idle_since, connection.kept = self.owner.clock.now(), True
         self.idle.append(connection)
         if self.waiting:
             self.owner.loop.call_later(REST, self._serve, connection)
@@ -333,7 +379,7 @@
         report_fields: tuple[str, ...] = (),
     ) -> None:
         self.clock, self.connect_timeout, self.most = clock, connect_timeout, most
-        self.idle_limit = idle * IDLE_SHARE
+        self.idle_limit = IdleLimit(idle * IDLE_SHARE)
         self.report_fields = report_fields
         self.open = 0  # connections up or being opened
         self.pools: dict[Place, Pool] = {}
@@ -413,9 +459,10 @@
 
     def _sweep(self) -> None:
         self.sweep = self.loop.call_later(SWEEP, self._sweep)
+        self.idle_limit.forget(SWEEP)
         now = self.clock.now()
         for place, pool in list(self.pools.items()):
-            while pool.idle and now - pool.idle[0].idle_since >= self.idle_limit:
+            while pool.idle and now - pool.idle[0].idle_since >= self.idle_limit.now:
                 pool.idle[0].close()
             if not pool.open:
                 del self.pools[place]  # hosts come and go with the day
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -14,7 +14,7 @@
 
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
-from coralvale.net.upstream import Answer, Attempt, Upstreams, read_load, read_usage
+from coralvale.net.upstream import Answer, Attempt, IdleLimit, Upstreams, read_load, read_usage
 
 PAYLOAD = b"GET /api HTTP/1.1\r\nX-Request-ID: r1\r\n\r\n"
 
@@ -382,3 +382,43 @@
 
     monkeypatch.setattr("coralvale.net.upstream.read_usage", fail)
     run(test())
+
+
+def test_the_age_at_which_kept_connections_break_is_learned_and_forgotten() -> None:
+    """A host drops connections that stand idle without a word, and resets what is then written to them."""
+
+    async def test() -> None:
+        async with bench() as b:
+            b.upstreams.sweep.cancel()  # it forgets by the loop's time
+
+            async def ask(after: float) -> int:
+                b.clock.ahead += after
+                b.send()
+                arrived = await b.host.next()
+                arrived.reply(answer())
+                assert await b.outcome() is Outcome.OK
+                return arrived.connection
+
+            assert [await ask(after) for after in (0.0, 0.1, 0.1, 2.0)] == [1] * 4
+            b.clock.ahead += 3.0
+            b.send()
+            (await b.host.next()).reset()
+            assert await b.outcome() is Outcome.RESET
+            assert await ask(0.0) == 2
+            assert await ask(0.1) == await ask(0.1) == 2  # younger ones are used on
+            assert await ask(3.0) == 3
+            b.upstreams.idle_limit.forget(60.0)
+            assert await ask(3.0) == 3
+
+    run(test())
+
+
+def test_where_all_ages_break_alike_kept_connections_are_used_on() -> None:
+    limit = IdleLimit(12.0)
+    for number in range(1000):
+        limit.note(0.001 * 2 ** (number % 14), broke=number % 10 == 0)
+    assert limit.now == 12.0
+    limit.forget(100.0)
+    for number in range(20):
+        limit.note(0.3, broke=number % 2 == 0)
+    assert 0.1 < limit.now <= 0.3
