Move the tests' peers into coralvale/standins; add working hosts, discovery, counter and load

Cause: tests, a demo and benchmarks need the same stand-ins, and only the tests had them. Change: one file each under coralvale/standins, which import nothing of what they test; tests/net_helpers.py keeps only the gateway's own set-up. New: Host (counts executions, drains), Roster (a discovery that works), Tally, load.

--- /dev/null
+++ b/coralvale/standins/demo.py
@@ -0,0 +1,204 @@
+"""The demo: a real gateway as a process of its own between stand-ins, some stations over quota, one drain."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from coralvale.standins.clients import Client, Station, Tallies, load
+from coralvale.standins.counter import Tally
+from coralvale.standins.discovery import Roster, entry
+from coralvale.standins.hosts import Host
+
+READY = 15.0  # s that the gateway may take to start
+CLASSES = ("episode-fetch", "bookmark-add")
+PLANS = {"basico": (4.0, 12.0), "provincial": (20.0, 40.0), "federal": (40.0, 80.0)}
+STATIONS = (
+    Station("Radio Ceibo", 0x101, "basico", 3.0),
+    Station("FM Isla Verde", 0x102, "basico", 12.0),  # three times its quota
+    Station("LT9 Litoral", 0x203, "provincial", 15.0),
+    Station("Radio Federal", 0x304, "federal", 70.0),  # over its quota, and held by a ceiling
+)
+
+
+def settings() -> dict[str, Any]:
+    """The object `settings` of a gateway's configuration, with the demo's classes and plans."""
+    return {
+        "n_instances": 1,
+        "me": 0,
+        "locality": 0,
+        "zones": ["north", "south"],
+        "skus": ["large"],
+        "classes": [
+            {"name": CLASSES[0], "aim_s": 1.0, "give_up_s": 4.0, "worth": 3.0, "repeat": "free"},
+            {"name": CLASSES[1], "aim_s": 1.0, "give_up_s": 4.0, "worth": 2.0, "repeat": "single_shot"},
+        ],
+        "packages": [
+            {
+                "name": name,
+                "per_second": rate,
+                "most_at_once": burst,
+                "excess_cost": 1.0,
+                **({"never_over_rate": 50.0, "hard_burst": 100.0} if name == "federal" else {}),
+            }
+            for name, (rate, burst) in PLANS.items()
+        ],
+        "ceilings": {
+            "send_cap": 4,
+            "connect_timeout_s": 0.25,
+            "conn_idle_s": 15.0,
+            "retry_after": True,
+            "max_retry_after_s": 0.5,
+            "may_cancel": True,
+        },
+        "family_info": {"may_count": True, "count_wait_s": 0.03, "use_period_s": 0.5, "most_units": 1},
+        "rules": {
+            "stop_sending_within_s": 0.5,
+            "cold_from": 0.3,
+            "ramp_time_s": 8.0,
+            "fall_multiple": 2.0,
+            "overload_for_s": 3.0,
+        },
+    }
+
+
+def free_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return int(free.getsockname()[1])
+
+
+async def demo(seconds: float, seed: int, tell: Callable[[str], object]) -> dict[str, Any]:
+    """Runs it; `tell(line)` shows what happens. Returns the summary."""
+    hosts = [await Host(f"s-{i}", seed=seed).start() for i in range(4)]
+    roster = await Roster(
+        *(entry(h.name, h.port, zone=("north", "south")[i % 2]) for i, h in enumerate(hosts))
+    ).start()
+    counter, port = await Tally().start(), free_port()
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "demo",
+                    "listen": f"127.0.0.1:{port}",
+                    "discovery": roster.address,
+                    "counter": f"127.0.0.1:{counter.port}",
+                    "seed": f"{seed:x}",
+                    "limits": {"sockets": 1024},
+                    "known": roster.known(),
+                    "settings": settings(),
+                }
+            )
+        )
+        log = (Path(folder) / "log").open("wb+")
+        gateway = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "coralvale", env={**os.environ, "LB_CONFIG": str(path)}, stderr=log
+        )
+        try:
+            await ready(port, gateway)
+            tell(f"gateway on 127.0.0.1:{port}, {len(hosts)} hosts, {len(STATIONS)} stations, {seconds:g} s")
+            result = await _play(seconds, seed, tell, port, hosts, roster)
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                gateway.terminate()
+            await gateway.wait()
+        log.seek(0)
+        lines = log.read().decode(errors="replace").splitlines()
+        log.close()
+        result["refusals"] = [line.partition("refused in ")[2] for line in lines if "refused in " in line]
+        result["gateway_exit"] = gateway.returncode
+    for host in hosts:
+        host.stop()
+    roster.stop()
+    counter.stop()
+    return result
+
+
+async def ready(port: int, process: asyncio.subprocess.Process) -> None:
+    """Waits until `GET /up` says 200. Raises RuntimeError if the process ends or takes too long."""
+    end = time.monotonic() + READY
+    while time.monotonic() < end and process.returncode is None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            client = Client(*await asyncio.open_connection("127.0.0.1", port))
+            status = (await client.ask(b"GET /up HTTP/1.1\r\n\r\n")).status
+            client.close()
+            if status == 200:
+                return
+        await asyncio.sleep(0.02)
+    raise RuntimeError("the gateway did not become ready")
+
+
+async def _play(
+    seconds: float,
+    seed: int,
+    tell: Callable[[str], object],
+    port: int,
+    hosts: list[Host],
+    roster: Roster,
+) -> dict[str, Any]:
+    tallies = Tallies()
+    loads = [asyncio.create_task(load(s, port, seconds, tallies, CLASSES, seed)) for s in STATIONS]
+    told = 0.0
+    for second in range(1, int(seconds) + 1):
+        await asyncio.sleep(1.0)
+        if not told and second >= seconds / 2:
+            told = time.time()
+            roster.tell("s-0", status="leaving")
+            tell("-- s-0 is told as leaving: nothing new may reach it 0.5 s from now")
+        parts = [f"{s.name}: {_line(tallies, s.name)}" for s in STATIONS]
+        tell(f"{second:3d} s  " + " | ".join(parts))
+    await asyncio.gather(*loads)
+    late = hosts[0].since(told + 0.5) if told else 0
+    twice = sum(1 for host in hosts for count in host.ran.values() if count > 1)
+    delays = sorted(tallies.delays) or [0.0]
+    return {
+        "seconds": seconds,
+        "stations": {s.name: dict(sorted(tallies.answers.get(s.name, {}).items())) for s in STATIONS},
+        "served": tallies.total("served"),
+        "refused": tallies.total("refused"),
+        "failed": tallies.total("failed"),
+        "lost": tallies.total("lost"),
+        "late_after_drain": late,
+        "ran_twice_on_a_host": twice,
+        "p50_ms": round(1000 * delays[len(delays) // 2], 1),
+        "p99_ms": round(1000 * delays[int(len(delays) * 0.99)], 1),
+    }
+
+
+def _line(tallies: Tallies, name: str) -> str:
+    counts = tallies.answers.get(name, Counter[str]())
+    return ", ".join(f"{count} {what}" for what, count in sorted(counts.items(), reverse=True)) or "-"
+
+
+def run(seconds: float, as_json: bool, seed: int) -> int:
+    """The command: 0 if requests were served, none was lost and the drain was kept; else 1."""
+    result = asyncio.run(demo(seconds, seed, (lambda line: None) if as_json else print))
+    if as_json:
+        print(json.dumps(result))
+    else:
+        _show(result)
+    return 0 if result["served"] and not result["lost"] and not result["late_after_drain"] else 1
+
+
+def _show(result: dict[str, Any]) -> None:
+    print(f"\n{'station':16s} {'served':>8s} {'refused':>8s} {'failed':>8s} {'lost':>6s}")
+    for name, counts in result["stations"].items():
+        cells = [counts.get(what, 0) for what in ("served", "refused", "failed", "lost")]
+        print(f"{name:16s} {cells[0]:8d} {cells[1]:8d} {cells[2]:8d} {cells[3]:6d}")
+    for line in result["refusals"]:
+        print(f"refused in {line}")
+    print(
+        f"answers: p50 {result['p50_ms']} ms, p99 {result['p99_ms']} ms; "
+        f"reached the drained host after 0.5 s: {result['late_after_drain']}"
+    )
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -1,4 +1,4 @@
-"""Hosts, discovery and a counter on loopback sockets, and a gateway between them."""
+"""A gateway on loopback between stand-ins: its settings, its life, and a script in the decisions' place."""
 
 from __future__ import annotations
 
@@ -14,8 +14,15 @@
 from coralvale import interface as api
 from coralvale.net.config import parse_config
 from coralvale.net.node import Node
+from coralvale.standins.clients import Client, request
+from coralvale.standins.discovery import Registry, entry, line
+from coralvale.standins.peer import LIMIT, Arrived, Peer
+from coralvale.standins.wire import Message, answer, chunk
 
-LIMIT = 20.0  # s within which anything that is waited for must have happened
+__all__ = [
+    "LIMIT", "SETTINGS", "Arrived", "Client", "Message", "Peer", "Registry", "Script", "World", "answer",
+    "chunk", "entry", "line", "request", "run", "settings", "soon", "until", "world",
+]  # fmt: skip
 
 SETTINGS: dict[str, Any] = {
     "n_instances": 3,
@@ -76,166 +83,6 @@
             await asyncio.sleep(0.002)
 
 
-@dataclass
-class Message:
-    """An HTTP message as it came."""
-
-    first: bytes
-    headers: dict[bytes, bytes]
-    body: bytes
-
-    @property
-    def status(self) -> int:
-        return int(self.first.split(b" ")[1])
-
-
-async def read_message(reader: asyncio.StreamReader) -> Message:
-    head = await reader.readuntil(b"\r\n\r\n")
-    first, *lines = head[:-4].split(b"\r\n")
-    headers = {}
-    for line in lines:
-        name, _, value = line.partition(b":")
-        headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get(b"content-length", b"0")))
-    return Message(first, headers, body)
-
-
-def answer(status: int = 200, body: bytes = b"ok", **headers: str) -> bytes:
-    lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}"]
-    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
-@dataclass
-class Arrived:
-    """A request at a fake host or counter, and the connection to answer it on."""
-
-    message: Message
-    writer: asyncio.StreamWriter
-    connection: int
-
-    def reply(self, data: bytes) -> None:
-        self.writer.write(data)
-
-    def close(self) -> None:
-        self.writer.close()
-
-    def reset(self) -> None:
-        self.writer.transport.abort()
-
-
-@dataclass
-class Peer:
-    """A server on a port of its own: every request it gets is put into `arrived`; `auto` answers at once."""
-
-    auto: bytes | None = None
-    arrived: asyncio.Queue[Arrived] = field(default_factory=asyncio.Queue)
-    connections: int = 0
-    closed: int = 0
-    writers: list[asyncio.StreamWriter] = field(default_factory=list)
-
-    async def start(self) -> Peer:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    @property
-    def address(self) -> tuple[str, int]:
-        return "127.0.0.1", self.port
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        number = self.connections
-        self.writers.append(writer)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            while True:
-                arrived = Arrived(await read_message(reader), writer, number)
-                if self.auto is not None:
-                    writer.write(self.auto)
-                self.arrived.put_nowait(arrived)
-        self.closed += 1
-        writer.close()
-
-    async def next(self) -> Arrived:
-        return await soon(self.arrived.get())
-
-    def stop(self) -> None:
-        self.server.close()
-        for writer in self.writers:
-            writer.transport.abort()
-
-
-class Registry(Peer):
-    """Discovery: each watch is answered with a head, then with what the test tells."""
-
-    async def watch(self) -> Arrived:
-        watch = await self.next()
-        watch.reply(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        return watch
-
-
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
-def line(index: int, *endpoints: dict[str, Any], snapshot: bool = False) -> bytes:
-    message = {"index": index, "snapshot": snapshot, "endpoints": list(endpoints)}
-    return json.dumps(message).encode() + b"\n"
-
-
-def entry(name: str, port: int, **more: Any) -> dict[str, Any]:
-    fields = {"name": name, "address": f"127.0.0.1:{port}", "zone": "south", "type": "large", "group": 1}
-    return {**fields, "status": "active", "weight": 1.0, "since_ms": 0, **more}
-
-
-class Client:
-    """A client connection of a gateway."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer = reader, writer
-
-    def send(self, data: bytes) -> None:
-        self.writer.write(data)
-
-    async def receive(self) -> Message:
-        return await soon(read_message(self.reader))
-
-    async def ask(self, data: bytes) -> Message:
-        self.send(data)
-        return await self.receive()
-
-    async def at_end(self) -> bool:
-        """Whether the gateway has ended the connection, with nothing more sent."""
-        try:
-            return await soon(self.reader.read()) == b""
-        except ConnectionError:
-            return True
-
-    def close(self) -> None:
-        self.writer.close()
-
-
-def request(
-    id: str = "r1", cls: str = "read", target: str = "/api", body: bytes = b"", **headers: str | None
-) -> bytes:
-    """A request in PROTOCOL's form; a header given as None is left out."""
-    fields: dict[str, str | None] = {
-        "Host": "service.internal",
-        "X-Request-ID": id,
-        "X-Priority-Class": cls,
-        "Plan": "team",
-        "Cookie": "client=00000000b4d65521",
-        "X-Timeout": "30",
-        "Quota-Info": "units=1,spread=2,first=1",
-        **{name.replace("_", "-"): value for name, value in headers.items()},
-    }
-    if body:
-        fields["Content-Length"] = str(len(body))
-    method = "GET" if cls == "read" else "POST"
-    lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items() if v is not None)]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
 class Script:
     """In the module's place: records the events and answers each as the test has laid down."""
 
