Add make demo and make test, the operator's file, the command line and import contracts

Cause: a newcomer has no platform to run on, and the larger directions need settings, commands and layers of their own. Without a word python -m coralvale is the gateway as before.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# `make demo` runs the gateway between stand-ins; `make test` runs all that CI runs. Both set up what they need.
+VENV ?= .venv-dev
+ARGS ?=
+export PATH := $(abspath $(VENV))/bin:$(PATH)
+
+.PHONY: demo test bench clean
+
+demo: $(VENV)/made
+	python -m coralvale demo $(ARGS)
+
+test: $(VENV)/made
+	ruff format --check .
+	ruff check .
+	mypy
+	lint-imports
+	python -m pytest
+
+bench: $(VENV)/made
+	python benchmarks/control.py $(ARGS)
+
+$(VENV)/made: requirements.txt requirements-control.txt requirements-dev.txt
+	rm -rf $(VENV)
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip -q install -r requirements-dev.txt
+	touch $@
+
+clean:
+	rm -rf $(VENV)
--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -57,7 +57,8 @@
     node.close()
 
 
-def main() -> int:
+def run(operator: str = "") -> int:
+    """The gateway; `operator` names the operator's file, which is read and checked if it is given."""
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
     logging.getLogger().handlers[0].addFilter(Sparing())
     # libuv's io_uring comes with a kernel thread that polls: with less than a core it used all there was.
@@ -69,6 +70,14 @@
     if not path:
         print("coralvale: LB_CONFIG is not set", file=sys.stderr)
         return 2
+    if operator:
+        from coralvale.operator import OperatorError, read_operator
+
+        try:
+            read_operator(operator)  # nothing in it is the gateway's yet; a mistake must not wait for that
+        except OperatorError as error:
+            print(f"coralvale: {error}", file=sys.stderr)
+            return 2
     try:
         uvloop.run(serve(read_config(path), path))
     except ConfigError as error:
@@ -80,5 +89,14 @@
     return 0
 
 
+def main() -> int:
+    """Without a word the gateway, as the platform starts it; all else is the command line's."""
+    if len(sys.argv) > 1 or os.environ.get("CORALVALE_OPERATOR"):
+        from coralvale.cli import main as command_line
+
+        return command_line(sys.argv[1:] or ["gateway"])
+    return run()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/coralvale/cli.py
@@ -0,0 +1,90 @@
+"""The command line. Without a word it is the gateway, which never imports this file.
+
+Exit codes: 0 well, 1 cannot start or a run that failed, 2 a wrong call or a file that cannot be used.
+"""
+
+from __future__ import annotations
+
+import argparse
+import importlib
+import json
+import os
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+EXTRAS = {"msgspec": "operator", "grpc": "control", "envoy": "control", "google": "control"}
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(
+        prog="coralvale",
+        description="An API gateway that keeps every customer to its plan. Without a command: the gateway.",
+        epilog="LB_CONFIG names the configuration of gateway and control service. "
+        "CORALVALE_OPERATOR names the operator's file where --operator does not.",
+    )
+    commands = top.add_subparsers(dest="command", metavar="COMMAND", required=True)
+
+    gateway = commands.add_parser("gateway", help="the gateway, as without a command")
+    for command in (gateway,):
+        command.add_argument("--operator", metavar="FILE", help="the operator's file")
+
+    check = commands.add_parser("check", help="reads an operator's file and says what is wrong with it")
+    check.add_argument("file", metavar="FILE")
+    check.add_argument("--json", action="store_true", help="one JSON object: ok, file, error, tables")
+
+    demo = commands.add_parser("demo", help="a gateway between stand-ins, on loopback, for some seconds")
+    demo.add_argument("--seconds", type=float, default=12.0, metavar="N", help="how long (12)")
+    demo.add_argument("--json", action="store_true", help="only the summary, as one JSON object")
+    demo.add_argument("--seed", type=int, default=1, help="of the clients' arrivals (1)")
+    return top
+
+
+def main(arguments: Sequence[str]) -> int:
+    asked = parser().parse_args(arguments)
+    try:
+        return _run(asked)
+    except ModuleNotFoundError as error:
+        extra = EXTRAS.get((error.name or "").partition(".")[0])
+        if extra is None:
+            raise
+        print(
+            f"coralvale: {asked.command} needs the package {error.name}: pip install '.[{extra}]'",
+            file=sys.stderr,
+        )
+        return 1
+
+
+def _run(asked: argparse.Namespace) -> int:
+    if asked.command == "check":
+        return _check(asked)
+    if asked.command == "demo":
+        if asked.seconds <= 0:
+            print("coralvale: --seconds: expected a number above 0", file=sys.stderr)
+            return 2
+        return _call("coralvale.standins.demo", asked.seconds, asked.json, asked.seed)
+    operator = asked.operator or os.environ.get("CORALVALE_OPERATOR", "")
+    return _call("coralvale.__main__", operator)
+
+
+def _call(module: str, *arguments: Any) -> int:  # noqa: ANN401
+    """A subsystem is imported only here, when it is asked for."""
+    return int(importlib.import_module(module).run(*arguments))
+
+
+def _check(asked: argparse.Namespace) -> int:
+    from coralvale.operator import OperatorError, read_operator
+
+    try:
+        read = read_operator(asked.file)
+    except OperatorError as error:
+        if asked.json:
+            print(json.dumps({"ok": False, "file": asked.file, "error": str(error), "tables": []}))
+        print(f"coralvale: {error}", file=sys.stderr)
+        return 2
+    tables = [name for name in read.__struct_fields__ if getattr(read, name) is not None]
+    if asked.json:
+        print(json.dumps({"ok": True, "file": asked.file, "error": "", "tables": tables}))
+    else:
+        print(f"{asked.file}: good; on: {', '.join(tables) or 'nothing'}")
+    return 0
--- /dev/null
+++ b/coralvale/operator/__init__.py
@@ -0,0 +1,21 @@
+"""The operator's file: settings of what is beyond the platform, off unless they are named."""
+
+from coralvale.operator.model import (
+    Control,
+    ControlLimits,
+    ControlQuotas,
+    ControlTls,
+    Operator,
+    OperatorError,
+)
+from coralvale.operator.read import read_operator
+
+__all__ = [
+    "Control",
+    "ControlLimits",
+    "ControlQuotas",
+    "ControlTls",
+    "Operator",
+    "OperatorError",
+    "read_operator",
+]
--- /dev/null
+++ b/coralvale/operator/model.py
@@ -0,0 +1,103 @@
+"""The tables of the operator's file, one a subsystem; every key with its default, unit and bounds.
+
+`deploy/operator.example.toml` shows the same keys to people; a test holds the two together.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import Annotated
+
+from msgspec import Meta, Struct, field
+
+Seconds = Annotated[float, Meta(gt=0, le=3600)]
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+
+
+class OperatorError(ValueError):
+    """The operator's file cannot be used; the message is one line: file, key path, what was expected."""
+
+
+class Table(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A table of the file: unknown keys are refused, so that a misspelt one is not taken for a default."""
+
+
+class ControlTls(Table, frozen=True):
+    """`[control.tls]`: PEM files. With `client_ca` a proxy must show a certificate that it signed."""
+
+    certificate: str
+    key: str
+    client_ca: str = ""
+
+
+class ControlLimits(Table, frozen=True):
+    """`[control.limits]`: what proxies may make the service hold. Past each a gRPC status says which."""
+
+    streams: Count = 4096  # open at once, discovery and quota streams together
+    names: Count = 1000  # resource names in one subscription
+    message_bytes: Annotated[int, Meta(ge=1024, le=64 * 1024 * 1024)] = 1024 * 1024
+    reports_per_s: Count = 1000  # usage reports taken from one stream in a second
+    buckets: Count = 20000  # quota buckets kept, over all streams
+
+
+class ControlQuotas(Table, frozen=True):
+    """`[control.quotas]`: the Rate Limit Quota Service."""
+
+    domain: str = "coralvale"
+    station_key: str = "station"  # keys of a bucket's id that name the station and its plan
+    plan_key: str = "plan"
+    assignment_ttl_s: Seconds = 6.0  # how long an assignment holds with nobody reachable
+    margin_s: Seconds = 1.0  # longer that it is counted as alive, for the way to the proxy
+    forget_s: Seconds = 60.0  # without a report, after which a bucket is forgotten
+
+
+class Control(Table, frozen=True):
+    """`[control]`: the control service."""
+
+    service: Annotated[str, Meta(min_length=1, max_length=128)]  # name of the listener, route and cluster
+    listen: str = "127.0.0.1:18000"
+    proxy_address: str = ""  # where Envoy-like proxies shall listen; empty: only gRPC's api_listener
+    state_dir: str = ""  # keeps the roster last served across restarts; empty: nothing is kept
+    insecure: bool = False  # allows listening off loopback without TLS
+    metrics: str = ""  # address of the text page of metrics; empty: none
+    endpoint_lease_ms: Annotated[int, Meta(ge=0, le=60_000)] = 0  # 0: endpoints hold until told otherwise
+    restate_ms: Annotated[int, Meta(ge=50, le=10_000)] = 500  # between new weights of a host that warms
+    older_list_s: Seconds = 30.0  # after which a list with a lower index is taken for a new numbering
+    tls: ControlTls | None = None
+    limits: ControlLimits = field(default_factory=ControlLimits)
+    quotas: ControlQuotas = field(default_factory=ControlQuotas)
+
+    def check(self) -> None:
+        """What types cannot say. Raises ValueError whose text begins with the key's path."""
+        host = _address("control.listen", self.listen)
+        for path, text in (("proxy_address", self.proxy_address), ("metrics", self.metrics)):
+            if text:
+                _address(f"control.{path}", text)
+        if not (_loopback(host) or self.tls or self.insecure):
+            raise ValueError(
+                f"control.listen: {self.listen} is off loopback; expected [control.tls], or insecure = true"
+            )
+
+
+class Operator(Table, frozen=True):
+    """The whole file. A table that is not there is a subsystem that is off."""
+
+    control: Control | None = None
+
+    def check(self) -> None:
+        if self.control:
+            self.control.check()
+
+
+def _address(path: str, text: str) -> str:
+    host, colon, port = text.rpartition(":")
+    if not (host and colon and port.isascii() and port.isdecimal() and int(port) < 65536):
+        raise ValueError(f"{path}: expected address:port, got {text!r}")
+    return host.strip("[]")
+
+
+def _loopback(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False  # a name may be anything tomorrow
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,129 @@
+"""The operator's file and the command line: what is read, what is refused and in which words."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from coralvale.operator import Control, Operator, OperatorError, read_operator
+
+ROOT = Path(__file__).resolve().parent.parent
+HEAVY = (
+    "grpc",
+    "google",
+    "envoy",
+    "msgspec",
+    "coralvale.operator",
+    "coralvale.control",
+    "coralvale.standins",
+)
+
+
+def call(*arguments: str, code: str = "", **env: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, *(["-c", code] if code else ["-m", "coralvale"]), *arguments]
+    clean = {k: v for k, v in os.environ.items() if k not in ("LB_CONFIG", "CORALVALE_OPERATOR")}
+    return subprocess.run(
+        command, cwd=ROOT, env={**clean, **env}, capture_output=True, text=True, timeout=60, check=False
+    )
+
+
+def test_the_example_names_every_key_with_its_default() -> None:
+    text = (ROOT / "deploy/operator.example.toml").read_text()
+    example = read_operator(str(ROOT / "deploy/operator.example.toml"))
+    assert example == Operator(control=Control(service="parana-campus"))
+    named = tomllib.loads("\n".join(line.removeprefix("# ") for line in text.splitlines()[3:]))
+    keys = {"control": Control, "control.tls": msgspec.inspect.type_info(Control)}
+    assert set(named["control"]) == set(keys["control"].__struct_fields__)
+    for table in ("limits", "quotas"):
+        kind = type(getattr(Control(service="x"), table))
+        assert set(named["control"][table]) == set(kind.__struct_fields__)
+    assert set(named["control"]["tls"]) == {"certificate", "key", "client_ca"}
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("[control]\nservice = 'a'\nlisen = 'x'", "control: Object contains unknown field `lisen`"),
+        ("[contrl]", "top level: Object contains unknown field `contrl`"),
+        ("[control]", "control: Object missing required field `service`"),
+        ("[control]\nservice = 3", "control.service: Expected `str`, got `int`"),
+        (
+            "[control]\nservice = 'a'\n[control.limits]\nnames = 0",
+            "control.limits.names: Expected `int` >= 1",
+        ),
+        ("[control]\nservice = 'a'\nlisten = 'here'", "control.listen: expected address:port, got 'here'"),
+        ("[control]\nservice = 'a'\nlisten = '0.0.0.0:1'", "control.listen: 0.0.0.0:1 is off loopback"),
+        ("[control\n", "no TOML"),
+    ],
+)
+def test_a_mistake_is_told_by_file_key_and_what_was_expected(tmp_path: Path, text: str, told: str) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text(text)
+    with pytest.raises(OperatorError) as error:
+        read_operator(str(path))
+    assert str(error.value).startswith(f"{path}: {told}") and "\n" not in str(error.value)
+
+
+def test_off_loopback_needs_tls_or_a_word(tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    head = "[control]\nservice = 'a'\nlisten = '0.0.0.0:1'\n"
+    path.write_text(head + "insecure = true")
+    assert read_operator(str(path)).control is not None
+    path.write_text(head + "[control.tls]\ncertificate = 'c'\nkey = 'k'")
+    assert read_operator(str(path)).control is not None
+    for loopback in ("127.9.0.1:1", "[::1]:1"):
+        path.write_text(f"[control]\nservice = 'a'\nlisten = '{loopback}'")
+        assert read_operator(str(path)).control is not None
+
+
+def test_the_commands_have_help_and_exit_codes_that_mean_something(tmp_path: Path) -> None:
+    for words in ([], ["gateway"], ["check"], ["demo"]):
+        said = call(*words, "--help")
+        assert said.returncode == 0 and "usage: coralvale" in said.stdout
+    assert call("nonsense").returncode == 2
+    bad = tmp_path / "bad.toml"
+    bad.write_text("[control]\nservice = 1\n")
+    said = call("check", str(bad), "--json")
+    assert said.returncode == 2 and not json.loads(said.stdout)["ok"] and said.stderr.count("\n") == 1
+    said = call("check", "deploy/operator.example.toml", "--json")
+    assert said.returncode == 0 and json.loads(said.stdout)["tables"] == ["control"]
+    for words in (["gateway"], ["gateway", "--operator", str(bad)]):
+        said = call(*words, LB_CONFIG="nowhere.json")
+        assert said.returncode == 2 and said.stderr.count("\n") == 1, said
+    said = call(CORALVALE_OPERATOR=str(bad), LB_CONFIG="nowhere.json")  # the gateway, by the variable
+    assert said.returncode == 2 and "control.service" in said.stderr
+
+
+def test_a_gateway_without_an_operators_file_imports_nothing_of_the_subsystems() -> None:
+    code = (
+        "import sys; sys.argv = ['coralvale']; import coralvale.__main__ as m; m.main();"
+        "import coralvale.net.node;"
+        f"print(sorted(n for n in sys.modules if n.startswith({HEAVY!r}) or n == 'coralvale.cli'))"
+    )
+    said = call(code=code)
+    assert "LB_CONFIG is not set" in said.stderr and said.stdout.strip() == "[]"
+
+
+def test_a_missing_extra_is_told_in_one_line() -> None:
+    code = (
+        "import sys; sys.modules['msgspec'] = None; from coralvale.cli import main;"
+        "sys.exit(main(['check', 'deploy/operator.example.toml']))"
+    )
+    said = call(code=code)
+    assert said.returncode == 1 and said.stderr.count("\n") == 1
+    assert "needs the package msgspec: pip install '.[operator]'" in said.stderr
+
+
+def test_the_demo_serves_keeps_its_drain_and_says_so() -> None:
+    said = call("demo", "--seconds", "2", "--json")
+    assert said.returncode == 0, said.stderr
+    result = json.loads(said.stdout)
+    assert result["lost"] == 0 and result["late_after_drain"] == 0 and result["gateway_exit"] == 0
+    assert result["stations"]["Radio Federal"]["refused"] > 0 < result["served"]
