State the last weight of a host that has become warm; stand-in proxies survive every end of a stream

Cause: four runs in a row showed two races: the last restatement of a warming host could be skipped by a tick, and a stand-in proxy ended when its stream ended between a read and the answer. Change: the service remembers that its last view was warming; the proxy takes InvalidStateError as the end of a stream; a test waits until a proxy has all types before it cuts it off.

--- a/coralvale/control/service.py
+++ b/coralvale/control/service.py
@@ -99,7 +99,7 @@
         self.store = Store(control.state_dir) if control.state_dir else None
         self.disk = ThreadPoolExecutor(1, "state")
         self.saving: asyncio.Future[None] | None = None
-        self.unsaved = self.healthy = False
+        self.unsaved = self.healthy = self.warming = False
         self.changes: asyncio.Queue[list[str]] = asyncio.Queue()
         zones = dict(enumerate(config.zones))
         self.zone: Callable[[int], str] = lambda number: zones.get(number, "")
@@ -283,6 +283,8 @@
         view = self.roster.view(now)
         if view is None:
             return
+        self.warming = self.roster.warming(now)  # if so, its last weight is still to be stated
+        self.restate_at = now + self.control.restate_ms / 1000
         bodies = {
             **self.static,
             ENDPOINTS: {self.control.service: assignment(self.control.service, view, self.lease)},
@@ -293,7 +295,6 @@
         for host in drained or ():
             log.info("drain of %s told to %d streams", host, len(self.drains.streams))
             self.drains.told(now, host, made.versions[ENDPOINTS])
-        self.restate_at = now + self.control.restate_ms / 1000
         for connection in self.connections.values():
             if connection.stream:
                 connection.stream.offer(made)
@@ -312,7 +313,7 @@
     def _look(self) -> None:
         now = self.clock.now()
         self._name_late(now)
-        if now >= self.restate_at and self.roster.warming(now - self.control.restate_ms / 1000):
+        if self.warming and now >= self.restate_at:
             self._refresh(urgent=False)
         if self.unsaved and (self.saving is None or self.saving.done()):
             self.tasks = [task for task in self.tasks if not task.done()]
--- a/coralvale/standins/proxies.py
+++ b/coralvale/standins/proxies.py
@@ -113,12 +113,13 @@
                 await self._stream()
             except grpc.RpcError as error:
                 self.errors[error.code().name] += 1
+            except asyncio.InvalidStateError:  # the stream ended between a read and the answer to it
+                self.errors["ENDED"] += 1
             except asyncio.CancelledError:
                 if not self.dropped:  # gRPC tells a call that was cancelled here in the words of a task
                     raise
-                self.dropped = False
             finally:
-                self.connected = False
+                self.connected = self.dropped = False
             backoff = BACKOFF[0] if len(self.seen) > before else min(2 * backoff, BACKOFF[1])
             await asyncio.sleep(backoff * (0.5 + self.random.random()))
 
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -98,6 +98,7 @@
     async def test() -> None:
         async with world() as w, service(w):
             await fleet(w, 6, rate=0.0)
+            await until(lambda: all(len({s.type_url for s in p.seen}) == 4 for p in w.proxies))
             for proxy in w.proxies:
                 proxy.away = True
                 proxy.drop()
