--- a/coralvale/control/drains.py
+++ b/coralvale/control/drains.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 
 KEPT = 256  # newest drains that are remembered; an older one is dropped, whoever has not acknowledged it
@@ -29,7 +30,6 @@
     version: int
     told_at: float
     streams: dict[int, Seen] = field(default_factory=dict)
-    named: set[int] = field(default_factory=set)  # streams that were named as late
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,75 +48,66 @@
     def __init__(self, grace: float) -> None:
         self.grace = grace
         self.records: list[Record] = []
-        self.streams: dict[
-            int, int
-        ] = {}  # streams that hold endpoints, to the version that they acknowledged
+        # Streams that hold endpoints, to the drains that they have not acknowledged: an ACK, of which there are
+        # thousands a second, looks at these alone.
+        self.streams: dict[int, list[Record]] = {}
+        self.unlooked: deque[Record] = deque()  # drains whose late streams have not been named yet
 
     def told(self, now: float, host: str, version: int) -> None:
-        self.records.append(Record(host, version, now, {stream: Seen() for stream in self.streams}))
+        record = Record(host, version, now, {stream: Seen() for stream in self.streams})
+        self.records.append(record)
+        self.unlooked.append(record)
+        for waiting in self.streams.values():
+            waiting.append(record)
+            del waiting[:-KEPT]
         del self.records[:-KEPT]
 
     def opened(self, stream: int) -> None:
-        """A stream has subscribed to endpoints. What it was not sent by then it gets with its first response."""
-        if stream not in self.streams:
-            self.streams[stream] = 0
+        """A stream has subscribed to endpoints: what was told before it gets with its first response."""
+        self.streams.setdefault(stream, [])
 
     def written(self, now: float, stream: int, version: int) -> None:
-        for record in self._open(stream, version):
+        for record in self.streams.get(stream, ()):
             seen = record.streams[stream]
-            seen.written_at = now if seen.written_at is None else seen.written_at
+            if record.version <= version and seen.written_at is None:
+                seen.written_at = now
 
     def acked(self, now: float, stream: int, version: int) -> None:
-        self.streams[stream] = max(version, self.streams.get(stream, 0))
-        for record in self._open(stream, version):
-            record.streams[stream].acked_at = now
+        if waiting := self.streams.get(stream):
+            for record in waiting:
+                if record.version <= version:
+                    record.streams[stream].acked_at = now
+            self.streams[stream] = [record for record in waiting if record.version > version]
 
     def refused(self, stream: int, version: int, error: str) -> None:
-        for record in self._open(stream, version):
-            record.streams[stream].refused = error
+        for record in self.streams.get(stream, ()):
+            if record.version <= version:
+                record.streams[stream].refused = error
 
     def closed(self, stream: int) -> None:
         """A stream that has ended can no longer acknowledge; its proxy is told anew when it comes back."""
-        self.streams.pop(stream, None)
-        for record in self.records:
+        for record in self.streams.pop(stream, ()):
             record.streams.pop(stream, None)
 
-    def _open(self, stream: int, version: int) -> list[Record]:
-        return [
-            r
-            for r in self.records
-            if r.version <= version and stream in r.streams and r.streams[stream].acked_at is None
-        ]
-
     def late(self, now: float) -> list[Late]:
-        """Streams that became late since the last call, each named once for each drain."""
+        """Streams that have not acknowledged a drain by half its grace: looked for once for each drain."""
         found = []
-        for record in self.records:
-            if now < record.told_at + self.grace / 2:
-                continue
-            for stream, seen in record.streams.items():
-                if seen.acked_at is None and stream not in record.named:
-                    record.named.add(stream)
-                    found.append(Late(record.host, stream, record.told_at, why(seen)))
+        while self.unlooked and now >= self.unlooked[0].told_at + self.grace / 2:
+            record = self.unlooked.popleft()
+            found += [
+                Late(record.host, stream, record.told_at, why(seen))
+                for stream, seen in record.streams.items()
+                if seen.acked_at is None
+            ]
         return found
 
     def next_look(self) -> float | None:
-        """When the next stream may become late; None if all have acknowledged or were named."""
-        due = [
-            r.told_at + self.grace / 2
-            for r in self.records
-            if any(s.acked_at is None and n not in r.named for n, s in r.streams.items())
-        ]
-        return min(due, default=None)
+        """When streams may become late next; None if no drain is that young."""
+        return self.unlooked[0].told_at + self.grace / 2 if self.unlooked else None
 
     def waiting(self) -> dict[int, list[str]]:
         """Streams that have not acknowledged some drain, to the hosts' names."""
-        waiting: dict[int, list[str]] = {}
-        for record in self.records:
-            for stream, seen in record.streams.items():
-                if seen.acked_at is None:
-                    waiting.setdefault(stream, []).append(record.host)
-        return waiting
+        return {stream: [r.host for r in waiting] for stream, waiting in self.streams.items() if waiting}
 
 
 def why(seen: Seen) -> str:
--- a/coralvale/control/main.py
+++ b/coralvale/control/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import os
 import signal
@@ -34,6 +35,11 @@
         loop.add_signal_handler(number, ended.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
     await service.start()
+    # What start-up made lives for good, and what streams make has no cycles to speak of: a full collection over
+    # thousands of streams in the middle of a drain would hold it up for longer than all else.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 100)
     await ended.wait()
     log.info("stopping")
     await service.close(GRACE)
--- a/coralvale/control/resources.py
+++ b/coralvale/control/resources.py
@@ -16,9 +16,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import lru_cache
 
 from envoy.config.cluster.v3 import circuit_breaker_pb2, cluster_pb2
-from envoy.config.core.v3 import address_pb2, base_pb2, config_source_pb2, health_check_pb2
+from envoy.config.core.v3 import address_pb2, config_source_pb2, health_check_pb2
 from envoy.config.endpoint.v3 import endpoint_components_pb2, endpoint_pb2
 from envoy.config.listener.v3 import api_listener_pb2, listener_components_pb2, listener_pb2
 from envoy.config.route.v3 import route_components_pb2, route_pb2
@@ -177,20 +178,18 @@
     return body(held)
 
 
+@lru_cache(maxsize=65536)
 def endpoint(placed: Placed) -> endpoint_components_pb2.LbEndpoint:
+    """Without a weight of its own: all of a locality have the same, which it holds.
+
+    `hostname` tells people and logs which host it is; it routes nothing, as no route rewrites the authority.
+    A thousand of these go to every proxy with every change, so they hold no more than that. Cached: one change
+    leaves the others as they were, and building a thousand takes as long as forty pushes. Not to be changed.
+    """
     host = placed.host
-    status = health_check_pb2.DRAINING if host.leaving else health_check_pb2.HEALTHY
-    held = endpoint_components_pb2.LbEndpoint(
-        endpoint=endpoint_components_pb2.Endpoint(address=socket_address(host.address, host.port)),
-        health_status=status,
-        load_balancing_weight=wrappers_pb2.UInt32Value(value=placed.weight),
+    return endpoint_components_pb2.LbEndpoint(
+        endpoint=endpoint_components_pb2.Endpoint(
+            address=socket_address(host.address, host.port), hostname=host.id
+        ),
+        health_status=health_check_pb2.DRAINING if host.leaving else health_check_pb2.HEALTHY,
     )
-    held.metadata.CopyFrom(metadata(host.id, host.started_at))
-    return held
-
-
-def metadata(name: str, started_at: float) -> base_pb2.Metadata:
-    """Which host it is, for people and logs: an address says little, and may serve another one tomorrow."""
-    held = base_pb2.Metadata()
-    held.filter_metadata["coralvale"].update({"host": name, "started_at": started_at})
-    return held
--- a/coralvale/control/service.py
+++ b/coralvale/control/service.py
@@ -30,7 +30,7 @@
 from coralvale.control.roster import Roster, State
 from coralvale.control.snapshots import Snapshots
 from coralvale.control.store import Saved, Store
-from coralvale.control.stream import Stream
+from coralvale.control.stream import PATIENCE, Stream
 from coralvale.control.wire import Encoder, read_asked, read_bucket, read_delta, write_actions
 from coralvale.net.clock import Clock
 from coralvale.net.config import Config, Place
@@ -42,6 +42,7 @@
 TICK = 0.05  # s between looks at what is due: a tenth of the shortest grace
 SAVED_WITHIN = 0.05  # s that a drain may wait for the disk before it goes out all the same
 RESERVED = 60_000_000  # versions saved ahead (a minute's worth), so that not every new weight is synced
+NAMED = 20  # late proxies that the log names for one drain; the metrics page and CSDS name all
 STATION = 128  # bytes of a station's name in a bucket
 ADS = "envoy.service.discovery.v3.AggregatedDiscoveryService"
 RLQS = "envoy.service.rate_limit_quota.v3.RateLimitQuotaService"
@@ -92,7 +93,7 @@
         self.plans = {plan.name: number for number, plan in enumerate(config.settings.plans)}
         self.static = static(config.settings, control.service, control.proxy_address, config.connect_timeout)
         self.lease = control.endpoint_lease_ms / 1000
-        self.renew_at = self.restate_at = 0.0
+        self.renew_at = self.restate_at = self.patience_at = 0.0
         self.counts = dict.fromkeys(("pushes", "acks", "nacks", "reports", "late", "refused", "unsaved"), 0)
         self.state = State.UNKNOWN
         self.snapshots = Snapshots()
@@ -318,41 +319,49 @@
         if self.unsaved and (self.saving is None or self.saving.done()):
             self.tasks = [task for task in self.tasks if not task.done()]
             self.tasks.append(asyncio.get_running_loop().create_task(self._save(1.0)))
-        renewing = self.lease and now >= self.renew_at
-        if renewing:
+        if self.lease and now >= self.renew_at:
             self.renew_at = now + self.lease / 3
-        for connection in self.connections.values():
-            if connection.stream is None:
-                continue
-            if renewing:
-                connection.stream.renew()
-                connection.wake.set()
-            elif (due := connection.stream.waits_until()) is not None and now >= due:
-                connection.wake.set()
+            self._wake_all(lambda stream: stream.renew())
+        if now >= self.patience_at:  # well within PATIENCE, and not at every look: there may be thousands
+            self.patience_at = now + PATIENCE / 10
+            self._wake_all(lambda stream: (due := stream.waits_until()) is not None and now >= due)
         for number, action in self.quotas.tick(now):
             if held := self.connections.get(number):
                 held.actions[action.bucket] = action
                 held.wake.set()
 
+    def _wake_all(self, due: Callable[[Stream], bool]) -> None:
+        for connection in self.connections.values():
+            if connection.stream and due(connection.stream):
+                connection.wake.set()
+
     def _name_late(self, now: float) -> None:
+        named: dict[str, int] = {}
         for late in self.drains.late(now):
             connection = self.connections.get(late.stream)
             if connection is None:
                 continue
             self.counts["late"] += 1
-            log.warning(
-                "drain of %s not acknowledged %.2f s after the notice by %s (%s): %s",
-                late.host,
-                now - late.told_at,
-                connection.name,
-                connection.peer,
-                late.why,
-            )
+            named[late.host] = named.get(late.host, 0) + 1
+            if named[late.host] <= NAMED:
+                log.warning(
+                    "drain of %s not acknowledged %.2f s after the notice by %s (%s): %s",
+                    late.host,
+                    now - late.told_at,
+                    connection.name,
+                    connection.peer,
+                    late.why,
+                )
             if self.lease:  # nothing that is on its way to it may renew what it has
                 connection.error = StreamError(
                     "UNAVAILABLE", f"drain of {late.host} not acknowledged in time"
                 )
                 connection.wake.set()
+        for host, count in named.items():
+            if count > NAMED:
+                log.warning(
+                    "drain of %s: %d more proxies have not acknowledged; CSDS names them", host, count - NAMED
+                )
 
     # Discovery streams
 
@@ -449,7 +458,8 @@
                     self.drains.opened(connection.number)
                 for one in told:
                     self._answered(connection, one)
-                connection.wake.set()
+                if not stream.settled():
+                    connection.wake.set()
         except StreamError as error:
             connection.error = error
         except ENDED:
--- a/coralvale/control/stream.py
+++ b/coralvale/control/stream.py
@@ -75,6 +75,7 @@
     error: str = ""  # of the newest NACK, until an ACK
     due: bool = False  # a response is owed even if nothing differs
     renewing: bool = False
+    settled: bool = False  # nothing was asked for since the newest response
 
     def wants(self, name: str) -> bool:
         return self.wildcard or name in self.names
@@ -98,10 +99,14 @@
         if self.snapshot is None or snapshot.version > self.snapshot.version:
             self.snapshot = snapshot
 
-    def renew(self) -> None:
-        """Owes the endpoints once more, unchanged, so that a lease on them goes on (`endpoint_stale_after`)."""
+    def renew(self) -> bool:
+        """Owes the endpoints once more, unchanged, so that a lease on them goes on (`endpoint_stale_after`).
+
+        Returns whether any were asked for.
+        """
         if subscription := self.types.get(ENDPOINTS):
-            subscription.renewing = True
+            subscription.renewing, subscription.settled = True, False
+        return subscription is not None
 
     def ask(self, request: Asked | AskedDelta) -> list[Told]:
         """Takes a request; returns what it tells of a response. Raises StreamError past a limit."""
@@ -118,7 +123,8 @@
             self.passed_over += 1
             return []
         told = [] if first or not request.nonce else self._told(request, subscription)
-        self._subscribe(request, subscription, first)
+        if first or subscription.names != set(request.names) or subscription.wildcard:
+            self._subscribe(request, subscription, first)
         return told
 
     def _subscribe(self, request: Asked, subscription: Subscription, first: bool) -> None:
@@ -129,6 +135,8 @@
         legacy = request.type_url in WHOLE and not subscription.explicit
         wildcard = WILDCARD in request.names or legacy
         added = names - subscription.names or (wildcard and not subscription.wildcard)
+        if first or names != subscription.names or wildcard != subscription.wildcard:
+            subscription.settled = False
         for name in (names - subscription.names) | (subscription.names - names):
             subscription.sent.pop(name, None)  # who asks anew has dropped what it had
         subscription.names, subscription.wildcard = names, wildcard
@@ -150,6 +158,8 @@
             else:
                 subscription.names.discard(name)
                 subscription.sent.pop(name, None)  # it drops what it had; a wildcard brings it back
+        if first or request.subscribe or request.unsubscribe:
+            subscription.settled = False
         names = set(request.subscribe) - {WILDCARD}
         self._check(subscription.names | names, subscription.names)
         subscription.wildcard = subscription.wildcard or WILDCARD in request.subscribe
@@ -202,6 +212,15 @@
                 return response
         return None
 
+    def settled(self) -> bool:
+        """Whether `poll` would surely say nothing: the newest of each type was sent, and nothing is owed.
+
+        Most ACKs leave a stream so; a service with a thousand streams need not look at each again.
+        """
+        return self.snapshot is not None and all(
+            s.version == self.snapshot.versions[kind] and s.settled for kind, s in self.types.items()
+        )
+
     def waits_until(self) -> float | None:
         """When a response that is held back for an ACK may go all the same; None if none is."""
         ends = [s.sent_at + PATIENCE for s in self.types.values() if s.open]
@@ -241,6 +260,7 @@
                 sent.pop(name, None)
         self.serial += 1
         subscription.nonce, subscription.due = str(self.serial), False
+        subscription.settled = not subscription.renewing
         subscription.version, subscription.sent_at = snapshot.versions[kind], now
         subscription.open[subscription.nonce] = subscription.version
         if len(subscription.open) > OUT:
--- a/coralvale/control/wire.py
+++ b/coralvale/control/wire.py
@@ -22,28 +22,30 @@
 
 
 def read_asked(text: discovery_pb2.DiscoveryRequest) -> Asked:
-    error = text.error_detail.message or f"code {text.error_detail.code}"
     return Asked(
         text.type_url,
         tuple(text.resource_names),
         text.version_info,
         text.response_nonce,
-        error if text.HasField("error_detail") else None,
+        read_error(text) if text.HasField("error_detail") else None,
     )
 
 
 def read_delta(text: discovery_pb2.DeltaDiscoveryRequest) -> AskedDelta:
-    error = text.error_detail.message or f"code {text.error_detail.code}"
     return AskedDelta(
         text.type_url,
         tuple(text.resource_names_subscribe),
         tuple(text.resource_names_unsubscribe),
         dict(text.initial_resource_versions),
         text.response_nonce,
-        error if text.HasField("error_detail") else None,
+        read_error(text) if text.HasField("error_detail") else None,
     )
 
 
+def read_error(text: discovery_pb2.DiscoveryRequest | discovery_pb2.DeltaDiscoveryRequest) -> str:
+    return str(text.error_detail.message or f"code {text.error_detail.code}")
+
+
 class Encoder:
     """Responses to bytes, the large part once for all streams that are owed the same."""
 
--- a/coralvale/standins/proxies.py
+++ b/coralvale/standins/proxies.py
@@ -213,12 +213,12 @@
         self.targets = [
             [
                 Target(
-                    e.metadata.filter_metadata["coralvale"]["host"],
+                    e.endpoint.hostname,
                     (
                         e.endpoint.address.socket_address.address,
                         e.endpoint.address.socket_address.port_value,
                     ),
-                    locality.load_balancing_weight.value / max(1, len(locality.lb_endpoints)),
+                    locality.load_balancing_weight.value / max(1, working(locality)),
                     e.health_status in (health_check_pb2.UNKNOWN, health_check_pb2.HEALTHY),
                 )
                 for e in locality.lb_endpoints
@@ -276,6 +276,11 @@
         return {t.host for locality in self.targets for t in locality if t.healthy or not healthy}
 
 
+def working(locality: Any) -> int:  # noqa: ANN401
+    """Endpoints of a locality that take work; its weight is theirs together."""
+    return sum(e.health_status != health_check_pb2.DRAINING for e in locality.lb_endpoints)
+
+
 @dataclass
 class Bucket:
     """A token bucket as the rate limit quota filter of Envoy keeps it."""
