--- a/tests/allowance/simulation.py
+++ b/tests/allowance/simulation.py
@@ -4,10 +4,12 @@
 
 The counter does all that the protocol lets one do: it loses shares of its counts, forks and heals to either
 half, is replaced by an empty one, is silent, late, turns calls away, adds what it does not answer. Gateways die
-and come back after 0.1 or 2 s, clocks step by 50 ms, the busiest gateway changes every 7 s. After every request
-that is let in the ceiling is checked as a bucket of B + slack that fills at C: it holds in every window if and only if
-that bucket never falls below nought. After every step the rates of all gateways are added up, and their buckets:
-what the bound is proved from is checked itself, where a bound alone would hide a small breach in its slack.
+and come back after 0.1 or 2 s, clocks step by 50 ms, the busiest gateway changes every 7 s.
+
+After every request that is let in the ceiling is checked as a bucket of B + slack that fills at C: it holds in
+every window if and only if that bucket never falls below nought. After every step the rates of all gateways are
+added up, and their buckets: what the bound is proved from is checked itself, where a bound alone would hide a
+small breach in its slack.
 """
 
 from __future__ import annotations
