Bound what proxies can make the control service keep by size as well as by count

Cause: names, versions, bucket ids and a proxy's account of itself were bounded by number alone, and each may be as large as a message. Change: 64 k characters of names a subscription, 1 k a bucket id, 256 a node's id, longer versions are taken for unknown; the log takes 20 lines of a kind in 10 s, by the gateway's own filter, which moves to coralvale/net/logs.py; both kinds of stream share one guard round their reading.

--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -8,31 +8,16 @@
 import os
 import signal
 import sys
-import time
 
 import uvloop
 
 from coralvale.net.config import Config, ConfigError, read_config
+from coralvale.net.logs import Sparing
 from coralvale.net.node import Node
 
 log = logging.getLogger(__name__)
 
 
-class Sparing(logging.Filter):
-    """Lets through a few lines of a kind in some seconds: a fault in every request must not fill the log."""
-
-    def __init__(self, most: int = 5, seconds: float = 10.0) -> None:
-        super().__init__()
-        self.most, self.seconds, self.since = most, seconds, time.monotonic()
-        self.counts: dict[object, int] = {}
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        if time.monotonic() - self.since > self.seconds:
-            self.since, self.counts = time.monotonic(), {}
-        count = self.counts[record.msg] = self.counts.get(record.msg, 0) + 1
-        return count <= self.most
-
-
 def reload(node: Node, path: str) -> None:
     """SIGHUP: takes the file as it is now; one that cannot be used changes nothing."""
     try:
--- a/coralvale/control/main.py
+++ b/coralvale/control/main.py
@@ -12,8 +12,9 @@
 import grpc  # noqa: F401  # a missing extra is told before anything is read
 import uvloop
 
-from coralvale.control.service import ControlService
+from coralvale.control.service import NAMED, ControlService
 from coralvale.net.config import Config, ConfigError, read_config
+from coralvale.net.logs import Sparing
 from coralvale.operator import Control, OperatorError, read_operator
 
 log = logging.getLogger(__name__)
@@ -48,6 +49,8 @@
 def run(operator: str) -> int:
     """The command `coralvale control`; its exit code."""
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
+    # A proxy that comes back at once to break the same limit again must not fill the log either.
+    logging.getLogger().handlers[0].addFilter(Sparing(most=NAMED))
     os.environ.setdefault("UV_USE_IO_URING", "0")
     path = os.environ.get("LB_CONFIG")
     try:
--- a/coralvale/control/service.py
+++ b/coralvale/control/service.py
@@ -9,12 +9,13 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
 import grpc
+from envoy.config.core.v3 import base_pb2
 from envoy.service.discovery.v3 import discovery_pb2
 from envoy.service.rate_limit_quota.v3 import rlqs_pb2
 from envoy.service.status.v3 import csds_pb2
@@ -43,7 +44,9 @@
 SAVED_WITHIN = 0.05  # s that a drain may wait for the disk before it goes out all the same
 RESERVED = 60_000_000  # versions saved ahead (a minute's worth), so that not every new weight is synced
 NAMED = 20  # late proxies that the log names for one drain; the metrics page and CSDS name all
-STATION = 128  # bytes of a station's name in a bucket
+STATION = 128  # characters of a station's name in a bucket
+BUCKET = 1024  # characters of all of a bucket's id, which is kept as long as the bucket
+NODE = 256  # characters that are kept of what a proxy calls itself
 ADS = "envoy.service.discovery.v3.AggregatedDiscoveryService"
 RLQS = "envoy.service.rate_limit_quota.v3.RateLimitQuotaService"
 CSDS = "envoy.service.status.v3.ClientStatusDiscoveryService"
@@ -70,6 +73,13 @@
         return (self.node.id if self.node is not None else "") or self.peer
 
 
+def told_node(node: Any) -> Any:  # noqa: ANN401
+    """What is kept of envoy.config.core.v3.Node: who it is. Its metadata may be as large as a message."""
+    return base_pb2.Node(
+        id=node.id[:NODE], cluster=node.cluster[:NODE], user_agent_name=node.user_agent_name[:NODE]
+    )
+
+
 class ControlService:
     """One control service: `start`, then `close`. Raises OSError if it cannot listen or keep its state."""
 
@@ -449,10 +459,10 @@
 
     async def _read(self, connection: Connection, stream: Stream, requests: AsyncIterator[Any]) -> None:
         read = read_delta if stream.delta else read_asked
-        try:
+        with self._reading(connection):
             async for request in requests:
                 if connection.node is None and request.HasField("node"):
-                    connection.node = request.node
+                    connection.node = told_node(request.node)
                 told = stream.ask(read(request))
                 if ENDPOINTS in stream.types:
                     self.drains.opened(connection.number)
@@ -460,6 +470,12 @@
                     self._answered(connection, one)
                 if not stream.settled():
                     connection.wake.set()
+
+    @contextlib.contextmanager
+    def _reading(self, connection: Connection) -> Iterator[None]:
+        """Round the reading of a stream: however it ends, its writer is told, and why."""
+        try:
+            yield
         except StreamError as error:
             connection.error = error
         except ENDED:
@@ -505,7 +521,7 @@
 
     async def _read_reports(self, connection: Connection, requests: AsyncIterator[Any]) -> None:
         domain = ""
-        try:
+        with self._reading(connection):
             async for request in requests:
                 domain = domain or request.domain
                 if domain != self.control.quotas.domain:
@@ -521,18 +537,11 @@
                 for usage in usages:
                     self._report(connection, usage)
                 connection.wake.set()
-        except StreamError as error:
-            connection.error = error
-        except ENDED:
-            pass
-        except Exception:
-            log.exception("a report of %s failed", connection.name)
-        finally:
-            connection.ended = True
-            connection.wake.set()
 
     def _report(self, connection: Connection, usage: Any) -> None:  # noqa: ANN401
         keys, bucket = self.control.quotas, read_bucket(usage.bucket_id)
+        if (size := sum(len(key) + len(value) for key, value in bucket)) > BUCKET:
+            raise StreamError("INVALID_ARGUMENT", f"a bucket id of {size} characters, at most {BUCKET}")
         pairs = dict(bucket)
         station = pairs.get(keys.station_key, "")
         plan = self.plans.get(pairs.get(keys.plan_key, ""), -1) if 0 < len(station) <= STATION else -1
--- a/coralvale/control/stream.py
+++ b/coralvale/control/stream.py
@@ -57,7 +57,9 @@
 WHOLE = (LISTENER, CLUSTER)  # types whose SotW responses hold all that is subscribed, so that absence removes
 PATIENCE = 5.0  # s for which a response without an answer holds back the next of its type
 OUT = 64  # delta responses without an answer that are kept in mind; older ones can no longer be ACKed
-NAME = 1024  # bytes of a resource name
+NAME = 1024  # characters of a resource name
+NAMES = 64 * 1024  # characters of all names of a subscription: names alone must not fill the memory
+TAG = 64  # characters of a version that a delta proxy names; ours are shorter, a longer one is not ours
 UNKNOWN = "?"  # in place of a version: the proxy has something or nothing, but not what it should
 ABSENT = ""  # in place of a version: the proxy has been told that there is no such resource
 
@@ -155,7 +157,7 @@
         told = self._told(request, subscription) if request.nonce else []
         if first:
             self._check(set(request.initial), set())
-            subscription.sent = dict(request.initial)
+            subscription.sent = {n: v if len(v) <= TAG else UNKNOWN for n, v in request.initial.items()}
             subscription.wildcard = not request.subscribe and request.type_url in WHOLE
             subscription.due = not request.initial
         for name in request.unsubscribe:
@@ -182,9 +184,13 @@
             raise StreamError(
                 "RESOURCE_EXHAUSTED", f"{len(names)} names subscribed, at most {self.most_names}"
             )
+        if (size := sum(map(len, names))) > NAMES:
+            raise StreamError("RESOURCE_EXHAUSTED", f"names of {size} characters subscribed, at most {NAMES}")
         for name in names - known:
             if len(name) > NAME:
-                raise StreamError("INVALID_ARGUMENT", f"a resource name of {len(name)} bytes, at most {NAME}")
+                raise StreamError(
+                    "INVALID_ARGUMENT", f"a resource name of {len(name)} characters, at most {NAME}"
+                )
 
     @staticmethod
     def _told(request: Asked | AskedDelta, subscription: Subscription) -> list[Told]:
--- /dev/null
+++ b/coralvale/net/logs.py
@@ -0,0 +1,21 @@
+"""What keeps a log readable when every request, or every peer, fails in the same way."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+
+class Sparing(logging.Filter):
+    """Lets through a few lines of a kind in some seconds: a fault in every request must not fill the log."""
+
+    def __init__(self, most: int = 5, seconds: float = 10.0) -> None:
+        super().__init__()
+        self.most, self.seconds, self.since = most, seconds, time.monotonic()
+        self.counts: dict[object, int] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if time.monotonic() - self.since > self.seconds:
+            self.since, self.counts = time.monotonic(), {}
+        count = self.counts[record.msg] = self.counts.get(record.msg, 0) + 1
+        return count <= self.most
--- a/tests/control/test_stream.py
+++ b/tests/control/test_stream.py
@@ -232,6 +232,9 @@
         assert error.value.code == "RESOURCE_EXHAUSTED" and "2000" in error.value.text
         with pytest.raises(StreamError):
             ask(opened(delta), ENDPOINTS, "x" * (NAME + 1))
+        with pytest.raises(StreamError, match="characters subscribed"):
+            wide = Stream(delta, most_names=1000)
+            ask(wide, ENDPOINTS, *(f"{n:04d}{'x' * 1000}" for n in range(100)))
         ask(stream, "type.googleapis.com/unknown", "a")
         assert stream.poll(0) is None and len(stream.types) <= 1
     stream = opened(delta=True)
