Serve each list as it was saved; measure the escrow beside the even split

Cause: a new weight of a warming host could carry a drain out as an ordinary change while the disk was still at work on it, so that it was neither urgent nor on record. The escrow had no figures beside the even split.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 bench: $(VENV)/made
 	python benchmarks/control.py $(ARGS)
+	python benchmarks/quotas.py $(ARGS)
 
 $(VENV)/made: requirements.txt requirements-control.txt requirements-dev.txt
 	rm -rf $(VENV)
--- a/coralvale/allowance/escrow.py
+++ b/coralvale/allowance/escrow.py
@@ -44,13 +44,13 @@
 
 GUARD = 0.06  # s: clocks that step by 50 ms, twice over
 KEEP = 0.02  # share of its part that a giver keeps at least: its own station may come back within the window
-NEED = 1.1  # times its own asking that a gateway keeps: what it keeps beyond that is lost for the window
+NEED = 1.05  # times its own asking that a gateway keeps: what it keeps beyond that is lost for the window
 WISH = 1.3  # times its refusals that a gateway asks for: what it gets too much costs only the giver's spare
 MEMORY = 2.0  # s over which asking is averaged
 STEPS = 99  # a wish is told in this many parts of the whole ceiling: two digits
 PLACES = 3  # gateways whose wishes fit into one exact total of seven digits
 QUIET = 2  # calls in a row without a reply that make a counter silent
-ASK_AT, GIVE_AT = 0.5, 0.75  # share of a window at which wishes for the next are told, and are read
+ASK_AT, GIVE_AT = 0.7, 0.85  # share of a window at which wishes for the next are told, and are read
 
 
 @dataclass(slots=True)
--- a/coralvale/control/service.py
+++ b/coralvale/control/service.py
@@ -25,7 +25,7 @@
 from coralvale import interface as api
 from coralvale.control import status
 from coralvale.control.drains import Drains
-from coralvale.control.model import ENDPOINTS, Acked, Host, Nacked, StateError, StreamError
+from coralvale.control.model import ENDPOINTS, Acked, Host, Nacked, Placed, StateError, StreamError
 from coralvale.control.quotas import Abandon, Assign, BucketId, Meter, Quotas, Report
 from coralvale.control.resources import assignment, static
 from coralvale.control.roster import Roster, State
@@ -110,8 +110,9 @@
         self.store = Store(control.state_dir) if control.state_dir else None
         self.disk = ThreadPoolExecutor(1, "state")
         self.saving: asyncio.Future[None] | None = None
-        self.unsaved = self.healthy = self.warming = False
-        self.changes: asyncio.Queue[list[str]] = asyncio.Queue()
+        self.unsaved = self.healthy = self.warming = self.publishing = False
+        self.changed = asyncio.Event()  # the roster is another, and is to be saved and served
+        self.drained: list[str] = []  # hosts whose drains the next snapshot tells
         zones = dict(enumerate(config.zones))
         self.zone: Callable[[int], str] = lambda number: zones.get(number, "")
         self.discovery = Discovery(config.discovery, config.zones, config.kinds, self.clock, self._listed)
@@ -154,7 +155,7 @@
             host, _, port = self.control.metrics.rpartition(":")
             self.metrics = await asyncio.start_server(self._metrics, host.strip("[]"), int(port))
         loop = asyncio.get_running_loop()
-        self._refresh(urgent=False)
+        self._refresh()
         await self._be_healthy()
         await self.server.start()
         log.info("control service %r listens at %s", self.control.service, self.control.listen)
@@ -236,18 +237,27 @@
                 log.info("serving discovery's list: index %s, %d hosts", self.roster.index, len(hosts))
             self.state = self.roster.state
         self.unsaved = True
-        self.changes.put_nowait([drain.life[0] for drain in new])
+        self.drained += [drain.life[0] for drain in new]
+        self.changed.set()
 
     async def _publish(self) -> None:
         """Saves, then serves: what has been served must outlive a kill. All that waits goes out as one."""
         while True:
-            drained = await self.changes.get()
-            while not self.changes.empty():
-                drained += self.changes.get_nowait()
-            await self._save(SAVED_WITHIN)
-            self._refresh(urgent=bool(drained), drained=drained)
-            self.unsaved = True  # the versions that it was given; without them a restart would only send more
-            await self._be_healthy()
+            await self.changed.wait()
+            self.changed.clear()
+            self.publishing = True
+            try:
+                # What is seen now is what is served: a list that comes while the disk works has its own turn.
+                view, drained = self.roster.view(self.clock.now()), self.drained
+                self.drained = []
+                await self._save(SAVED_WITHIN)
+                self._offer(view, drained)
+                self.unsaved = True  # the versions it was given; without them a restart would only send more
+                await self._be_healthy()
+            except Exception:  # one list that cannot be served must not be the last
+                log.exception("cannot serve the newest list")
+            finally:
+                self.publishing = False
 
     async def _be_healthy(self) -> None:
         """grpc.health.v1: serving once there is a roster to serve."""
@@ -288,22 +298,25 @@
             self.counts["unsaved"] += 1
             log.error("cannot save the state: %s: %s", self.store.path, error.strerror)
 
-    def _refresh(self, urgent: bool, drained: list[str] | None = None) -> None:
-        """Makes the newest snapshot of what is to be served, and wakes the streams if it is another."""
-        now = self.clock.now()
-        view = self.roster.view(now)
+    def _refresh(self) -> None:
+        """Serves the roster as it is now: at the start, and while weights grow."""
+        self._offer(self.roster.view(self.clock.now()), [])
+
+    def _offer(self, view: tuple[Placed, ...] | None, drained: list[str]) -> None:
+        """Makes the newest snapshot of a view, and wakes the streams if it is another."""
         if view is None:
             return
+        now = self.clock.now()
         self.warming = self.roster.warming(now)  # if so, its last weight is still to be stated
         self.restate_at = now + self.control.restate_ms / 1000
         bodies = {
             **self.static,
             ENDPOINTS: {self.control.service: assignment(self.control.service, view, self.lease)},
         }
-        made = self.snapshots.make(now, bodies, urgent)
+        made = self.snapshots.make(now, bodies, urgent=bool(drained))
         if made is None:
             return
-        for host in drained or ():
+        for host in drained:
             log.info("drain of %s told to %d streams", host, len(self.drains.streams))
             self.drains.told(now, host, made.versions[ENDPOINTS])
         for connection in self.connections.values():
@@ -324,8 +337,8 @@
     def _look(self) -> None:
         now = self.clock.now()
         self._name_late(now)
-        if self.warming and now >= self.restate_at:
-            self._refresh(urgent=False)
+        if self.warming and now >= self.restate_at and not (self.publishing or self.changed.is_set()):
+            self._refresh()
         if self.unsaved and (self.saving is None or self.saving.done()):
             self.tasks = [task for task in self.tasks if not task.done()]
             self.tasks.append(asyncio.get_running_loop().create_task(self._save(1.0)))
