Spawn the simulation's workers in place of forking them beside gRPC's threads

Cause: one run in four of the tests under load hung: the pool forked a process in which gRPC's threads ran, and the copy waited for a lock that nobody held any more. Change: the workers are spawned.

--- a/tests/allowance/test_escrow.py
+++ b/tests/allowance/test_escrow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import multiprocessing
 import os
 import subprocess
 import sys
@@ -31,7 +32,9 @@
 
 
 def test_no_schedule_of_faults_passes_the_ceiling() -> None:
-    with ProcessPoolExecutor(min(8, os.cpu_count() or 1)) as pool:
+    # Spawned, not forked: a copy of a process in which gRPC's threads run may wait for a lock for good.
+    spawned = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(min(8, os.cpu_count() or 1), mp_context=spawned) as pool:
         results = list(pool.map(batch, range(0, SCHEDULES, 100)))
     assert sum(count for count, _, _ in results) == SCHEDULES
     found = [text for _, texts, _ in results for text in texts]
