Let a gateway own its part sooner after a start; tell wishes later in a window

The figures of the windows had not taken effect: wishes were told at 0.7 of a window, not at 0.84. Now they are, with a least time in seconds, since whoever drives an escrow does so every 0.1 s. A gateway that starts early in a window waits for the next one alone: gifts are not told before 0.83 of a window.

--- a/coralvale/allowance/escrow.py
+++ b/coralvale/allowance/escrow.py
@@ -8,9 +8,10 @@
            then adds g to the name GIVE(window, giver, taker). It never takes it back, whatever the reply.
   taker    Reads that name (adds nought) and fills g faster from `guard` after the window's start until `guard`
            before its end; g is the highest total it has seen, at most C/n.
-  restart  A gateway that starts may have given away parts of this window and of the next, and forgotten it: it
-           owns nothing until the window after those, and its bucket begins empty. What it had taken it may read
-           again: the same rate for the same window, not more. What a dead gateway took ends with the window.
+  restart  A gateway that starts may have given away parts of this window and, if 0.83 of it are over, of the
+           next, and forgotten it: it owns nothing until the window after, and its bucket begins empty. What it
+           had taken it may read again: the same rate for the same window, not more. What a dead gateway took
+           ends with the window.
 
 **Why the ceiling holds.** GIVE names have one writer and are new with every window. Whatever the counter does
 short of inventing amounts (losing, forking, answering late or not at all, adding what it said it did not, coming
@@ -54,11 +55,14 @@
 STEPS = 99  # a wish is told in this many parts of the whole ceiling: two digits
 PLACES = 3  # gateways whose wishes fit into one exact total of seven digits
 QUIET = 2  # calls in a row without a reply that make a counter silent
-ASK_AT, GIVE_AT = (
-    0.7,
-    0.85,
-)  # share of a window at which wishes for the next are told, and are read, at the latest
-EARLIER = 0.2  # share of a window by which some stations do both earlier
+# Shares of a window at which wishes for the next are told, and are read, at the latest. The later, the less has
+# changed when the gift holds; what is left must do for two calls, one after the other.
+ASK_AT, GIVE_AT = 0.84, 0.93
+ASK_BEFORE, GIVE_BEFORE = (
+    0.45,
+    0.25,
+)  # s before its end, at the least: whoever drives this does so every 0.1 s
+EARLIER = 0.1  # share of a window by which some stations do both earlier
 SPEND, HEARSAY = 0.5, 0.1  # calls to the counter for each request seen here, and for each refused elsewhere
 
 
@@ -86,14 +90,17 @@
         length: float = 3.0,
         guard: float = GUARD,
     ) -> None:
-        if not (gateways >= 1 and 0 <= me < gateways and length > 4 * guard):
+        if not (gateways >= 1 and 0 <= me < gateways and length >= 1 > 8 * guard):
             raise ValueError(f"gateway {me} of {gateways}, windows of {length} s with a guard of {guard} s")
         self.ceiling, self.station, self.gateways, self.me = ceiling, station, gateways, me
         self.length, self.guard = length, guard
         self.part, self.most = ceiling.rate / gateways, ceiling.burst / gateways
         self.windows: dict[int, Window] = {}
-        # Gifts of an earlier life may run in this window and, told early, in the next.
-        self.owns_from = (self.window(born) + 2) * length + guard if gateways > 1 else born
+        self.ask_at = min(ASK_AT, 1 - ASK_BEFORE / length)  # shares of a window
+        self.give_at = min(GIVE_AT, 1 - GIVE_BEFORE / length)
+        # Gifts of an earlier life may run in this window, and in the next if there was time to tell them.
+        told = born - self.window(born) * length > (self.give_at - EARLIER) * length - 2 * guard
+        self.owns_from = (self.window(born) + 1 + told) * length + guard if gateways > 1 else born
         self.tokens, self.at = 0.0, born
         self.asking, self.refused, self.asking_at = 0.0, 0.0, born
         self.trust, self.unanswered = Trust.WHOLE, 0
@@ -204,10 +211,10 @@
         place = now / self.length - here + EARLIER * self.shift
         calls = self._take(now, here) + self._take(now, here + 1)
         coming = self.windows.setdefault(here + 1, Window())
-        if place >= ASK_AT and not coming.asked:
+        if place >= self.ask_at and not coming.asked:
             coming.asked = True
             calls += self._ask(now, here + 1)
-        if place >= GIVE_AT and not coming.looked:
+        if place >= self.give_at and not coming.looked:
             coming.looked = True
             if now >= self.owns_from and self._spare() > 0 and self.credit >= 2:
                 calls.append(self._call(now, Name(Kind.ASK, self.station, here + 1), 0.0))
@@ -217,7 +224,9 @@
         """When `tick` may have something to do next."""
         moments = []
         for window in (self.window(now), self.window(now) + 1):
-            moments += [(window + at - EARLIER * self.shift) * self.length for at in (ASK_AT, GIVE_AT)]
+            moments += [
+                (window + at - EARLIER * self.shift) * self.length for at in (self.ask_at, self.give_at)
+            ]
             moments.append(self._take_at((window + 1) * self.length))
         return min(m for m in moments if m > now)
 
@@ -313,6 +322,8 @@
             return []
         if now >= number * self.length - self.guard:  # too late: its own part of it may be in use
             return []
+        if now < (number - 1 + self.give_at - EARLIER) * self.length:  # a restart now would not know of it
+            return []
         whole = int(max(0.0, min(total, 10.0**7 - 1)) + 0.5)
         wishes = {
             place: min(STEPS, whole // 100**place % 100) * self.ceiling.rate / STEPS
--- a/coralvale/allowance/shares.py
+++ b/coralvale/allowance/shares.py
@@ -26,7 +26,7 @@
 LENGTHS = (1, 2, 3, 4)  # s that a window may have
 SET = 16  # gateways of a station, at most
 MOST = 20_000  # pools kept: a station's ceiling is one, its quota another
-SAVED = 2.0  # s of calls that may be made at once
+SAVED = 4.0  # s of calls that may be made at once: the longest window, in which all come close together
 TOLD = 60.0  # s between lines on the same mistake
 IDLE = 30.0  # s without a request after which a pool may be forgotten
 
