Share a station's ceiling between several control services

Each control service gave away the whole of a ceiling, so that two of them let in twice of it. With services and place in [control.quotas] they share it by the gateways' escrow: an assignment is a promise, so it may only be what the escrow surely has until it ends, and what is promised is not lent. 40 random schedules of faults, kills and loads: all that is promised stays within the ceiling at every moment.

--- a/coralvale/allowance/escrow.py
+++ b/coralvale/allowance/escrow.py
@@ -43,6 +43,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from coralvale.allowance.model import Call, Ceiling, Kind, Name, Trust
@@ -89,11 +90,14 @@
         born: float,
         length: float = 3.0,
         guard: float = GUARD,
+        memory: float = MEMORY,
     ) -> None:
         if not (gateways >= 1 and 0 <= me < gateways and length >= 1 > 8 * guard):
             raise ValueError(f"gateway {me} of {gateways}, windows of {length} s with a guard of {guard} s")
         self.ceiling, self.station, self.gateways, self.me = ceiling, station, gateways, me
-        self.length, self.guard = length, guard
+        self.length, self.guard, self.memory = length, guard, memory
+        # Rate that is promised to others up to a moment or past it, and cannot be given away before.
+        self.reserved: Callable[[float], float] = lambda moment: 0.0
         self.part, self.most = ceiling.rate / gateways, ceiling.burst / gateways
         self.windows: dict[int, Window] = {}
         self.ask_at = min(ASK_AT, 1 - ASK_BEFORE / length)  # shares of a window
@@ -126,11 +130,11 @@
         """Takes down what is asked for; 0 if there is room for it, else seconds until there may be."""
         self._fill(now)
         self._forget(now)
-        self.asking += units / MEMORY
+        self.asking += units / self.memory
         self.credit = min(self.saved, self.credit + SPEND)
         if self.tokens + 1e-9 >= units:
             return 0.0
-        self.refused += units / MEMORY
+        self.refused += units / self.memory
         return max(1e-3, (units - self.tokens) / max(self.rate(now), self.part / 10, 1e-9))
 
     def charge(self, units: float) -> None:
@@ -144,6 +148,26 @@
             self.charge(units)
         return wait
 
+    def heard(self, now: float, asking: float, refused: float, requests: float) -> None:
+        """In place of `wait` where requests are only told of: units a second asked for and refused, how many."""
+        self._fill(now)
+        self.asking, self.refused, self.asking_at = asking, refused, now
+        self.credit = min(self.saved, self.credit + SPEND * requests)
+
+    def fill(self, now: float, promised: float, most: float) -> float:
+        """Fills the bucket to now, less `promised` units a second that others take of it, to at most `most`."""
+        elapsed = max(0.0, now - self.at)
+        self._fill(now)
+        self.tokens = min(most, self.tokens - promised * elapsed)
+        return self.tokens
+
+    def least(self, now: float, until: float) -> float:
+        """The lowest rate that it surely has at every moment from now to `until`."""
+        rates, at = [self.rate(now), self.rate(until)], now
+        while (at := self._edge(at)) < until:
+            rates += [self.rate(at), self.rate(at - 1e-6)]
+        return min(rates)
+
     def settled(self, now: float) -> bool:
         """Whether forgetting it and beginning anew, as one that was never asked for, would change nothing."""
         self._fill(now)
@@ -186,7 +210,7 @@
         return self.owns_from if now < self.owns_from < edge else edge
 
     def _forget(self, now: float) -> None:
-        decay = math.exp(-max(0.0, now - self.asking_at) / MEMORY)
+        decay = math.exp(-max(0.0, now - self.asking_at) / self.memory)
         self.asking, self.refused, self.asking_at = (
             self.asking * decay,
             self.refused * decay,
@@ -268,7 +292,8 @@
 
     def _spare(self) -> float:
         """What of its part a gateway will not need in the next window."""
-        keep = max(KEEP * self.part, NEED * self.asking)
+        start = (self.window(self.at) + 1) * self.length - self.guard
+        keep = max(KEEP * self.part, NEED * self.asking, self.reserved(start))
         return max(0.0, self.part - keep)
 
     def _call(self, now: float, name: Name, amount: float) -> Call:
--- a/coralvale/allowance/shares.py
+++ b/coralvale/allowance/shares.py
@@ -175,10 +175,10 @@
 
     def reply(self, now: float, event: api.CounterReply) -> list[api.Action]:
         """Takes a reply, or the lack of one; returns the calls that it leads to."""
-        pool, name = self.out.pop(event.name, (-1, None))
-        escrow = self.pools.get(pool)
-        if name is None or escrow is None:
+        known = self.out.pop(event.name, None) if isinstance(event.name, int) else None
+        if known is None or (escrow := self.pools.get(known[0])) is None:
             return []
+        pool, name = known
         total = event.total if event.ok and math.isfinite(event.total) else None
         calls = escrow.reply(now, name, total)
         self._heed(pool, escrow)
--- a/coralvale/control/quotas.py
+++ b/coralvale/control/quotas.py
@@ -22,6 +22,11 @@
 level then (together B at most) + rates (C t at most, with what fills the level) = B + C t. No report enters
 into this bound: a proxy that says nothing, or anything, can only change who gets what.
 
+  several   Where other control services serve the same stations (`leases`), rate and level are those of this
+            service's part of the ceiling (`coralvale.allowance`): what is surely its own until an assignment
+            ends, and its bucket. An assignment that would outlive what was lent to this service is given for a
+            shorter time, `SHORTEST` at least.
+
 The burst of a soft quota is held the same way, by what is reported: a new bucket is taken from a store that fills
 with the part of the quota that is not used. Without it every change of a rate would give a burst away (measured
 before: 1.9 times the quota through four uneven proxies).
@@ -30,9 +35,12 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from coralvale import interface as api
+from coralvale.allowance.escrow import Escrow
+from coralvale.allowance.leases import Leases
+from coralvale.allowance.model import Ceiling
 from coralvale.restrictor import STEP, Restrictor
 
 BucketId = tuple[tuple[str, str], ...]  # the sorted pairs of envoy.service.rate_limit_quota.v3.BucketId
@@ -41,6 +49,8 @@
 WISH = 1.25  # times what a proxy was asked for that is kept for it of a ceiling
 LONGEST = 60.0  # s that one report is taken to cover at most
 BELIEVED = 10.0  # times its plan that a report is believed; more would only drown the other proxies' use
+STEPS = 0.1, 0.25, 0.5, 1.0  # of its even part that a proxy of a shared ceiling gets, by what it asks for
+SHORTEST = 1.0  # s that an assignment lives, if what is lent to this service ends so soon
 TICKS = 10  # fills of a token bucket a second, at most
 
 
@@ -105,6 +115,7 @@
     live: dict[int, list[Live]] = field(default_factory=dict)  # by stream, those that have ended too
     level: float = 0.0
     at: float = 0.0
+    escrow: Escrow | None = None  # this service's part of the ceiling, if others have the rest
     burst: float = 0.0  # of the soft quota, what may still be given away in buckets
     burst_at: float = 0.0
 
@@ -118,11 +129,27 @@
         """The sum of the highest live rates, of all streams but one."""
         return sum(max(a.rate for a in held) for stream, held in self.live.items() if stream != but)
 
+    def promised(self, moment: float) -> float:
+        """The sum of the highest rates that are live at a moment or past it."""
+        return sum(
+            max((a.rate for a in held if a.until > moment), default=0.0) for held in self.live.values()
+        )
+
+    def take(self, burst: float) -> None:
+        """A bucket is given away."""
+        self.level -= burst
+        if self.escrow:
+            self.escrow.tokens = self.level
+
     def advance(self, now: float) -> None:
         """Fills the level to now; counts what ended on the way as alive to the end, which gives less."""
         elapsed, self.at = max(0.0, now - self.at), max(self.at, now)
-        room = self.plan.ceiling_burst - sum(max(a.burst for a in held) for held in self.live.values())
-        self.level = min(max(0.0, room), self.level + (self.plan.ceiling_rate - self.rate()) * elapsed)
+        given = sum(max(a.burst for a in held) for held in self.live.values())
+        if self.escrow:
+            self.level = self.escrow.fill(now, self.rate(), max(0.0, self.escrow.most - given))
+        else:
+            room = self.plan.ceiling_burst - given
+            self.level = min(max(0.0, room), self.level + (self.plan.ceiling_rate - self.rate()) * elapsed)
         for stream, held in list(self.live.items()):
             if alive := [a for a in held if a.until > now]:
                 self.live[stream] = alive
@@ -134,10 +161,18 @@
     """Reports in, assignments out. `ttl`, `margin` and `forget` are seconds; `most` bounds the buckets kept."""
 
     def __init__(
-        self, settings: api.Settings, born: float, ttl: float, margin: float, forget: float, most: int
+        self,
+        settings: api.Settings,
+        born: float,
+        ttl: float,
+        margin: float,
+        forget: float,
+        most: int,
+        leases: Leases | None = None,
     ) -> None:
         self.settings, self.born = settings, born
         self.ttl, self.margin, self.forget, self.most = ttl, margin, forget, most
+        self.leases = leases
         self.stations: dict[tuple[str, int], Station] = {}
         self.buckets = 0
         self.step_at = born + STEP
@@ -157,6 +192,11 @@
         if stream not in (station := self.stations.get(key) or fresh).shares:
             if self.buckets >= self.most:
                 raise OverflowError(f"{self.buckets} quota buckets are kept, at most {self.most}")
+            if self.leases and plan.ceiling_rate and station.escrow is None:
+                ceiling = Ceiling(plan.ceiling_rate, plan.ceiling_burst)
+                station.escrow = self.leases.of(now, report.station, report.plan, ceiling)
+                station.escrow.reserved = station.promised
+                station.at = max(station.at, now)
             self.buckets += 1
             self.stations[key] = station
             share = Share(report.bucket, Restrictor(plan, len(station.shares) + 1, now, self.born), now)
@@ -220,6 +260,9 @@
                 elif now - share.heard_at > self.ttl:
                     share.used = share.asked = 0.0  # silent: what it may still let through is not use
             use = sum(share.used for share in station.shares.values())
+            if station.escrow:
+                asked = sum(share.asked for share in station.shares.values())
+                station.escrow.heard(now, asked, max(0.0, asked - use), asked * STEP)
             for share in station.shares.values():
                 share.restrictor.passed = share.used * STEP
                 share.restrictor.reading = use / station.plan.rate if station.plan.rate else 0.0
@@ -230,6 +273,8 @@
                     actions += [(stream, action) for action in self._due(now, station, stream)]
             if not station.shares and not station.live:
                 del self.stations[key]
+                if self.leases and station.escrow:
+                    self.leases.leave(*key)
         return actions
 
     # Out
@@ -238,11 +283,11 @@
         """The assignment for a proxy, if what it holds is another or is about to end."""
         share = station.shares[stream]
         new = self._wanted(now, station, stream, share)
-        held = share.given if now < share.given_at + self.ttl else None
+        held = share.given if share.given and now < share.given_at + share.given.ttl else None
         if held is not None and same(held, new):
-            if now < share.given_at + self.ttl / 3:
+            if now < share.given_at + held.ttl / 3:
                 return []
-            new = held
+            new = held = replace(held, ttl=new.ttl)
         if station.plan.ceiling_rate:
             new = self._within(now, station, stream, held, new)
         elif new is not held and new.rate:
@@ -260,43 +305,67 @@
         burst = plan.burst * part if plan.rate else plan.ceiling_burst
         if plan.ceiling_rate:
             station.advance(now)
-            rate = min(rate if plan.rate else math.inf, self._part(station, stream))
-            burst = min(burst, plan.ceiling_burst / (2 * len(station.shares)))
-        return Assign(share.bucket, rate, max(1, math.floor(burst)), self.ttl)
-
-    def _part(self, station: Station, stream: int) -> float:
+            rate = min(rate if plan.rate else math.inf, self._part(now, station, stream))
+            most = station.escrow.most if station.escrow else plan.ceiling_burst
+            burst = min(burst, most / (2 * len(station.shares)))
+        return Assign(share.bucket, rate, max(1, math.floor(burst)), self._lives(now, station))
+
+    def _lives(self, now: float, station: Station) -> float:
+        """Seconds that an assignment may live: less than `ttl` while what is lent to this service ends sooner."""
+        if station.escrow is None:
+            return self.ttl
+        escrow, full = station.escrow, now + self.ttl + self.margin
+        end = (escrow.window(now) + 1) * escrow.length - escrow.guard - 0.001
+        short = end - self.margin - now
+        longer = short < SHORTEST or short >= self.ttl
+        if longer or escrow.least(now, full) >= (1 - SPARE) * escrow.least(now, end):
+            return self.ttl
+        return short
+
+    def _part(self, now: float, station: Station, stream: int) -> float:
         """A proxy's part of the ceiling: what others neither hold nor ask for, an even part at least."""
-        most, even = self._most(station), self._most(station) / len(station.shares)
+        most = self._most(now, station, now + self._lives(now, station) + self.margin)
+        even = most / len(station.shares)
         taken = station.rate(but=stream)
         wished = sum(
             max(0.0, min(WISH * s.asked, even) - max((a.rate for a in station.live.get(n, ())), default=0.0))
             for n, s in station.shares.items()
             if n != stream
         )
-        return max(even, most - taken - wished)
+        part = max(even, most - taken - wished)
+        if station.escrow:
+            # What a proxy does not ask for is left to be lent: in steps, since every change costs it a bucket.
+            wish = WISH * station.shares[stream].asked / even if even > 0 else 0.0
+            part = min(part, even * next((step for step in STEPS if step >= wish), math.inf))
+        return part
 
     @staticmethod
-    def _most(station: Station) -> float:
-        return (1 - SPARE) * station.plan.ceiling_rate
+    def _most(now: float, station: Station, until: float) -> float:
+        """The rate that may be promised from now until a moment, over all proxies of this service."""
+        rate = station.escrow.least(now, until) if station.escrow else station.plan.ceiling_rate
+        return (1 - SPARE) * rate
 
     def _within(self, now: float, station: Station, stream: int, held: Assign | None, new: Assign) -> Assign:
         """Rules 1 and 2 of the ceiling: what may not be given is not, whoever wants it."""
         station.advance(now)
-        until = now + self.ttl + self.margin
-        free = 0.0 if now < self._free_at() else self._most(station) - station.rate(but=stream)
+        until = now + new.ttl + self.margin
+        free = 0.0 if now < self._free_at() else self._most(now, station, until) - station.rate(but=stream)
+        if station.escrow and new is held and (new.rate or 0.0) > free + 1e-9:
+            held = None  # what was lent to this service ends, and with it what it promised
         if new is not held:
             rate, burst = min(new.rate or 0.0, free), min(new.burst, math.floor(station.level))
             if rate > 0 and burst >= 1:
-                station.level -= burst
+                station.take(burst)
                 new = Assign(new.bucket, rate, burst, new.ttl)
             elif held is not None and (held.rate or 0.0) <= free:
-                new = held  # nothing to begin another bucket with: it goes on with the one that it has
+                # Nothing to begin another bucket with: it goes on with the one that it has.
+                new = held = replace(held, ttl=new.ttl)
             else:
                 new = Assign(new.bucket, 0.0, 0, new.ttl)
         if new.rate:
             lives = station.live.setdefault(stream, [])
             if lives and new is held:
-                lives[-1].until = until
+                lives[-1].until = max(lives[-1].until, until)
             else:
                 lives.append(Live(new.rate, new.burst, until))
         return new
--- a/coralvale/control/service.py
+++ b/coralvale/control/service.py
@@ -23,6 +23,8 @@
 from grpc_reflection.v1alpha import reflection
 
 from coralvale import interface as api
+from coralvale.allowance.leases import Leases
+from coralvale.allowance.model import Call
 from coralvale.control import status
 from coralvale.control.drains import Drains
 from coralvale.control.model import ENDPOINTS, Acked, Host, Nacked, Placed, StateError, StreamError
@@ -35,6 +37,7 @@
 from coralvale.control.wire import Encoder, read_asked, read_bucket, read_delta, write_actions
 from coralvale.net.clock import Clock
 from coralvale.net.config import Config, Place
+from coralvale.net.counter import Counter
 from coralvale.net.discovery import Discovery
 from coralvale.operator.model import Control
 
@@ -46,6 +49,8 @@
 NAMED = 20  # late proxies that the log names for one drain; the metrics page and CSDS name all
 STATION = 128  # characters of a station's name in a bucket
 BUCKET = 1024  # characters of all of a bucket's id, which is kept as long as the bucket
+PATIENT = 1.0  # s that the counter may take
+LINES = 4  # on the state of the counter, logged in one look
 NODE = 256  # characters that are kept of what a proxy calls itself
 ADS = "envoy.service.discovery.v3.AggregatedDiscoveryService"
 RLQS = "envoy.service.rate_limit_quota.v3.RateLimitQuotaService"
@@ -92,13 +97,20 @@
         self.roster = Roster(config.settings, control.older_list_s)
         self.drains = Drains(config.settings.drain_grace)
         quotas = control.quotas
+        born = self.clock.now()
+        self.leases: Leases | None = None
+        self.counter: Counter | None = None
+        if quotas.services > 1:
+            free_at = born + quotas.assignment_ttl_s + quotas.margin_s
+            self.leases = Leases(quotas.services, quotas.place, born, free_at)
         self.quotas = Quotas(
             config.settings,
-            self.clock.now(),
+            born,
             quotas.assignment_ttl_s,
             quotas.margin_s,
             quotas.forget_s,
             control.limits.buckets,
+            self.leases,
         )
         self.plans = {plan.name: number for number, plan in enumerate(config.settings.plans)}
         self.static = static(config.settings, control.service, control.proxy_address, config.connect_timeout)
@@ -155,6 +167,9 @@
             host, _, port = self.control.metrics.rpartition(":")
             self.metrics = await asyncio.start_server(self._metrics, host.strip("[]"), int(port))
         loop = asyncio.get_running_loop()
+        if self.leases and self.config.counter:
+            timeout = self.config.connect_timeout
+            self.counter = Counter(self.config.counter, PATIENT, timeout, self._counted, stuck=PATIENT)
         self._refresh()
         await self._be_healthy()
         await self.server.start()
@@ -195,6 +210,8 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.counter:
+            self.counter.close()
         if self.metrics:
             self.metrics.close()
         await self.server.stop(grace)
@@ -348,6 +365,11 @@
         if now >= self.patience_at:  # well within PATIENCE, and not at every look: there may be thousands
             self.patience_at = now + PATIENCE / 10
             self._wake_all(lambda stream: (due := stream.waits_until()) is not None and now >= due)
+        if self.leases:
+            self._lend(self.leases.due(now))
+            for text in self.leases.lines[:LINES]:
+                log.warning("shared ceilings: %s", text)
+            self.leases.lines.clear()
         for number, action in self.quotas.tick(now):
             if held := self.connections.get(number):
                 held.actions[action.bucket] = action
@@ -383,6 +405,21 @@
                     "drain of %s: %d more proxies have not acknowledged; CSDS names them", host, count - NAMED
                 )
 
+    # Ceilings shared with other control services
+
+    def _lend(self, calls: list[tuple[str, Call]]) -> None:
+        """Makes calls to the counter. Without one all fail at once: every service keeps to its even part."""
+        for name, call in calls:
+            if self.counter:
+                self.counter.add(name, call.amount, call.keep)
+            elif self.leases:
+                self.leases.reply(self.clock.now(), name, None)
+
+    def _counted(self, reply: api.CounterReply) -> None:
+        if self.leases:
+            total = reply.total if reply.ok else None
+            self._lend(self.leases.reply(self.clock.now(), str(reply.name), total))
+
     # Discovery streams
 
     def _handlers(self) -> tuple[Any, ...]:
--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -239,7 +239,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CounterReply:
-    name: int
+    name: int | str
     ok: bool
     total: float
     maybe_added: bool = False
--- a/coralvale/net/counter.py
+++ b/coralvale/net/counter.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import zlib
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -26,7 +27,7 @@
 
 @dataclass(slots=True, eq=False)
 class Call:
-    name: int
+    name: int | str
     text: bytes
     timer: asyncio.TimerHandle | None = None
     written_at: float | None = None
@@ -50,14 +51,15 @@
         self.lines: list[Line | None] = [None] * LINES
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def add(self, name: int, amount: float, lifetime: float) -> None:
+    def add(self, name: int | str, amount: float, lifetime: float) -> None:
         keep = min(60_000, max(1, round(lifetime * 1000)))
         host, port = self.address
         text = f"POST /tally/{name}?n={amount:.6f}&keep_ms={keep} HTTP/1.1\r\nHost: {host}:{port}\r\n"
         call = Call(name, f"{text}Content-Length: 0\r\n\r\n".encode())
-        line = self.lines[name % LINES]
+        number = name % LINES if isinstance(name, int) else zlib.crc32(name.encode()) % LINES
+        line = self.lines[number]
         if line is None or line.closed:
-            line = self.lines[name % LINES] = Line(self)
+            line = self.lines[number] = Line(self)
             task = self.loop.create_task(self._connect(line))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
--- a/coralvale/operator/model.py
+++ b/coralvale/operator/model.py
@@ -49,6 +49,8 @@
     assignment_ttl_s: Seconds = 6.0  # how long an assignment holds with nobody reachable
     margin_s: Seconds = 1.0  # longer that it is counted as alive, for the way to the proxy
     forget_s: Seconds = 60.0  # without a report, after which a bucket is forgotten
+    services: Annotated[int, Meta(ge=1, le=16)] = 1  # control services that share each station's ceiling
+    place: Annotated[int, Meta(ge=0, le=15)] = 0  # of this one among them, from 0
 
 
 class Control(Table, frozen=True):
@@ -70,6 +72,10 @@
     def check(self) -> None:
         """What types cannot say. Raises ValueError whose text begins with the key's path."""
         host = _address("control.listen", self.listen)
+        if self.quotas.place >= self.quotas.services:
+            raise ValueError(
+                f"control.quotas.place: {self.quotas.place}, expected less than services ({self.quotas.services})"
+            )
         for path, text in (("proxy_address", self.proxy_address), ("metrics", self.metrics)):
             if text:
                 _address(f"control.{path}", text)
--- a/tests/control/test_quotas.py
+++ b/tests/control/test_quotas.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 
 from coralvale import interface as api
+from coralvale.allowance.leases import Leases
 from coralvale.control.quotas import Abandon, Assign, Meter, Quotas, Report, token_bucket
 
 SOFT = api.Plan("basico", rate=20.0, burst=40.0)
@@ -242,3 +243,107 @@
             count = sum(1 for at in admitted[first:] if at < admitted[first] + window)
             most = HARD.ceiling_burst + HARD.ceiling_rate * window + HARD.ceiling_slack
             assert count <= most + 1, f"seed {seed}: {count} in {window} s, at most {most}"
+
+
+class Shared:
+    """The counter that services share: it forgets, forks, heals, is silent, and answers late."""
+
+    def __init__(self, lots: random.Random) -> None:
+        self.lots, self.halves, self.side = lots, [dict[str, float]()], dict[int, int]()
+        self.silent = False
+
+    def fault(self, services: int) -> None:
+        kind = self.lots.choice(["swap", "loss", "fork", "heal", "silent", "well"])
+        if kind == "swap":
+            self.halves = [{} for _ in self.halves]
+        elif kind == "loss":
+            self.halves = [{n: v for n, v in h.items() if self.lots.random() < 0.3} for h in self.halves]
+        elif kind == "fork":
+            self.halves = [self.halves[0], dict(self.halves[0])]
+            self.side = {n: self.lots.randrange(2) for n in range(services)}
+        elif kind == "heal":
+            self.halves = [self.lots.choice(self.halves)]
+        else:
+            self.silent = kind == "silent"
+
+    def add(self, who: int, name: str, amount: float) -> float | None:
+        half = self.halves[self.side.get(who, 0) % len(self.halves)]
+        half[name] = half.get(name, 0.0) + amount
+        return None if self.silent or self.lots.random() < 0.02 else half[name]
+
+
+def several(
+    seed: int, seconds: float, services: int, faults: float, loads: list[float] | None = None
+) -> tuple[list[float], int]:
+    """Several services, two proxies each, one ceiling. Returns the moments of admissions, and calls made.
+
+    Asserts at every step that what is live at all services together is within the ceiling.
+    """
+    lots = random.Random(seed)
+    counter, calls = Shared(lots), 0
+
+    def fresh(place: int, now: float) -> Quotas:
+        leases = Leases(services, place, now, now + TTL + MARGIN)
+        return Quotas(PLANS, now, TTL, MARGIN, forget=30.0, most=100, leases=leases)
+
+    machines = [fresh(place, BORN) for place in range(services)]
+    proxies = [[Proxy(), Proxy()] for _ in machines]
+    rates = loads or [lots.choice([0.0, 5.0, 50.0, 200.0]) for _ in machines]
+    gone: list[Quotas] = []  # what a killed service gave is alive all the same
+    late: list[tuple[float, Proxy, Assign | Abandon]] = []
+    admitted: list[float] = []
+    for step in range(int(seconds * 20)):
+        now = BORN + step / 20
+        if faults and lots.random() < 0.01 * faults:
+            counter.fault(services)
+        if faults and lots.random() < 0.002 * faults:
+            place = lots.randrange(services)
+            gone.append(machines[place])
+            machines[place] = fresh(place, now)
+        if faults and lots.random() < 0.005:
+            rates[lots.randrange(services)] = lots.choice([0.0, 5.0, 50.0, 200.0])
+        for place, machine in enumerate(machines):
+            assert machine.leases
+            for number, proxy in enumerate(proxies[place]):
+                for _ in range(int(rates[place] / 40 + lots.random())):
+                    if proxy.ask(now):
+                        admitted.append(now)
+                if step % 20 == number:
+                    told = report(1, 1.0, proxy.allowed, proxy.denied)
+                    late += [(now + 0.05, proxy, a) for a in machine.report(now, number, told)]
+                    proxy.allowed = proxy.denied = 0
+            late += [(now + 0.05, proxies[place][stream], a) for stream, a in machine.tick(now)]
+            queue = machine.leases.due(now) if step % 2 == 0 else []
+            while queue:
+                name, call = queue.pop()
+                assert len(name) <= 64
+                calls += 1
+                queue += machine.leases.reply(now, name, counter.add(place, name, call.amount))
+        while late and late[0][0] <= now:
+            _, proxy, action = late.pop(0)
+            proxy.take(now, action)
+        live = sum(s.promised(now) for machine in machines + gone for s in machine.stations.values())
+        assert live <= HARD.ceiling_rate + 1e-6, f"seed {seed}: {live} are live {now - BORN:.2f} s in"
+    return admitted, calls
+
+
+@hypothesis_settings(max_examples=40, deadline=None)
+@given(seed=st.integers(0, 2**32), services=st.integers(2, 4))
+def test_no_schedule_passes_a_ceiling_that_several_services_share(seed: int, services: int) -> None:
+    """Whatever becomes of the counter between them, of services and of loads."""
+    admitted, _ = several(seed, 90.0, services, faults=1.0)
+    level, last, most = 0.0, 0.0, HARD.ceiling_burst + HARD.ceiling_slack
+    for at in admitted:
+        level = min(most, level + HARD.ceiling_rate * (at - last)) - 1.0
+        last = at
+        assert level >= -1e-6, f"seed {seed}: passed {at - BORN:.2f} s in by {-level}"
+
+
+def test_a_ceilings_part_moves_to_the_service_whose_proxies_ask_for_it() -> None:
+    admitted, calls = several(3, 100.0, 3, 0.0, [200.0, 2.0, 2.0])
+    late = sum(at >= BORN + 36 for at in admitted) / 64 / HARD.ceiling_rate
+    even = 1 / 3 + 2 * 2.0 / HARD.ceiling_rate
+    assert late > even + 0.2, late
+    assert calls < 100 * 1.5
+    with pytest.raises(ValueError, match="service 3 of 3"):
+        Leases(3, 3, BORN, BORN)
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -5,12 +5,13 @@
 import asyncio
 import signal
 import time
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import grpc
 import pytest
-from control.world import GRACE, SERVICE, Process, World, all_have, service, world
+from control.world import GRACE, SERVICE, Process, World, all_have, config, service, world
 from envoy.config.cluster.v3 import cluster_pb2
 from envoy.config.core.v3 import base_pb2
 from envoy.config.endpoint.v3 import endpoint_pb2
@@ -24,7 +25,10 @@
 
 from coralvale.control.model import CLUSTER, ENDPOINTS, LISTENER, ROUTE
 from coralvale.control.roster import State
+from coralvale.control.service import ControlService
+from coralvale.operator import Control, ControlQuotas
 from coralvale.standins.clients import Client
+from coralvale.standins.counter import Tally
 from coralvale.standins.discovery import entry
 from coralvale.standins.gateways import free_port
 from coralvale.standins.hosts import Host
@@ -494,8 +498,6 @@
     """Two proxies at twice the ceiling; one vanishes holding its part, the other asks for all of it."""
 
     async def test() -> None:
-        from coralvale.operator import ControlQuotas
-
         quotas = ControlQuotas(assignment_ttl_s=1.0, margin_s=0.2)
         async with world(1) as w, service(w, quotas=quotas) as control:
             pair = [QuotaProxy(w.target, "coralvale", "radio-1", "federal") for _ in range(2)]
@@ -521,6 +523,50 @@
     run(test())
 
 
+def test_two_services_share_a_ceiling_through_the_counter_and_keep_it_when_it_dies(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """One service's proxy asks for four times the ceiling, the other's for little."""
+    monkeypatch.setattr("coralvale.allowance.leases.LENGTH", 2.0)
+
+    async def test() -> None:
+        tally = await Tally().start()
+        async with world(1) as w:
+            told = replace(config(w.roster.address), counter=("127.0.0.1", tally.port))
+            made = []
+            for place in range(2):
+                quotas = ControlQuotas(assignment_ttl_s=0.5, margin_s=0.2, services=2, place=place)
+                listen = f"127.0.0.1:{free_port()}"
+                made.append(ControlService(told, Control(service=SERVICE, listen=listen, quotas=quotas)))
+                await made[-1].start()
+            pair = [QuotaProxy(f"127.0.0.1:{m.port}", "coralvale", "radio-1", "federal") for m in made]
+            tasks = [asyncio.ensure_future(p.run()) for p in pair]
+            admitted: list[float] = []
+            loads = [
+                asyncio.ensure_future(p.load(rate, 14.0, admitted))
+                for p, rate in zip(pair, (200.0, 2.0), strict=True)
+            ]
+            lent = lambda: [  # noqa: E731
+                e.rate(m.clock.now()) for m in made if m.leases for e in m.leases.held.values()
+            ]
+            await until(lambda: len(lent()) == 2 and max(lent()) > 30)  # of 50, of which 25 are its own
+            assert sum(lent()) <= 50 + 1e-6 and len(tally.totals) >= 2
+            await tally.kill()
+            await until(lambda: "shared ceilings: counter: " in caplog.text and "-> silent" in caplog.text)
+            await until(lambda: lent() == [25.0, 25.0])
+            await asyncio.gather(*loads)
+            for task in tasks:
+                task.cancel()
+            for m in made:
+                await m.close()
+            for window in (0.5, 1.0, 2.0, 4.0, 8.0):
+                for first in range(0, len(admitted), 11):
+                    count = sum(admitted[first] <= at < admitted[first] + window for at in admitted)
+                    assert count <= 60 + 50 * window + 2, (window, count)
+
+    run(test())
+
+
 def test_an_address_that_is_taken_is_told(tmp_path: Path) -> None:
     async def test() -> None:
         async with world(1) as w:
