Ask a station's authoriser before its requests are sent (ext_authz over gRPC)

A station may want its own service to approve listeners. [[authorisation]] in the operator's file names authorisers by plan, station and class; off by default. The decision module asks after the quota and the guards, keeps the request's units until the answer, gives them back if it is denied, and bounds checks by a store of their own, so that a flood beyond quota is none at the authoriser. One approval holds for all attempts; one that comes too late sends nothing. Breaker, cache and most_out for each authoriser alone; SIGHUP moves them.

--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -18,6 +18,7 @@
 from coralvale.net.node import Node
 
 if TYPE_CHECKING:  # imported only where the operator's file asks for them
+    from coralvale.authorisation.service import Authorisers
     from coralvale.interface import Allowance
     from coralvale.operator import Operator
 
@@ -34,13 +35,30 @@
     node.reload(config)
 
 
-async def serve(config: Config, path: str, operator: Operator | None = None) -> None:
+def reload_gate(gate: Authorisers, operator: str) -> None:
+    """SIGHUP: takes the authorisers of the operator's file as it is now; a bad file changes nothing."""
+    from coralvale.operator import OperatorError, read_operator
+
+    try:
+        gate.reload(read_operator(operator).authorisation)
+    except OperatorError as error:
+        log.error("keeping the old authorisers: %s", error)
+
+
+async def serve(config: Config, path: str, operator: Operator | None = None, named: str = "") -> None:
     loop = asyncio.get_running_loop()
     clock = Clock()
-    node = Node(config, clock, share(config, operator, clock) if operator else None)
+    gate = authorise(config, operator, clock) if operator else None
+    node = Node(config, clock, share(config, operator, clock) if operator else None, gate)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
-    loop.add_signal_handler(signal.SIGHUP, reload, node, path)
+
+    def again() -> None:
+        reload(node, path)
+        if gate:
+            reload_gate(gate, named)
+
+    loop.add_signal_handler(signal.SIGHUP, again)
     node.start()
     # What start-up made lives for good: collecting it again and again would only cost time.
     gc.collect()
@@ -60,6 +78,19 @@
     return Shares(config.settings, clock.now(), table.window_s, table.quotas, table.calls_per_s)
 
 
+def authorise(config: Config, operator: Operator, clock: Clock) -> Authorisers | None:
+    """The authorisers that the operator's file names, if any."""
+    if not operator.authorisation:
+        return None
+    from coralvale.authorisation.service import Authorisers
+    from coralvale.operator import OperatorError
+
+    try:
+        return Authorisers(operator.authorisation, config.settings, clock, config.seed)
+    except OperatorError as error:
+        raise ConfigError(f"operator's file: {error}") from None
+
+
 def run(operator: str = "") -> int:
     """The gateway; `operator` names the operator's file, if one is given."""
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
@@ -83,7 +114,7 @@
             print(f"coralvale: {error}", file=sys.stderr)
             return 2
     try:
-        uvloop.run(serve(read_config(path), path, told))
+        uvloop.run(serve(read_config(path), path, told, operator))
     except ConfigError as error:
         print(f"coralvale: {error}", file=sys.stderr)
         return 2
--- a/coralvale/allowance/escrow.py
+++ b/coralvale/allowance/escrow.py
@@ -138,8 +138,8 @@
         return max(1e-3, (units - self.tokens) / max(self.rate(now), self.part / 10, 1e-9))
 
     def charge(self, units: float) -> None:
-        """The units that `wait` found room for, just now, are used."""
-        self.tokens -= units
+        """The units that `wait` found room for, just now, are used; fewer than nought give back what was not."""
+        self.tokens = min(self.most, self.tokens - units)
 
     def admit(self, now: float, units: float) -> float:
         """Both in one: 0 if the request is let in, and charged; else the seconds after which it might be."""
--- a/coralvale/allowance/shares.py
+++ b/coralvale/allowance/shares.py
@@ -96,6 +96,13 @@
             if self._ceiling(request, plan, quota) and (e := self.pools.get(request.customer << 1 | quota)):
                 e.charge(request.units)
 
+    def refund(self, request: api.Request) -> None:
+        """What was charged was not used after all."""
+        plan = self.settings.plans[request.plan]
+        for quota in (False, True):
+            if self._ceiling(request, plan, quota) and (e := self.pools.get(request.customer << 1 | quota)):
+                e.charge(-request.units)
+
     def _ceiling(self, request: api.Request, plan: api.Plan, quota: bool) -> Ceiling | None:
         if not quota:
             return Ceiling(plan.ceiling_rate, plan.ceiling_burst) if plan.ceiling_rate else None
--- a/coralvale/cli.py
+++ b/coralvale/cli.py
@@ -85,7 +85,7 @@
             print(json.dumps({"ok": False, "file": asked.file, "error": str(error), "tables": []}))
         print(f"coralvale: {error}", file=sys.stderr)
         return 2
-    tables = [name for name in read.__struct_fields__ if getattr(read, name) is not None]
+    tables = [name for name in read.__struct_fields__ if getattr(read, name)]
     if asked.json:
         print(json.dumps({"ok": True, "file": asked.file, "error": "", "tables": tables}))
     else:
--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -58,6 +58,14 @@
     NOT_SENT = "not_sent"
 
 
+class Verdict(Enum):
+    """What an authoriser said of a request, or that it said nothing in time."""
+
+    ALLOWED = "allowed"
+    DENIED = "denied"
+    NO_ANSWER = "no_answer"
+
+
 class ReportVia(Enum):
     ANSWERS = "answers"
     PROBE = "probe"
@@ -191,6 +199,7 @@
     expires_at: float
     units: float = 1.0
     first: int = 0  # number of the first gateway of the customer's set
+    check: bool = False  # an authoriser has to allow it before it is sent
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,7 +254,25 @@
     maybe_added: bool = False
 
 
-Event = ServerList | Request | StreamStarted | AttemptDone | Abandoned | TimerFired | ProbeDone | CounterReply
+@dataclass(frozen=True, slots=True)
+class Checked:
+    """The one answer to a `Check`."""
+
+    request: str
+    verdict: Verdict
+
+
+Event = (
+    ServerList
+    | Request
+    | StreamStarted
+    | AttemptDone
+    | Abandoned
+    | TimerFired
+    | ProbeDone
+    | CounterReply
+    | Checked
+)
 
 
 # Actions
@@ -296,6 +323,20 @@
     patient: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Check:
+    """Ask the authoriser of a request; its units are kept for it until the answer."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Deny:
+    """Answer with what the authoriser said."""
+
+    request: str
+
+
 @dataclass(frozen=True, slots=True)
 class FollowList:
     """Ask the list service to deliver changes from now on."""
@@ -311,7 +352,9 @@
     text: str
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | Count | FollowList | FetchList | Log
+Action = (
+    Send | Cancel | Refuse | Fail | SetTimer | Probe | Count | Check | Deny | FollowList | FetchList | Log
+)
 
 
 # Parts of ceilings and quotas that are shared with other gateways
@@ -326,6 +369,9 @@
     def charge(self, request: Request) -> None:
         """The request is sent on, by room that `wait` told of at the same moment."""
 
+    def refund(self, request: Request) -> None:
+        """What was charged for a request was not used: it was not sent after all."""
+
     def due(self, now: float) -> list[Action]:
         """Calls to the counter and lines for the log that are due now."""
 
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -12,9 +12,9 @@
 
 from coralvale import interface as api
 from coralvale.health import LOST, NEWS, SILENCE, Host
-from coralvale.interface import Outcome, Repeat
+from coralvale.interface import Outcome, Repeat, Verdict
 from coralvale.restrictor import QUIET, STEP, Restrictor
-from coralvale.state import Attempt, Held, Pace, Refusals
+from coralvale.state import Asked, Attempt, Held, Pace, Refusals
 
 TICK = 0.1  # s between looks at what is overdue: well under any delay that a client would notice
 IDLE = 60.0  # s after which an idle customer's restrictor is dropped, once its bucket is empty
@@ -46,6 +46,7 @@
         self.sort_at = -math.inf  # when a cold server becomes warm
         self.busy: dict[Host, None] = {}  # servers with attempts out
         self.requests: dict[str, Held] = {}
+        self.checking: dict[str, Asked] = {}
         self.usual = [c.aim / 5 for c in settings.classes]  # delay of a class, learned from answers
         self.calm = list(self.usual)  # the lowest that the usual delay has lately been
         self.mean = sum(self.usual) / len(self.usual)
@@ -63,6 +64,7 @@
             api.Abandoned: self._leave,
             api.TimerFired: self._tick,
             api.CounterReply: self._counted,
+            api.Checked: self._checked,
         }
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -157,15 +159,58 @@
             return self._refuse(request, "too late", usual)
         if wait := self._pressed(now, request):
             return self._refuse(request, "pressed", wait)
-        self._sort(now)
-        if (host := self._pick_cold(now) or self._pick(now)) is None:
+        if request.check and (wait := restrictor.check_wait(request.units)):
+            return self._refuse(request, "quota of checks", wait)
+        if not request.check and not self._serve(now, request, restrictor, now):
             return self._refuse(request, "no server", STEP)
-        restrictor.charge(request.units)
+        filled = restrictor.charge(request.units)
         if self.allowance:
             self.allowance.charge(request)
+        if request.check:  # its units are kept, or those that wait could pass the quota together
+            restrictor.checks += request.units
+            restrictor.open += 1
+            self.checking[request.id] = Asked(request, now, restrictor, filled)
+            self.actions.append(api.Check(request.id))
+
+    def _serve(self, now: float, request: api.Request, restrictor: Restrictor, arrived: float) -> bool:
+        """Sends a request to a server that is picked now; whether there is one."""
+        self._sort(now)
+        if (host := self._pick_cold(now) or self._pick(now)) is None:
+            return False
         self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
-        self.requests[request.id] = Held(request, now, restrictor)
-        return self._send(now, self.requests[request.id], host)
+        self.requests[request.id] = Held(request, arrived, restrictor)
+        self._send(now, self.requests[request.id], host)
+        return True
+
+    def _checked(self, now: float, event: api.Checked) -> None:
+        """An authoriser's answer: an approval sends the request if that is of use, else all is given back."""
+        if (asked := self.checking.get(event.request)) is None:
+            return None
+        request, restrictor, reason, wait = asked.request, asked.restrictor, "", self.usual[asked.request.cls]
+        restrictor.drain(now)
+        if event.verdict is Verdict.NO_ANSWER:
+            reason = "no authoriser"
+        elif event.verdict is Verdict.ALLOWED:
+            if request.expires_at - now < wait / 2:
+                reason = "too late"
+            elif pressed := self._pressed(now, request):
+                reason, wait = "pressed", pressed
+            elif self._serve(now, request, restrictor, asked.arrived):
+                del self.checking[request.id]
+                restrictor.open -= 1  # the attempt is out in its place
+                return None
+            else:
+                reason, wait = "no server", STEP
+        self._give_back(asked)
+        return self._refuse(request, reason, wait) if reason else self.actions.append(api.Deny(request.id))
+
+    def _give_back(self, asked: Asked) -> None:
+        """A request that was not sent costs its customer nothing; that it was asked about still counts."""
+        del self.checking[asked.request.id]
+        asked.restrictor.open -= 1
+        asked.restrictor.refund(asked.request.units, asked.filled)
+        if self.allowance:
+            self.allowance.refund(asked.request)
 
     def _pressed(self, now: float, request: api.Request) -> float:
         """Seconds by which the expected wait (Little's law; one more at the mean delay) is over what may be.
@@ -289,6 +334,8 @@
     def _leave(self, now: float, event: api.Abandoned | api.StreamStarted) -> None:
         for name in [n for n, (_, request, *_) in self.asked.items() if request.id == event.request]:
             del self.asked[name]
+        if asked := self.checking.get(event.request):
+            self._give_back(asked)
         if held := self.requests.get(event.request):
             self._close(event.request, held)
 
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -11,8 +11,9 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 from coralvale import Gateway
 from coralvale import interface as api
@@ -41,6 +42,38 @@
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
+@dataclass(frozen=True, slots=True)
+class Ruling:
+    """What an authoriser said of one request.
+
+    Denied: `status`, `headers` and `body` are the answer to the client. Allowed: `headers` are added to the
+    request to the host, in place of those of the same name; those in `remove` (lower case) are taken off it.
+    """
+
+    verdict: api.Verdict
+    why: str = ""
+    status: int = 403
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    remove: frozenset[bytes] = frozenset()
+    body: bytes = b""
+
+
+class Gate(Protocol):
+    """Authorisers beside the node: it is asked before a request that needs it is sent."""
+
+    def needs(self, arrival: Arrival) -> bool:
+        """Whether a request has to be allowed by an authoriser."""
+
+    def ask(self, arrival: Arrival, exchange: Exchange, left: float, done: Callable[[Ruling], None]) -> None:
+        """Asks, for `left` seconds at most. `done` is called once and later, unless `leave` is called before."""
+
+    def leave(self, request: str) -> None:
+        """Nobody waits for the answer any more."""
+
+    def close(self) -> None:
+        """Lets go of all connections."""
+
+
 class Held:
     """A request from its last byte until it is answered and no attempt is out."""
 
@@ -48,10 +81,12 @@
         "answered",
         "arrival",
         "attempts",
+        "checking",
         "exchange",
         "expires_at",
         "maybe",
         "out",
+        "ruling",
         "timer",
         "timed_out",
     )
@@ -60,7 +95,8 @@
         self.exchange, self.arrival, self.expires_at = exchange, arrival, expires_at
         self.attempts: list[Attempt] = []
         self.out = 0
-        self.answered = self.maybe = self.timed_out = False
+        self.answered = self.maybe = self.timed_out = self.checking = False
+        self.ruling: Ruling | None = None
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -68,12 +104,16 @@
     """`allowance` shares parts with other gateways; without one nothing is shared, and nothing is paid for it."""
 
     def __init__(
-        self, config: Config, clock: Clock | None = None, allowance: api.Allowance | None = None
+        self,
+        config: Config,
+        clock: Clock | None = None,
+        allowance: api.Allowance | None = None,
+        gate: Gate | None = None,
     ) -> None:
         self.config, self.settings = config, config.settings
         self.clock = clock or Clock()
         self.loop = asyncio.get_running_loop()
-        self.allowance = allowance
+        self.allowance, self.gate = allowance, gate
         self.gateway = Gateway(config.settings, config.seed, allowance)
         self.held: dict[str, Held] = {}
         self.ready = False
@@ -100,6 +140,8 @@
             api.SetTimer: self._set_timer,
             api.Probe: self._probe,
             api.Count: self._count,
+            api.Check: self._check,
+            api.Deny: self._deny,
             api.FollowList: lambda _: self.discovery.refresh(),
             api.FetchList: lambda _: self.discovery.refresh(),
             api.Log: lambda action: log.info("%s", action.text),
@@ -152,6 +194,8 @@
         self.watching.cancel()
         self.server.close()
         self.upstreams.close()
+        if self.gate:
+            self.gate.close()
         for counter in (self.counter, self.patient):
             if counter:
                 counter.close()
@@ -209,6 +253,9 @@
             self._forget(held)
 
     def _forget(self, held: Held) -> None:
+        if held.answered and held.checking and self.gate:
+            held.checking = False
+            self.gate.leave(held.arrival.id)
         if held.answered and not held.out:
             if held.timer:
                 held.timer.cancel()
@@ -245,6 +292,7 @@
                 expires_at=expires_at,
                 units=arrival.units,
                 first=arrival.first,
+                check=self.gate is not None and self.gate.needs(arrival),
             )
         )
         if not held.answered:  # most requests of a busy day are refused at once and need no timer
@@ -307,12 +355,15 @@
     @staticmethod
     def _payload(held: Held, left: float) -> bytes:
         exchange = held.exchange
-        body = exchange.body
+        body, headers = exchange.body, exchange.headers
+        if (ruling := held.ruling) and (ruling.headers or ruling.remove):
+            other = ruling.remove | {name.lower() for name, _ in ruling.headers}
+            headers = [h for h in headers if h[0].lower() not in other] + list(ruling.headers)
         length = b"Content-Length: %d\r\n" % len(body) if body or exchange.method != b"GET" else b""
         return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n%b" % (
             exchange.method,
             exchange.target,
-            b"".join([b"%b: %b\r\n" % h for h in exchange.headers if h[0].lower() not in NOT_PASSED_ON]),
+            b"".join([b"%b: %b\r\n" % h for h in headers if h[0].lower() not in NOT_PASSED_ON]),
             left,
             length,
             body,
@@ -382,6 +433,34 @@
         else:
             counter.add(action.name, action.amount, action.lifetime)
 
+    # Authorisers
+
+    def _check(self, action: api.Check) -> None:
+        held = self.held.get(action.request)
+        if held is None or self.gate is None:
+            self.feed(api.Checked(action.request, api.Verdict.NO_ANSWER))
+            return
+        held.checking = True
+        left = held.expires_at - self.clock.now()
+        self.gate.ask(held.arrival, held.exchange, left, partial(self._ruled, held))
+
+    def _ruled(self, held: Held, ruling: Ruling) -> None:
+        if held.checking:
+            held.checking, held.ruling = False, ruling
+            self.feed(api.Checked(held.arrival.id, ruling.verdict))
+
+    def _deny(self, action: api.Deny) -> None:
+        held = self.held.get(action.request)
+        if held and held.ruling:
+            ruling, wait = held.ruling, 0.0
+            if ruling.status in (429, 503) and not any(
+                n.lower() == b"retry-after" for n, _ in ruling.headers
+            ):
+                wait = self.settings.max_advice
+            self._finish(
+                held, ruling.status, body=ruling.body, headers=list(ruling.headers), retry_after=wait
+            )
+
     # The list of hosts
 
     def _listed(self, kind: api.ListKind, servers: tuple[api.Server, ...], stale: list[Place]) -> None:
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -45,7 +45,9 @@
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
-STATUS_LINES = {status: f"HTTP/1.1 {status} {reason}\r\n".encode() for status, reason in REASONS.items()}
+# An authoriser may deny with any status that tells of a failure.
+STATUS_LINES = {status: b"HTTP/1.1 %d Denied\r\n" % status for status in range(400, 600)}
+STATUS_LINES |= {status: f"HTTP/1.1 {status} {reason}\r\n".encode() for status, reason in REASONS.items()}
 # Headers of a request that concern one connection only or are written anew.
 NOT_PASSED_ON = {
     b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"content-length",
--- a/coralvale/operator/__init__.py
+++ b/coralvale/operator/__init__.py
@@ -2,6 +2,8 @@
 
 from coralvale.operator.model import (
     Allowance,
+    Authoriser,
+    AuthoriserTls,
     Control,
     ControlLimits,
     ControlQuotas,
@@ -13,6 +15,8 @@
 
 __all__ = [
     "Allowance",
+    "Authoriser",
+    "AuthoriserTls",
     "Control",
     "ControlLimits",
     "ControlQuotas",
--- a/coralvale/operator/model.py
+++ b/coralvale/operator/model.py
@@ -93,15 +93,56 @@
     calls_per_s: Annotated[float, Meta(gt=0, le=10_000)] = 50.0  # to the counter, over all stations
 
 
+class AuthoriserTls(Table, frozen=True):
+    """`[authorisation.tls]`: PEM files; an empty `ca` is the system's."""
+
+    ca: str = ""
+    certificate: str = ""
+    key: str = ""
+
+
+class Authoriser(Table, frozen=True):
+    """`[[authorisation]]`: a service that allows or denies requests. The first that matches a request is asked.
+
+    An empty list matches all. Stations are 16 hex digits, as in the cookie `client`.
+    """
+
+    name: Annotated[str, Meta(min_length=1, max_length=64)]
+    target: Annotated[str, Meta(min_length=1, max_length=256)]  # address:port
+    plans: tuple[str, ...] = ()
+    stations: tuple[str, ...] = ()
+    classes: tuple[str, ...] = ()
+    timeout_ms: Annotated[int, Meta(ge=1, le=60_000)] = 200
+    without_answer: Literal["refuse", "allow"] = "refuse"  # allow: only classes that are safe to repeat
+    most_out: Count = 100  # checks without an answer; a request past that is answered as without one
+    cache_entries: Annotated[int, Meta(ge=0, le=1_000_000)] = 0  # answers that are kept; 0: none
+    cache_s: Seconds = 10.0
+    listener_header: Annotated[str, Meta(min_length=1, max_length=64)] = "authorization"  # who listens
+    tls: AuthoriserTls | None = None
+
+
 class Operator(Table, frozen=True):
     """The whole file. A table that is not there is a subsystem that is off."""
 
     control: Control | None = None
     allowance: Allowance | None = None
+    authorisation: tuple[Authoriser, ...] = ()
 
     def check(self) -> None:
         if self.control:
             self.control.check()
+        names = [authoriser.name for authoriser in self.authorisation]
+        for number, authoriser in enumerate(self.authorisation):
+            path = f"authorisation[{number}]"
+            _address(f"{path}.target", authoriser.target)
+            if names.index(authoriser.name) != number:
+                raise ValueError(f"{path}.name: {authoriser.name!r} is there already")
+            for station in authoriser.stations:
+                if len(station) != 16 or not all(c in "0123456789abcdef" for c in station):
+                    raise ValueError(f"{path}.stations: expected 16 hex digits, got {station!r}")
+            tls = authoriser.tls
+            if tls and bool(tls.certificate) != bool(tls.key):
+                raise ValueError(f"{path}.tls: expected certificate and key together")
 
 
 def _address(path: str, text: str) -> str:
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -28,6 +28,9 @@
         self.own = self.own_late = self.use = 0.0  # own_late lags own by as much as readings lag use
         self.reading, self.heard_at = 0.0, -math.inf
         self.asking, self.asked_at = 0.0, now  # units a second asked for here, refused ones too
+        self.checks = (
+            0.0  # units that an authoriser was asked about: a store of its own, that denials do not empty
+        )
         self.uncounted, self.spent = 0.0, -1  # units let in here and not counted; the window used up
         # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
         self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born))
@@ -41,6 +44,7 @@
     def drain(self, now: float) -> None:
         elapsed, self.at = max(0.0, now - self.at), max(self.at, now)
         self.fill = max(0.0, self.fill - self.rate * elapsed)
+        self.checks = max(0.0, self.checks - self.rate * elapsed)
         if self.plan.ceiling_rate:  # a plan without one, named by mistake, leaves the customer's as it was
             self.ceiling = min(self.plan.ceiling_burst, self.ceiling + self.plan.ceiling_rate * elapsed)
 
@@ -83,10 +87,23 @@
         limit = self.plan.open_limit / (1 if self.plan.rate else self.entries)
         return limit > 0 and self.open >= max(1.0, limit)
 
-    def charge(self, units: float) -> None:
+    def check_wait(self, units: float) -> float:
+        """Seconds until one more may be asked about: no more are than the quota could let in."""
+        room = self.threshold(units) - self.checks - units
+        return max(0.0, -room / self.rate) if self.plan.rate else 0.0
+
+    def charge(self, units: float) -> float:
+        """Takes a request's units; returns by how much the store filled."""
+        before = self.fill
         self.fill = max(self.fill, min(self.fill + units, self.threshold(units)))
         self.passed += units
         self.ceiling -= units * self.entries
+        return self.fill - before
+
+    def refund(self, units: float, filled: float) -> None:
+        """Gives back what was charged for a request that was not sent after all."""
+        self.fill, self.passed = max(0.0, self.fill - filled), max(0.0, self.passed - units)
+        self.ceiling = min(max(self.ceiling, self.plan.ceiling_burst), self.ceiling + units * self.entries)
 
     def step(self, now: float) -> None:
         """Sets the leak rate: own use times the quota over metered use of the same, late, time."""
--- a/coralvale/state.py
+++ b/coralvale/state.py
@@ -45,6 +45,16 @@
     live: bool = True
 
 
+@dataclass(slots=True)
+class Asked:
+    """A request that an authoriser is asked about; its units are kept for it."""
+
+    request: api.Request
+    arrived: float
+    restrictor: Any
+    filled: float  # what its store was filled by
+
+
 class Refusals:
     """Counts refusals by reason for the log line that on-call staff read."""
 
