Answer Check for other proxies with the gateway's decisions, and take in their access logs

Other proxies want the same decisions where they are. [control.authorisation] makes the control service answer envoy.service.auth.v3.Authorization/Check: the request is read from its headers as the gateway reads it, decided by the same module, allowed with X-Timeout or denied with 503 and Retry-After, 400 and a reason for a mistake. What is out is learned from envoy.service.accesslog.v3, else from the class's give-up time; an id asked again is charged once. Tests: one answer each in any order (hypothesis), fuzzed checks and logs without an exception, and a ceiling that holds with half of a station's requests by the gateway and half by checks.

--- a/coralvale/control/service.py
+++ b/coralvale/control/service.py
@@ -25,6 +25,8 @@
 from coralvale import interface as api
 from coralvale.allowance.leases import Leases
 from coralvale.allowance.model import Call
+from coralvale.authorisation.answering import SERVICES, Answering
+from coralvale.authorisation.answers import Answers
 from coralvale.control import status
 from coralvale.control.drains import Drains
 from coralvale.control.model import ENDPOINTS, Acked, Host, Nacked, Placed, StateError, StreamError
@@ -50,6 +52,7 @@
 STATION = 128  # characters of a station's name in a bucket
 BUCKET = 1024  # characters of all of a bucket's id, which is kept as long as the bucket
 PATIENT = 1.0  # s that the counter may take
+DECIDE = 0.1  # s between ticks of the decisions on checks
 LINES = 4  # on the state of the counter, logged in one look
 NODE = 256  # characters that are kept of what a proxy calls itself
 ADS = "envoy.service.discovery.v3.AggregatedDiscoveryService"
@@ -112,10 +115,15 @@
             control.limits.buckets,
             self.leases,
         )
+        self.answering: Answering | None = None
+        self.asked: Counter | None = None  # for checks, whose callers wait
+        if table := control.authorisation:
+            answers = Answers(config.settings, config.seed, None, table.most_held, table.repeats)
+            self.answering = Answering(answers, self.clock, self._count)
         self.plans = {plan.name: number for number, plan in enumerate(config.settings.plans)}
         self.static = static(config.settings, control.service, control.proxy_address, config.connect_timeout)
         self.lease = control.endpoint_lease_ms / 1000
-        self.renew_at = self.restate_at = self.patience_at = 0.0
+        self.decide_at = self.renew_at = self.restate_at = self.patience_at = 0.0
         self.counts = dict.fromkeys(("pushes", "acks", "nacks", "reports", "late", "refused", "unsaved"), 0)
         self.state = State.UNKNOWN
         self.snapshots = Snapshots()
@@ -150,7 +158,13 @@
         self.server.add_generic_rpc_handlers(self._handlers())
         self.health = health.aio.HealthServicer()
         health_pb2_grpc.add_HealthServicer_to_server(self.health, self.server)
-        names = (ADS, RLQS, CSDS, health.SERVICE_NAME, reflection.SERVICE_NAME)
+        names: tuple[str, ...] = (ADS, RLQS, CSDS, health.SERVICE_NAME, reflection.SERVICE_NAME)
+        if self.answering:
+            self.answering.add(self.server)
+            names += SERVICES
+            if self.config.counter:
+                waits, within = self.settings.counter_timeout, self.config.connect_timeout
+                self.asked = Counter(self.config.counter, waits, within, self.answering.counted)
         reflection.enable_server_reflection(names, self.server)
         await self.health.set("", health_pb2.HealthCheckResponse.NOT_SERVING)
         try:
@@ -210,8 +224,9 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        if self.counter:
-            self.counter.close()
+        for counter in (self.counter, self.asked):
+            if counter:
+                counter.close()
         if self.metrics:
             self.metrics.close()
         await self.server.stop(grace)
@@ -241,6 +256,8 @@
             for endpoint in self.discovery.endpoints.values()
             for server in (endpoint.server,)
         ]
+        if self.answering:
+            self.answering.listed(api.ServerList(kind, servers))
         new = self.roster.listed(self.clock.now(), self.discovery.index, hosts)
         if self.roster.state is not self.state:
             if self.roster.state is State.OLDER:
@@ -353,6 +370,9 @@
 
     def _look(self) -> None:
         now = self.clock.now()
+        if self.answering and now >= self.decide_at:
+            self.decide_at = now + DECIDE
+            self.answering.tick()
         self._name_late(now)
         if self.warming and now >= self.restate_at and not (self.publishing or self.changed.is_set()):
             self._refresh()
@@ -405,6 +425,15 @@
                     "drain of %s: %d more proxies have not acknowledged; CSDS names them", host, count - NAMED
                 )
 
+    # Checks of other proxies
+
+    def _count(self, action: api.Count) -> None:
+        if self.asked:
+            self.asked.add(action.name, action.amount, action.lifetime)
+        elif self.answering:
+            failed = api.CounterReply(action.name, False, 0.0)
+            asyncio.get_running_loop().call_soon(self.answering.counted, failed)
+
     # Ceilings shared with other control services
 
     def _lend(self, calls: list[tuple[str, Call]]) -> None:
--- a/coralvale/operator/model.py
+++ b/coralvale/operator/model.py
@@ -53,6 +53,13 @@
     place: Annotated[int, Meta(ge=0, le=15)] = 0  # of this one among them, from 0
 
 
+class ControlAuthorisation(Table, frozen=True):
+    """`[control.authorisation]`: answers envoy.service.auth.v3.Authorization/Check, takes in access logs."""
+
+    most_held: Count = 50_000  # requests that are known at once; one past that is refused
+    repeats: Annotated[int, Meta(ge=0, le=100)] = 8  # times that the same request is allowed again
+
+
 class Control(Table, frozen=True):
     """`[control]`: the control service."""
 
@@ -68,6 +75,7 @@
     tls: ControlTls | None = None
     limits: ControlLimits = field(default_factory=ControlLimits)
     quotas: ControlQuotas = field(default_factory=ControlQuotas)
+    authorisation: ControlAuthorisation | None = None
 
     def check(self) -> None:
         """What types cannot say. Raises ValueError whose text begins with the key's path."""
--- a/coralvale/standins/authoriser.py
+++ b/coralvale/standins/authoriser.py
@@ -40,7 +40,7 @@
     ]
 
 
-class Authoriser(external_auth_pb2_grpc.AuthorizationServicer):
+class Authoriser(external_auth_pb2_grpc.AuthorizationServicer):  # type: ignore[misc]
     """Allows all, unless `script(request, context)` says otherwise. `asked` counts checks by request id."""
 
     def __init__(self) -> None:
