--- a/coralvale/authorisation/answers.py
+++ b/coralvale/authorisation/answers.py
@@ -1,8 +1,10 @@
 """Answers `Check` for other proxies with the gateway's own decisions. No I/O.
 
-A proxy that asks is one more gateway of its stations' sets: the decision module sees its requests arrive, decides
-as it does on the gateway, and is told how they ended. Which server the module picks is of no use here, since the
-proxy has its own; what counts is that it would send the request.
+A proxy that asks is one more gateway of its stations' sets: the decision module sees its requests arrive,
+decides as it does on the gateway, and is told how they ended. Which server the module picks is of no use
+here, since the proxy has its own, and their load is the proxy's business: the module is told at once that
+the attempt is another's (`Handed`), so that its guard against crowded servers sees none of them. Quotas,
+ceilings, open limits, deadlines hold.
 
   what comes                                   what becomes of it
   -------------------------------------------  ----------------------------------------------------------------
@@ -162,6 +164,7 @@
             elif isinstance(action, api.Send) and (known := self.known.get(action.request)):
                 if known.waiting:
                     known.waiting = False
+                    self.gateway.handle(now, api.Handed(action.request))
                     outs.append(Allowed(action.request, known.request.expires_at - now))
             elif isinstance(action, api.Refuse) and action.request in self.known:
                 del self.known[action.request]
--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -262,6 +262,13 @@
     verdict: Verdict
 
 
+@dataclass(frozen=True, slots=True)
+class Handed:
+    """The newest attempt is for another proxy to make: out for its customer, but not at the server picked."""
+
+    request: str
+
+
 Event = (
     ServerList
     | Request
@@ -272,6 +279,7 @@
     | ProbeDone
     | CounterReply
     | Checked
+    | Handed
 )
 
 
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -65,6 +65,7 @@
             api.TimerFired: self._tick,
             api.CounterReply: self._counted,
             api.Checked: self._checked,
+            api.Handed: self._handed,
         }
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -339,6 +340,13 @@
         if held := self.requests.get(event.request):
             self._close(event.request, held)
 
+    def _handed(self, now: float, event: api.Handed) -> None:
+        if held := self.requests.get(event.request):
+            host = held.attempts[-1].host
+            host.out.pop((event.request, len(held.attempts) - 1), None)
+            if not host.out:
+                self.busy.pop(host, None)
+
     def _answer(self, now: float, event: api.AttemptDone) -> None:
         held = self.requests.get(event.request)
         if held is None or not 0 <= event.attempt < len(held.attempts) or held.attempts[event.attempt].done:
