--- a/coralvale/standins/authoriser.py
+++ b/coralvale/standins/authoriser.py
@@ -59,11 +59,15 @@
     async def reset(self, request: Any, context: Any) -> Any:  # noqa: ANN401
         await context.abort(grpc.StatusCode.INTERNAL, "reset by script")
 
-    async def start(self) -> Authoriser:
-        """Listens, on the port that it had before if it had one."""
+    async def start(self, credentials: Any = None) -> Authoriser:  # noqa: ANN401
+        """Listens, on the port that it had before if it had one; with `grpc.ServerCredentials` by TLS."""
         self.server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
         external_auth_pb2_grpc.add_AuthorizationServicer_to_server(self, self.server)
-        self.port = self.server.add_insecure_port(f"127.0.0.1:{self.port}")
+        address = f"127.0.0.1:{self.port}"
+        if credentials:
+            self.port = self.server.add_secure_port(address, credentials)
+        else:
+            self.port = self.server.add_insecure_port(address)
         await self.server.start()
         return self
 
--- a/tests/authorisation/test_answering.py
+++ b/tests/authorisation/test_answering.py
@@ -187,12 +187,20 @@
     assert strays[0] > 0 and not errors.seen
 
 
-def test_a_ceiling_holds_when_half_comes_by_the_gateway_and_half_by_checks(
-    tmp_path: Path, caplog: pytest.LogCaptureFixture
+@pytest.mark.parametrize("kind", ["ceiling", "quota"])
+def test_a_bound_holds_when_half_comes_by_the_gateway_and_half_by_checks(
+    kind: str, tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
-    """One station on a ceiling, twice over it by each way; its set is the gateway and the service."""
-    hard = {**FEDERAL, "per_second": 1000.0, "most_at_once": 1000.0}
+    """One station, twice over its ceiling or quota by each way; its set is the gateway and the service.
+
+    The ceiling's bound is burst + rate x t. A quota's is two bursts, as with two gateways: until one has heard
+    enough of a station to see that it asks for more than its part, the whole burst is open at each.
+    """
     rate, burst = 50.0, 60.0
+    hard = {**FEDERAL, "per_second": 1000.0, "most_at_once": 1000.0}
+    if kind == "quota":
+        hard = {"name": "federal", "per_second": rate, "most_at_once": burst, "excess_cost": 1.0}
+    bursts = 1 if kind == "ceiling" else 2
 
     async def test() -> None:
         async with world(2) as w:
@@ -230,7 +238,7 @@
             admitted.sort()
             assert await gateway.end() == 0
             await made.close()
-            level, last, most = burst + 0.15 * rate, 0.0, burst + 0.15 * rate
+            level, last, most = bursts * burst + 0.15 * rate, 0.0, bursts * burst + 0.15 * rate
             for at in admitted:
                 level, last = min(most, level + rate * (at - last)) - 1.0, at
                 assert level >= -1e-6
--- a/tests/authorisation/test_gateway.py
+++ b/tests/authorisation/test_gateway.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import grpc
+import trustme
 from net_helpers import Peer, answer, run, soon, until
 
 from coralvale.standins.authoriser import Authoriser, allowed, denied
@@ -310,6 +311,24 @@
             await asyncio.sleep(0.05)
 
 
+def test_an_authoriser_is_asked_by_tls_and_one_that_cannot_prove_itself_is_none(tmp_path: Path) -> None:
+    async def test() -> None:
+        authority, other = trustme.CA(), trustme.CA()
+        authority.cert_pem.write_to_path(str(tmp_path / "ca.pem"))
+        async with world(tmp_path, more=f'tls = {{ ca = "{tmp_path / "ca.pem"}" }}') as w:
+            for signer, status in ((authority, 200), (other, 503)):
+                await w.authoriser.stop()
+                pair = signer.issue_cert("127.0.0.1")
+                key, chain = pair.private_key_pem.bytes(), pair.cert_chain_pems[0].bytes()
+                await w.authoriser.start(grpc.ssl_server_credentials([(key, chain)]))
+                async with asyncio.timeout(10.0):
+                    while (await w.ask()).status != status:
+                        await asyncio.sleep(0.05)
+            assert (await w.ask()).status == 503
+
+    run(test())
+
+
 def test_a_thousand_that_wait_for_an_answer_cannot_pass_their_quota(tmp_path: Path) -> None:
     async def test() -> None:
         async with world(tmp_path, timeout=1900, more="most_out = 2000", rate=100.0) as w:
