Record attempts that must not run twice before they are sent, and tell what became of them

With [attempts] in the operator's file (off by default) every attempt of a class that is not safe to repeat is durable before its first byte goes; what is recovered with an intent and no end may have run.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 bench: $(VENV)/made
 	python benchmarks/control.py $(ARGS)
 	python benchmarks/quotas.py $(ARGS)
+	python benchmarks/authorisation.py $(ARGS)
 
 $(VENV)/made: requirements.txt requirements-control.txt requirements-dev.txt
 	rm -rf $(VENV)
--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -18,6 +18,7 @@
 from coralvale.net.node import Node
 
 if TYPE_CHECKING:  # imported only where the operator's file asks for them
+    from coralvale.attempts.service import Recorder
     from coralvale.authorisation.service import Authorisers
     from coralvale.interface import Allowance
     from coralvale.operator import Operator
@@ -49,7 +50,8 @@
     loop = asyncio.get_running_loop()
     clock = Clock()
     gate = authorise(config, operator, clock) if operator else None
-    node = Node(config, clock, share(config, operator, clock) if operator else None, gate)
+    allowance = share(config, operator, clock) if operator else None
+    node = Node(config, clock, allowance, gate, record(config, operator, clock) if operator else None)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
 
@@ -91,6 +93,18 @@
         raise ConfigError(f"operator's file: {error}") from None
 
 
+def record(config: Config, operator: Operator, clock: Clock) -> Recorder | None:
+    """The journal of attempts, if the operator's file names one."""
+    if operator.attempts is None:
+        return None
+    from coralvale.attempts.service import JournalError, Recorder
+
+    try:
+        return Recorder(operator.attempts, config.settings, clock)
+    except JournalError as error:
+        raise ConfigError(f"attempts: {error}") from None
+
+
 def run(operator: str = "") -> int:
     """The gateway; `operator` names the operator's file, if one is given."""
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
--- a/coralvale/cli.py
+++ b/coralvale/cli.py
@@ -34,6 +34,8 @@
     check.add_argument("file", metavar="FILE")
     check.add_argument("--json", action="store_true", help="one JSON object: ok, file, error, tables")
 
+    commands.add_parser("attempts", help="what journals tell of attempts that must not run twice")
+
     demo = commands.add_parser("demo", help="a gateway between stand-ins, on loopback, for some seconds")
     demo.add_argument("--seconds", type=float, default=12.0, metavar="N", help="how long (12)")
     demo.add_argument("--json", action="store_true", help="only the summary, as one JSON object")
@@ -42,6 +44,13 @@
 
 
 def main(arguments: Sequence[str]) -> int:
+    if arguments[:1] == ["attempts"]:
+        words = argparse.ArgumentParser(
+            prog="coralvale attempts", description="What journals tell of attempts."
+        )
+        attempts = importlib.import_module("coralvale.attempts.main")
+        attempts.add(words)
+        return int(attempts.run(words.parse_args(arguments[1:])))
     asked = parser().parse_args(arguments)
     try:
         return _run(asked)
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -74,6 +74,30 @@
         """Lets go of all connections."""
 
 
+class Recorder(Protocol):
+    """A journal beside the node: an attempt that must not run twice is recorded before it is sent."""
+
+    def records(self, cls: int) -> bool:
+        """Whether attempts of a class are recorded."""
+
+    def refuses(self, cls: int) -> bool:
+        """Whether a request of a class is to be refused at once, since it could not be recorded."""
+
+    def intend(
+        self, arrival: Arrival, exchange: Exchange, attempt: int, node: str, told: Callable[[bool], None]
+    ) -> None:
+        """An attempt is about to be sent; `told` is called once, later, with whether it may be."""
+
+    def ended(self, request: str, attempt: int, outcome: Outcome) -> None:
+        """An attempt that was recorded has ended."""
+
+    def answered(self, request: str, status: int) -> None:
+        """A request of which an attempt was recorded has its final answer."""
+
+    def close(self) -> None:
+        """Makes durable what is on its way."""
+
+
 class Held:
     """A request from its last byte until it is answered and no attempt is out."""
 
@@ -109,11 +133,12 @@
         clock: Clock | None = None,
         allowance: api.Allowance | None = None,
         gate: Gate | None = None,
+        recorder: Recorder | None = None,
     ) -> None:
         self.config, self.settings = config, config.settings
         self.clock = clock or Clock()
         self.loop = asyncio.get_running_loop()
-        self.allowance, self.gate = allowance, gate
+        self.allowance, self.gate, self.recorder = allowance, gate, recorder
         self.gateway = Gateway(config.settings, config.seed, allowance)
         self.held: dict[str, Held] = {}
         self.ready = False
@@ -196,6 +221,8 @@
         self.upstreams.close()
         if self.gate:
             self.gate.close()
+        if self.recorder:
+            self.recorder.close()
         for counter in (self.counter, self.patient):
             if counter:
                 counter.close()
@@ -250,8 +277,13 @@
         if not held.answered:
             held.answered = True
             held.exchange.reply(status, **answer)
+            self._tell_answer(held, status)
             self._forget(held)
 
+    def _tell_answer(self, held: Held, status: int) -> None:
+        if self.recorder and held.attempts and self.recorder.records(held.arrival.cls):
+            self.recorder.answered(held.arrival.id, status)
+
     def _forget(self, held: Held) -> None:
         if held.answered and held.checking and self.gate:
             held.checking = False
@@ -274,6 +306,9 @@
         if len(self.held) >= self.config.most_held:
             exchange.reply(503, retry_after=self.settings.max_advice)
             return
+        if self.recorder and self.recorder.refuses(arrival.cls):
+            exchange.reply(503, retry_after=self.settings.max_advice)
+            return
         now = self.clock.now()
         patience = min(arrival.time_out, self.settings.classes[arrival.cls].give_up)
         expires_at = now + max(0.0, patience - ANSWER_ROOM)
@@ -342,7 +377,20 @@
             attempt.timer = self.loop.call_later(
                 max(0.0, until - now), self.upstreams.give_up, attempt, Outcome.TIMEOUT
             )
-        self.upstreams.send(attempt)
+        if self.recorder and self.recorder.records(held.arrival.cls):
+            told = partial(self._recorded, attempt)
+            self.recorder.intend(held.arrival, held.exchange, number, action.server, told)
+        else:
+            self.upstreams.send(attempt)
+
+    def _recorded(self, attempt: Attempt, well: bool) -> None:
+        """Only what is durable is sent; one that was given up while it waited is not."""
+        if attempt.ended:
+            return
+        if well:
+            self.upstreams.send(attempt)
+        else:
+            attempt.end(Outcome.NOT_SENT)
 
     def _may_go(self, chosen: Endpoint) -> bool:
         """Whether a host is still the one that was chosen, and not leaving for longer than is allowed."""
@@ -374,9 +422,12 @@
         held.out -= 1
         held.maybe = held.maybe or outcome not in NOT_RUN
         held.timed_out = outcome is Outcome.TIMEOUT
+        if self.recorder and self.recorder.records(held.arrival.cls):
+            self.recorder.ended(held.arrival.id, attempt.number, outcome)
         if outcome is Outcome.OK and answer and not held.answered:
             held.answered = True
             held.exchange.reply(200, answer.body, answer.headers)
+            self._tell_answer(held, 200)
         self.feed(
             api.AttemptDone(
                 request=held.arrival.id,
--- a/coralvale/operator/__init__.py
+++ b/coralvale/operator/__init__.py
@@ -2,6 +2,7 @@
 
 from coralvale.operator.model import (
     Allowance,
+    Attempts,
     Authoriser,
     AuthoriserTls,
     Control,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "Allowance",
+    "Attempts",
     "Authoriser",
     "AuthoriserTls",
     "Control",
--- a/coralvale/operator/model.py
+++ b/coralvale/operator/model.py
@@ -129,12 +129,26 @@
     tls: AuthoriserTls | None = None
 
 
+class Attempts(Table, frozen=True):
+    """`[attempts]`: a journal of attempts of classes that must not run twice."""
+
+    directory: Annotated[str, Meta(min_length=1)]  # on a disk that outlives the process; one gateway's alone
+    unrecorded: Literal["refuse", "send"] = (
+        "refuse"  # what holds for an attempt that cannot be recorded in time
+    )
+    wait_ms: Annotated[int, Meta(ge=10, le=10_000)] = 250  # for the disk
+    keep_days: Annotated[float, Meta(gt=0, le=3650)] = 7.0
+    max_bytes: Annotated[int, Meta(ge=1024 * 1024)] = 1024 * 1024 * 1024
+    segment_bytes: Annotated[int, Meta(ge=4096)] = 4 * 1024 * 1024
+
+
 class Operator(Table, frozen=True):
     """The whole file. A table that is not there is a subsystem that is off."""
 
     control: Control | None = None
     allowance: Allowance | None = None
     authorisation: tuple[Authoriser, ...] = ()
+    attempts: Attempts | None = None
 
     def check(self) -> None:
         if self.control:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -22,6 +22,7 @@
     "msgspec",
     "coralvale.operator",
     "coralvale.allowance",
+    "coralvale.attempts",
     "coralvale.authorisation",
     "coralvale.control",
     "coralvale.standins",
