--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	python benchmarks/control.py $(ARGS)
 	python benchmarks/quotas.py $(ARGS)
 	python benchmarks/authorisation.py $(ARGS)
+	python benchmarks/attempts.py $(ARGS)
 
 $(VENV)/made: requirements.txt requirements-control.txt requirements-dev.txt
 	rm -rf $(VENV)
--- a/coralvale/attempts/service.py
+++ b/coralvale/attempts/service.py
@@ -20,7 +20,8 @@
 from coralvale.operator.model import Attempts
 
 log = logging.getLogger(__name__)
-GATHER = 0.002  # s in which records are gathered for one sync
+GATHER = 0.002  # s in which records are gathered for one sync, where the one before held more than FEW
+FEW = 4
 AGAIN = 0.25  # s between tries of a disk that fails
 QUEUE = 50_000  # records on their way to the thread
 NAMED = 20  # of what was open at the start, in the log
@@ -155,15 +156,19 @@
     # In the thread
 
     def _run(self) -> None:
+        last: list[Record] = []  # the records of the batch before
         while not (self.ending and not self.queue):
             self.wake.wait(AGAIN)
             self.wake.clear()
             if not self.queue and not self.journal.waiting:
                 continue
-            if not self.ending:
+            if len(last) > FEW and not self.ending:
+                # A sync by itself gathers what comes during it; under load it shall be more.
                 time.sleep(GATHER)
+            last = []
             while self.queue:
                 record, told = self.queue.popleft()
+                last.append(record)
                 if not self.journal.put(record, told):
                     self.lost += told is None
                     if told:
