--- a/coralvale/attempts/main.py
+++ b/coralvale/attempts/main.py
@@ -175,6 +175,7 @@
 def tail(asked: argparse.Namespace) -> int:
     """Prints records that become durable from now on."""
     seen = {(d, name): len(s.records) for d in asked.directory for name, s in scans(d) if isinstance(s, Scan)}
+    print(json.dumps({"kind": "tail", "directories": len(asked.directory)}), flush=True)
     try:
         while True:
             for directory in asked.directory:
