Stop the stand-in authoriser once, and wait for it to be reached before checks are held

Two stops of one gRPC server at the same moment could end the test's process with a segmentation fault, and the test of GOAWAY waited for a check that had been given up meanwhile: one run in some failed by time-out.

--- a/coralvale/standins/authoriser.py
+++ b/coralvale/standins/authoriser.py
@@ -47,6 +47,9 @@
         self.asked: Counter[str] = Counter()
         self.out = 0
         self.port = 0
+        self.server: Any = None
+        self.stopping: asyncio.Task[None] | None = None
+        self.ended: list[Any] = []  # kept: gRPC's servers do not like to be collected while their loop runs
         self.script: Script = self.allow
 
     async def allow(self, request: Any, context: Any) -> Any:  # noqa: ANN401
@@ -72,8 +75,13 @@
         return self
 
     async def stop(self, grace: float = 0.0) -> None:
-        """Ends: GOAWAY, `grace` seconds for what is out, then resets."""
-        await self.server.stop(grace)
+        """Ends: GOAWAY, `grace` seconds for what is out, then resets. Stopped twice at once it stops once."""
+        if self.server is not None:
+            server, self.server = self.server, None
+            self.ended.append(server)
+            self.stopping = asyncio.ensure_future(server.stop(grace))
+        if self.stopping is not None:
+            await asyncio.shield(self.stopping)
 
     async def Check(self, request: Any, context: Any) -> Any:  # noqa: ANN401, N802
         self.asked[request.attributes.request.http.id] += 1
--- a/tests/authorisation/test_asking.py
+++ b/tests/authorisation/test_asking.py
@@ -265,10 +265,10 @@
             assert {m.status for m in await soon(asyncio.gather(*asked))} == {200}
             await stopping
             await w.authoriser.start()
+            await until_up(w)
             release.clear()
             # Moved: what is out is answered by where it was, what comes after by the new one.
             other = await Authoriser().start()
-            await until_up(w)
             asked = hundred()
             await until(lambda: w.authoriser.out == 100)
             Path(w.gateway.environment["CORALVALE_OPERATOR"]).write_text(w.table(other.port, 1500))
@@ -306,8 +306,6 @@
     """Until the authoriser is reached again after a restart."""
     async with asyncio.timeout(10.0):
         while (await w.ask()).status != 200:
-            if w.authoriser.out:
-                return
             await asyncio.sleep(0.05)
 
 
