--- a/benchmarks/adapter.py
+++ b/benchmarks/adapter.py
@@ -14,7 +14,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from coralvale import interface as api  # noqa: E402
-from coralvale.adapter import Adapter, MalformedLine  # noqa: E402
+from coralvale.adapter import main as run  # noqa: E402
 from coralvale.allowance.shares import Shares  # noqa: E402
 from coralvale.logic import Gateway  # noqa: E402
 
@@ -30,12 +30,7 @@
     def make(now: float, settings: api.Settings, seed: int) -> Gateway:
         return Gateway(settings, seed, Shares(settings, now, quotas=told.quotas, calls=told.calls))
 
-    try:
-        Adapter(make).run(sys.stdin, sys.stdout)
-    except MalformedLine as error:
-        print(f"coralvale: {error}", file=sys.stderr)
-        return 1
-    return 0
+    return run(make)
 
 
 if __name__ == "__main__":
--- a/coralvale/adapter.py
+++ b/coralvale/adapter.py
@@ -324,9 +324,9 @@
             return f"{type(error).__name__}: {error}".replace("\n", " ").replace("\t", " ")
 
 
-def main() -> int:
+def main(make: Make = plain) -> int:
     try:
-        Adapter().run(sys.stdin, sys.stdout)
+        Adapter(make).run(sys.stdin, sys.stdout)
     except MalformedLine as error:
         print(f"coralvale: {error}", file=sys.stderr)
         return 1
--- a/coralvale/allowance/shares.py
+++ b/coralvale/allowance/shares.py
@@ -91,17 +91,17 @@
 
     def charge(self, request: api.Request) -> None:
         """The request is sent: it takes its units from what `wait` found room in."""
-        plan = self.settings.plans[request.plan]
-        for quota in (False, True):
-            if self._ceiling(request, plan, quota) and (e := self.pools.get(request.customer << 1 | quota)):
-                e.charge(request.units)
+        self._take(request, request.units)
 
     def refund(self, request: api.Request) -> None:
         """What was charged was not used after all."""
+        self._take(request, -request.units)
+
+    def _take(self, request: api.Request, units: float) -> None:
         plan = self.settings.plans[request.plan]
         for quota in (False, True):
             if self._ceiling(request, plan, quota) and (e := self.pools.get(request.customer << 1 | quota)):
-                e.charge(-request.units)
+                e.charge(units)
 
     def _ceiling(self, request: api.Request, plan: api.Plan, quota: bool) -> Ceiling | None:
         if not quota:
--- a/coralvale/attempts/model.py
+++ b/coralvale/attempts/model.py
@@ -9,24 +9,14 @@
 from enum import Enum
 from typing import Protocol
 
+from coralvale.interface import Outcome
+
 
 class JournalError(Exception):
     """The journal cannot be used; the message is one line that names the file."""
 
 
-class End(Enum):
-    """How an attempt ended, as the decisions call it."""
-
-    OK = "ok"
-    ERROR = "error"
-    FULL = "full"
-    TIMEOUT = "timeout"
-    CONNECT_FAILED = "connect_failed"
-    RESET = "reset"
-    CANCELLED = "cancelled"
-    NOT_SENT = "not_sent"
-
-
+End = Outcome  # how an attempt ended, as the decisions call it
 NOT_RUN = frozenset((End.FULL, End.CONNECT_FAILED, End.NOT_SENT))
 
 
--- a/coralvale/attempts/service.py
+++ b/coralvale/attempts/service.py
@@ -13,7 +13,7 @@
 
 from coralvale import interface as api
 from coralvale.attempts.journal import Journal, Told
-from coralvale.attempts.model import Answered, End, Ended, Intent, JournalError, Record
+from coralvale.attempts.model import Answered, Ended, Intent, JournalError, Record
 from coralvale.attempts.store import Folder
 from coralvale.net.clock import Clock
 from coralvale.net.server import Arrival, Exchange
@@ -136,7 +136,7 @@
 
     def ended(self, request: str, attempt: int, outcome: api.Outcome) -> None:
         if len(self.queue) < QUEUE:
-            self._put(Ended(request, attempt, self.clock.now(), End(outcome.value)))
+            self._put(Ended(request, attempt, self.clock.now(), outcome))
         else:
             self.lost += 1  # it stays as one that may have run
 
