--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -8,7 +8,9 @@
 import os
 import signal
 import sys
+from pathlib import Path
 from typing import TYPE_CHECKING
+from urllib.parse import quote
 
 import uvloop
 
@@ -32,8 +34,10 @@
         config = read_config(path)
     except ConfigError as error:
         log.error("keeping the old configuration: %s", error)
+        node.figures.reloads_failed += 1
         return
     node.reload(config)
+    node.figures.reloads_ok += 1
 
 
 def reload_gate(gate: Authorisers, operator: str) -> None:
@@ -51,7 +55,8 @@
     clock = Clock()
     gate = authorise(config, operator, clock) if operator else None
     allowance = share(config, operator, clock) if operator else None
-    node = Node(config, clock, allowance, gate, record(config, operator, clock) if operator else None)
+    recorder = record(config, operator, clock) if operator else None
+    node = Node(config, clock, allowance, gate, recorder, own_folder(config))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
 
@@ -69,6 +74,12 @@
     node.close()
 
 
+def own_folder(config: Config) -> Path | None:
+    """A folder that the process before this one and the one after it have as well, if the platform gives one."""
+    given = os.environ.get("TMPDIR")
+    return Path(given, "coralvale-" + quote(config.name, safe="")) if given and config.management else None
+
+
 def share(config: Config, operator: Operator, clock: Clock) -> Allowance | None:
     """The parts that this gateway shares with others, if the operator's file names any."""
     if (table := operator.allowance) is None:
--- /dev/null
+++ b/coralvale/handover.py
@@ -0,0 +1,122 @@
+"""What one process of a gateway hands to the next, so that both together keep to one gateway's limits.
+
+No input or output here. `give` takes the state out of a gateway that goes on for a while, for the requests
+that still reach it on kept connections; `take` puts it into the one that follows. A ceiling is split in
+halves: the old process spends its half and gets no more, the new one has the other half and all that comes
+after, so the two never let in more than one would. A quota, which is soft, is known to both as it stands.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from coralvale.health import Host
+from coralvale.logic import Gateway
+from coralvale.restrictor import Restrictor
+
+VERSION = 1
+KEPT = 0.5  # share of each ceiling that the old process keeps for the requests that still come to it
+CUSTOMER = (
+    "rate", "fill", "at", "seen_at", "passed", "own", "own_late", "use", "reading", "heard_at", "asking",
+    "asked_at", "ceiling", "checks", "uncounted",
+)  # fmt: skip
+HOST = ("slow", "heard_at", "failures", "retry_at", "breaks", "back_at")
+MOST = 200_000  # customers that are taken: what comes is another process's, and must not fill this one
+
+
+def give(gateway: Gateway, now: float) -> dict[str, Any]:
+    """The state for the next process. From now on this gateway spends what it has kept, and no more."""
+    plans = {id(plan): i for i, plan in enumerate(gateway.settings.plans)}
+    customers = []
+    for name, restrictor in gateway.customers.items():
+        restrictor.drain(now)
+        row = [getattr(restrictor, field) for field in CUSTOMER]
+        row[CUSTOMER.index("ceiling")] = restrictor.ceiling * (1 - KEPT)
+        restrictor.ceiling *= KEPT
+        restrictor.ceded = True
+        customers.append([name, plans[id(restrictor.plan)], restrictor.entries, *row])
+    hosts = [
+        [name, host.info.started_at, *[getattr(host, field) for field in HOST]]
+        for name, host in gateway.fleet.hosts.items()
+    ]
+    state = {
+        "version": VERSION,
+        "born": now if gateway.born is None else gateway.born,
+        "usual": gateway.usual,
+        "calm": gateway.calm,
+        "retries": gateway.retries,
+        "trust": [gateway.trust, gateway.told_at],
+        "done": [gateway.done.gap, gateway.done.at],
+        "customers": customers,
+        "hosts": hosts,
+    }
+    gateway.born = math.inf  # who comes here for the first time has a whole ceiling at the next process
+    return state
+
+
+def keep(gateway: Gateway, now: float) -> None:
+    """The next process came to nothing: all that comes from now on is this gateway's again."""
+    gateway.born = now
+    for restrictor in gateway.customers.values():
+        restrictor.drain(now)
+        restrictor.ceiling, restrictor.ceded = max(restrictor.ceiling, 0.0), False
+
+
+def take(gateway: Gateway, now: float, state: dict[str, Any]) -> int:
+    """Goes on from what another process gave; returns the number of its customers.
+
+    Raises ValueError, and changes nothing, if the state cannot be used.
+    """
+    try:
+        if state["version"] != VERSION:
+            raise ValueError(f"version {state['version']!r}")
+        classes = len(gateway.settings.classes)
+        usual, calm = ([_figure(value) for value in state[name]] for name in ("usual", "calm"))
+        if len(usual) != classes or len(calm) != classes or min(usual + calm) <= 0:
+            raise ValueError("usual or calm: not one delay for each class")
+        customers = {
+            int(name): _customer(gateway, plan, entries, row, now)
+            for name, plan, entries, *row in state["customers"][:MOST]
+        }
+        hosts = {
+            str(name): (started, [_figure(v, True) for v in row]) for name, started, *row in state["hosts"]
+        }
+        born, retries = min(now, _figure(state["born"])), _figure(state["retries"])
+        trust, told_at = (_figure(value) for value in state["trust"])
+        gap, at = (_figure(value, True) for value in state["done"])
+    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+        raise ValueError(f"a state that cannot be used: {error!r}") from None
+    gateway.usual, gateway.calm, gateway.born, gateway.retries = usual, calm, born, retries
+    gateway.mean = sum(usual) / len(usual)
+    gateway.trust, gateway.told_at = trust, told_at
+    gateway.done.gap, gateway.done.at = gap, at
+    gateway.customers.update(customers)
+    for name, (started, row) in hosts.items():
+        host = gateway.fleet.hosts.get(name)
+        if host and host.info.started_at == started and len(row) == len(HOST):
+            _set(host, HOST, row)
+    gateway.sort_at = -math.inf
+    return len(customers)
+
+
+def _customer(gateway: Gateway, plan: int, entries: int, row: list[Any], now: float) -> Restrictor:
+    if len(row) != len(CUSTOMER) or not 0 <= plan < len(gateway.settings.plans):
+        raise ValueError("a customer of another form")
+    restrictor = Restrictor(gateway.settings.plans[plan], int(entries), now, now)
+    _set(restrictor, CUSTOMER, [_figure(value, True) for value in row])
+    restrictor.rate = max(restrictor.floor, min(restrictor.rate, restrictor.plan.rate))
+    restrictor.at = min(restrictor.at, now)  # a clock that differs must not leave a store without a rise
+    return restrictor
+
+
+def _set(owner: Host | Restrictor, fields: tuple[str, ...], row: list[float]) -> None:
+    for field, value in zip(fields, row, strict=True):
+        setattr(owner, field, value)
+
+
+def _figure(value: Any, endless: bool = False) -> float:  # noqa: ANN401
+    figure = float(value)
+    if math.isnan(figure) or (math.isinf(figure) and not endless):
+        raise ValueError(f"{value!r} is no figure")
+    return figure
--- a/coralvale/health.py
+++ b/coralvale/health.py
@@ -22,12 +22,17 @@
         self.failures, self.retry_at = 0.0, 0.0
         self.breaks = 0  # connections that broke since its last answer
         self.reported, self.reported_at = 0.0, -math.inf
+        self.back_at = 0.0  # when it was given back by hand
+
+    def started_at(self) -> float:
+        """When it last started, as far as is known: one given back by hand may have restarted unseen."""
+        return max(self.info.started_at, self.back_at)
 
     def warmth(self, settings: api.Settings, now: float) -> float:
         """Share of its full capacity that a server surely has: never slower than evenly over the ramp."""
-        if not self.info.started_at or not settings.warm_after:
+        if not self.started_at() or not settings.warm_after:
             return 1.0
-        age = max(0.0, now - self.info.started_at) / settings.warm_after
+        age = max(0.0, now - self.started_at()) / settings.warm_after
         return min(1.0, settings.cold_share + (1 - settings.cold_share) * age)
 
     def waiting(self, now: float, usual: float) -> list[float]:
@@ -64,3 +69,41 @@
 
     def answered(self, now: float) -> None:
         self.heard_at, self.breaks = now, 0
+
+
+class Fleet:
+    """The servers of the list, and those that operators took out by hand, which no list brings back."""
+
+    def __init__(self) -> None:
+        self.hosts: dict[str, Host] = {}
+        self.out: set[str] = set()
+
+    def merge(self, now: float, event: api.ServerList) -> None:
+        hosts = self.hosts if event.kind is api.ListKind.CHANGES else {}
+        for info in event.servers:
+            host = self.hosts.get(info.id)
+            if info.state is api.ServerState.GONE:
+                hosts.pop(info.id, None)
+                continue
+            if host is None or host.info.started_at != info.started_at:
+                host = Host(info, now)
+            host.info, host.scale, hosts[info.id] = info, max(info.scale, 0.01), host
+        self.hosts = hosts
+
+    def maintain(self, now: float, event: api.Maintained) -> None:
+        if event.out:
+            self.out.add(event.server)
+        elif event.server in self.out:
+            self.out.discard(event.server)
+            if host := self.hosts.get(event.server):
+                host.back_at = now
+                host.failures, host.retry_at, host.breaks = 0.0, 0.0, 0
+
+    def usable(self) -> list[Host]:
+        """Servers that may get new work."""
+        states = (api.ServerState.HEALTHY,)
+        return [h for h in self.hosts.values() if h.info.state in states and h.info.id not in self.out]
+
+    def avoided(self, now: float) -> int:
+        """Listed servers that get nothing new now: taken out, draining, or passed over for what they did."""
+        return len(self.hosts) - sum(now >= host.retry_at for host in self.usable())
--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -189,6 +189,17 @@
     servers: tuple[Server, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Maintained:
+    """An operator takes a server out, or gives it back: out, it gets nothing new whatever a list says.
+
+    One that is given back is taken to have restarted at that moment, unless a list tells when it did.
+    """
+
+    server: str
+    out: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     id: str
@@ -280,6 +291,7 @@
     | CounterReply
     | Checked
     | Handed
+    | Maintained
 )
 
 
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from coralvale import interface as api
-from coralvale.health import LOST, NEWS, SILENCE, Host
+from coralvale.health import LOST, NEWS, SILENCE, Fleet, Host
 from coralvale.interface import Outcome, Repeat, Verdict
 from coralvale.restrictor import QUIET, STEP, Restrictor
 from coralvale.state import Asked, Attempt, Held, Pace, Refusals
@@ -41,7 +41,7 @@
 
     def __init__(self, settings: api.Settings, seed: int, allowance: api.Allowance | None = None) -> None:
         self.settings, self.random, self.allowance = settings, random.Random(seed), allowance
-        self.customers, self.hosts = dict[int, Restrictor](), dict[str, Host]()
+        self.customers, self.fleet = dict[int, Restrictor](), Fleet()
         self.warm, self.cold, self.near = list[Host](), list[Host](), list[Host]()
         self.sort_at = -math.inf  # when a cold server becomes warm
         self.busy: dict[Host, None] = {}  # servers with attempts out
@@ -58,6 +58,7 @@
         self.refused, self.actions = Refusals(every=10.0), list[api.Action]()
         self.answers: dict[type, Any] = {
             api.ServerList: self._list,
+            api.Maintained: self._maintain,
             api.Request: self._arrive,
             api.AttemptDone: self._answer,
             api.StreamStarted: self._leave,
@@ -241,24 +242,20 @@
         if event.kind is api.ListKind.FAILED:
             self.ask_at = now + STEP * (0.5 + self.random.random())
             return
-        hosts = self.hosts if event.kind is api.ListKind.CHANGES else {}
-        for info in event.servers:
-            host = self.hosts.get(info.id)
-            if info.state is api.ServerState.GONE:
-                hosts.pop(info.id, None)
-                continue
-            if host is None or host.info.started_at != info.started_at:
-                host = Host(info, now)
-            host.info, host.scale, hosts[info.id] = info, max(info.scale, 0.01), host
-        self.hosts, self.sort_at = hosts, -math.inf
+        self.fleet.merge(now, event)
+        self.sort_at = -math.inf
+
+    def _maintain(self, now: float, event: api.Maintained) -> None:
+        self.fleet.maintain(now, event)
+        self.sort_at = -math.inf
 
     def _sort(self, now: float) -> None:
         """Parts warm servers from cold ones when the list has changed or a cold one has become warm."""
         if now >= self.sort_at:
-            well = [h for h in self.hosts.values() if h.info.state is api.ServerState.HEALTHY]
+            well = self.fleet.usable()
             self.warm = [h for h in well if h.warmth(self.settings, now) >= 1]
             self.cold = [h for h in well if h.warmth(self.settings, now) < 1]
-            ends = [h.info.started_at + self.settings.warm_after for h in self.cold]
+            ends = [h.started_at() + self.settings.warm_after for h in self.cold]
             self.sort_at = min(ends, default=math.inf)
             size = max(NEAR, 4 * len(self.warm) // self.settings.gateways)
             self.near = self._draw(size) if size < len(self.warm) else self.warm
--- a/coralvale/net/config.py
+++ b/coralvale/net/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -24,6 +25,7 @@
     listen: Address
     discovery: Address
     counter: Address | None
+    management: Address | None  # where operators call; without it there is no door for them
     seed: int
     sockets: int
     known: dict[str, Any]
@@ -73,6 +75,8 @@
     except ValueError as error:
         raise ConfigError(f"{path}: no JSON: {error}") from None
     try:
+        if isinstance(data, dict) and os.environ.get("LB_MANAGEMENT"):
+            data.setdefault("management", os.environ["LB_MANAGEMENT"])
         return parse_config(data)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         told = f"{error.args[0]}: missing" if isinstance(error, KeyError) else str(error)
@@ -92,6 +96,7 @@
         listen=read_address(data["listen"]),
         discovery=read_address(data["discovery"]),
         counter=read_address(data["counter"]) if data.get("counter") else None,
+        management=read_address(data["management"]) if data.get("management") else None,
         seed=int(str(data["seed"]), 16),
         sockets=int(data.get("limits", {}).get("sockets", 1024)),
         known=data.get("known") or {},
--- /dev/null
+++ b/coralvale/net/door.py
@@ -0,0 +1,202 @@
+"""The operators' door: a listener of its own that answers one call to a connection, whatever the load.
+
+    GET /healthcheck        200 once this process can serve, else 503
+    GET /stats              the figures, `key=value` a line
+    POST /hosts/ID/maint    take a host out
+    POST /hosts/ID/ready    use it again
+
+A caller that keeps a connection without a whole call holds one of `MOST` places until `PARTIAL` is over, or
+until somebody else needs it: the oldest such connection gives way, so a crowd of them keeps nobody out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import socket
+from collections import OrderedDict
+from typing import Any, Protocol
+from urllib.parse import unquote_to_bytes
+
+import httptools
+
+from coralvale.net.config import Address
+
+log = logging.getLogger(__name__)
+
+MOST = 24  # connections at once
+MAX_CALL = 8 * 1024  # bytes of a call, its head and what body it may have
+PARTIAL = 6.0  # s that a call may take to arrive
+LINGER = 1.0  # s for an answer to leave
+PAUSE = 0.05  # s without accepting after an accept has failed
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    500: "Error",
+    503: "No",
+}
+
+
+class Operated(Protocol):
+    """What the door speaks for: the node."""
+
+    def serves(self) -> bool:
+        """Whether this process can serve."""
+
+    def stats(self) -> str:
+        """The figures."""
+
+    def maintain(self, host: str, out: bool) -> tuple[int, str]:
+        """Takes a host out or gives it back; status and text of the answer."""
+
+
+def decide(operated: Operated, method: bytes, target: bytes) -> tuple[int, str]:
+    """The answer to one call: status and text."""
+    parts = target.partition(b"?")[0].split(b"/")[1:]
+    if parts in ([b"healthcheck"], [b"stats"]):
+        wanted = b"GET"
+    elif len(parts) == 3 and parts[0] == b"hosts" and parts[2] in (b"maint", b"ready"):
+        wanted = b"POST"
+    else:
+        return 404, "no such call\n"
+    if method != wanted and not (method == b"HEAD" and wanted == b"GET"):
+        return 405, f"{wanted.decode()} is wanted\n"
+    if parts[0] == b"healthcheck":
+        return (200, "yes\n") if operated.serves() else (503, "not yet\n")
+    if parts[0] == b"stats":
+        return 200, operated.stats()
+    try:
+        host = unquote_to_bytes(parts[1]).decode()
+    except UnicodeDecodeError:
+        return 404, "no such host\n"
+    return operated.maintain(host, parts[2] == b"maint")
+
+
+class Call(asyncio.Protocol):
+    """One connection: one call, one answer, the end."""
+
+    def __init__(self, door: Door) -> None:
+        self.door, self.target, self.size = door, b"", 0
+        self.transport: asyncio.Transport | None = None
+        self.answered = False
+
+    def connection_made(self, transport: Any) -> None:  # noqa: ANN401
+        self.transport = transport
+        self.parser = httptools.HttpRequestParser(self)
+        self.door.open[self] = self.door.loop.call_later(PARTIAL, transport.abort)
+
+    def data_received(self, data: bytes) -> None:
+        if self.answered:
+            return
+        self.size += len(data)
+        if self.size > MAX_CALL:
+            self.answer(400, "too long\n")
+            return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.answer(400, "no call\n")
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_message_complete(self) -> None:
+        try:
+            status, text = decide(self.door.operated, self.parser.get_method(), self.target)
+        except Exception:
+            log.exception("an operator's call failed")
+            status, text = 500, "failed\n"
+        self.answer(status, text)
+
+    def answer(self, status: int, text: str) -> None:
+        if self.answered or self.transport is None:
+            return
+        self.answered = True
+        body = text.encode()
+        head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: text/plain\r\n"
+        head += f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        self.transport.write(head.encode() + (body if self.parser.get_method() != b"HEAD" else b""))
+        self.transport.write_eof()
+        self.door.open.pop(self).cancel()
+        self.door.open[self] = self.door.loop.call_later(LINGER, self.transport.abort)
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if timer := self.door.open.pop(self, None):
+            timer.cancel()
+
+
+class Door:
+    """The listener; `address` may name port 0. Raises OSError if it cannot be had."""
+
+    def __init__(self, address: Address, operated: Operated) -> None:
+        self.operated = operated
+        self.loop = asyncio.get_running_loop()
+        self.open: OrderedDict[Call, asyncio.TimerHandle] = OrderedDict()
+        self.tasks: set[asyncio.Task[Any]] = set()
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.socket = socket.socket(family, socket.SOCK_STREAM)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.setblocking(False)
+        try:
+            self.socket.bind(address)
+            self.socket.listen(256)
+        except OSError:
+            self.socket.close()
+            raise
+        self._resume()
+
+    @property
+    def port(self) -> int:
+        return int(self.socket.getsockname()[1])
+
+    def _resume(self) -> None:
+        if self.socket.fileno() >= 0:
+            self.loop.add_reader(self.socket.fileno(), self._accept)
+
+    def _accept(self) -> None:
+        for _ in range(32):
+            try:
+                accepted, _peer = self.socket.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                if error.errno == errno.ECONNABORTED:
+                    continue
+                self._make_room()
+                self.loop.remove_reader(self.socket.fileno())
+                self.loop.call_later(PAUSE, self._resume)
+                return
+            accepted.setblocking(False)
+            if len(self.open) + len(self.tasks) >= MOST:
+                self._make_room()
+            task = self.loop.create_task(self._attach(accepted))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _attach(self, accepted: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: Call(self), accepted)
+        except OSError:
+            accepted.close()
+
+    def _make_room(self) -> None:
+        """The oldest connection without a whole call gives way, or the oldest of all."""
+        oldest = next((c for c in self.open if not c.answered), next(iter(self.open), None))
+        if oldest is not None and oldest.transport:
+            self.open.pop(oldest).cancel()
+            oldest.transport.abort()
+
+    def close(self) -> None:
+        """Lets go of the listener and of all connections, at once."""
+        if self.socket.fileno() >= 0:
+            self.loop.remove_reader(self.socket.fileno())
+            self.socket.close()
+        for call in list(self.open):
+            if call.transport:
+                call.transport.abort()
--- /dev/null
+++ b/coralvale/net/figures.py
@@ -0,0 +1,44 @@
+"""What the gateway counts of itself for its operators, from the start of the process."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+OUTCOMES = ("served", "refused", "failed")
+
+
+class Figures:
+    """Requests by class and outcome, those in hand, and attempts written whole to hosts.
+
+    A request counts as in hand from its last byte until its answer's, and as served, refused (429, 503) or
+    failed (any other) by the status of that answer. One whose client has gone counts as failed.
+    """
+
+    def __init__(self, classes: Sequence[str]) -> None:
+        self.classes = tuple(classes)
+        self.counts = [[0, 0, 0] for _ in self.classes]
+        self.in_flight = self.attempts = self.reloads_ok = self.reloads_failed = 0
+
+    def taken(self) -> None:
+        self.in_flight += 1
+
+    def ended(self, cls: int, status: int) -> None:
+        self.in_flight -= 1
+        self.counts[cls][0 if status == 200 else 1 if status in (429, 503) else 2] += 1
+
+    def turned_away(self, cls: int, status: int) -> None:
+        """A request that was answered without having been in hand."""
+        self.taken()
+        self.ended(cls, status)
+
+    def lines(self, known: int, excluded: int) -> str:
+        """`key=value` lines: what `GET /stats` answers."""
+        rows = [
+            f"requests.{name}.{outcome}={count}"
+            for name, counts in zip(self.classes, self.counts, strict=True)
+            for outcome, count in zip(OUTCOMES, counts, strict=True)
+        ]
+        rows += [f"{name}={getattr(self, name)}" for name in ("attempts", "in_flight")]
+        rows += [f"hosts_known={known}", f"hosts_excluded={excluded}"]
+        rows += [f"{name}={getattr(self, name)}" for name in ("reloads_ok", "reloads_failed")]
+        return "\n".join(rows) + "\n"
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -9,20 +9,26 @@
 
 import asyncio
 import logging
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
+from pathlib import Path
 from typing import Any, Protocol
 
-from coralvale import Gateway
+from coralvale import Gateway, handover
 from coralvale import interface as api
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address, Config, Place
 from coralvale.net.counter import Counter
 from coralvale.net.discovery import Discovery, Endpoint
+from coralvale.net.door import MOST as CALLERS
+from coralvale.net.door import Door
+from coralvale.net.figures import Figures
+from coralvale.net.marks import Marks
 from coralvale.net.server import NOT_PASSED_ON, Arrival, Exchange, Server
+from coralvale.net.takeover import Offer, Successor
 from coralvale.net.upstream import Answer, Attempt, Upstreams
 
 log = logging.getLogger(__name__)
@@ -39,6 +45,9 @@
 PATIENT = 1.0  # s that the counter may take for a call that nobody waits for
 FLUSH = 0.1  # s for the last answers to leave
 RESERVE = 64  # descriptors for all but clients and hosts: listener, watch, counter, logs, the loop's own
+REFRESH = 0.1  # s between looks at what another process of this gateway was told of hosts
+SEEN = 10_000  # hosts that were listed once, by which an operator may name one that is not listed now
+LEFT = 12.0  # s after which a process that has handed on its work ends by itself, if no SIGTERM has come
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 
 
@@ -125,7 +134,12 @@
 
 
 class Node:
-    """`allowance` shares parts with other gateways; without one nothing is shared, and nothing is paid for it."""
+    """One gateway.
+
+    `allowance` shares parts with other gateways; without one nothing is shared, and nothing is paid for it.
+    `folder` is this gateway's alone and the same for the process before and after this one; without it what
+    operators say of hosts lasts as long as the process, and no process takes over from another.
+    """
 
     def __init__(
         self,
@@ -134,12 +148,20 @@
         allowance: api.Allowance | None = None,
         gate: Gate | None = None,
         recorder: Recorder | None = None,
+        folder: Path | None = None,
     ) -> None:
         self.config, self.settings = config, config.settings
         self.clock = clock or Clock()
         self.loop = asyncio.get_running_loop()
         self.allowance, self.gate, self.recorder = allowance, gate, recorder
         self.gateway = Gateway(config.settings, config.seed, allowance)
+        self.folder = folder if config.management else None
+        self.marks, self.seen = Marks(self.folder), OrderedDict[str, None]()
+        self.figures = Figures([c.name for c in config.settings.classes])
+        self.successor = Successor.find(self.folder / "takeover") if self.folder else None
+        self.taking = self.ceded = False
+        self.offer: Offer | None = None
+        self.door: Door | None = None
         self.held: dict[str, Held] = {}
         self.ready = False
         self.ends_at: float | None = None  # after SIGTERM, when all must be answered
@@ -148,9 +170,13 @@
         self.events: deque[api.Event] = deque()
         self.handling = False
         self.delays: dict[int, float] = {}  # the module's timers by token, to set one again that was lost
-        share = (config.sockets - min(RESERVE, config.sockets // 4)) // 2  # for clients, and for hosts
+        reserve = min(RESERVE + (CALLERS if config.management else 0), config.sockets // 4)
+        share = (config.sockets - reserve) // 2  # for clients, and for hosts
         surplus = share // 8
-        self.server = Server(config.listen, config.settings, self, share - surplus, surplus)
+        listener = self.successor.listener if self.successor else None
+        self.server = Server(
+            config.listen, config.settings, self, share - surplus, surplus, listener, bool(self.folder)
+        )
         self.upstreams = Upstreams(
             self.clock, config.connect_timeout, config.conn_idle, share, config.settings.report_fields
         )
@@ -173,9 +199,15 @@
         }
 
     def start(self) -> None:
+        for host in self.marks.out:
+            self.feed(api.Maintained(host, True))
         self.discovery.apply(self.config.known, cached=True)
         self.watching = self.loop.create_task(self.discovery.run())
-        self.server.start()
+        self.server.start(accept=self.successor is None)
+        if self.config.management:
+            self.door = Door(self.config.management, self)
+        if self.folder:
+            self.loop.call_later(REFRESH, self._refresh)
         self.discovery.on_answer = self._settle
         self.loop.call_later(READY, self._be_ready)
 
@@ -183,7 +215,89 @@
         self.loop.call_later(SETTLE, self._be_ready)
 
     def _be_ready(self) -> None:
+        if self.successor and not self.taking:
+            self.taking = True
+            self.take_over = self.loop.create_task(self._take_over(self.successor))
+        elif not self.taking and not self.ready:
+            self._serve()
+
+    def _serve(self) -> None:
         self.ready = self.ends_at is None
+        if self.folder and self.ready and self.offer is None:
+            try:
+                listener = lambda: self.server.socket  # noqa: E731
+                self.offer = Offer(self.folder / "takeover", listener, self._cede, self._ceded)
+            except OSError as error:
+                log.warning("no process will be able to take over from this one: %s", error)
+
+    # One process after another
+
+    async def _take_over(self, successor: Successor) -> None:
+        """Goes on from the process that serves now; if it gives nothing, from nothing."""
+        state = await successor.take()
+        if state is not None:
+            try:
+                count = handover.take(self.gateway, self.clock.now(), state)
+                log.info("taken over, with what is known of %d customers", count)
+            except ValueError as error:
+                log.warning("taken over without %s", error)
+        if self.ends_at is None:
+            self.server.resume()
+        await successor.taken()
+        self.taking, self.successor = False, None
+        self._serve()
+
+    def _cede(self) -> dict[str, Any]:
+        """Another process is ready: no more clients are taken, and it gets the state."""
+        log.info("handing over")
+        self.server.pause()
+        self.server.drain()
+        return handover.give(self.gateway, self.clock.now())
+
+    def _ceded(self, well: bool) -> None:
+        if not well:
+            log.warning("the process that was to take over is gone: going on")
+            handover.keep(self.gateway, self.clock.now())
+            if self.ends_at is None:
+                self.server.closing = False
+                self.server.resume()
+            return
+        # Idle connections stay until SIGTERM: their next request is served and told to go elsewhere, and to
+        # close one would turn back a request that is on its way.
+        self.ceded = self.accepting_ended = True
+        self.server.hand_on()
+        self.loop.call_later(LEFT, self.stop)
+
+    # Operators
+
+    def serves(self) -> bool:
+        return self.ready
+
+    def stats(self) -> str:
+        self.figures.attempts = self.upstreams.written
+        now = self.clock.now()
+        return self.figures.lines(len(self.discovery.endpoints), self.gateway.fleet.avoided(now))
+
+    def maintain(self, host: str, out: bool) -> tuple[int, str]:
+        if not (host in self.discovery.endpoints or host in self.seen or host in self.marks.out):
+            return 404, "no such host\n"
+        try:
+            kept = self.marks.set(host, out)
+        except ValueError as error:
+            return 503, f"{error}\n"
+        self._mark(host, out)
+        return (200, "done\n") if kept else (500, "done here, but a new process will not know of it\n")
+
+    def _mark(self, host: str, out: bool) -> None:
+        log.info("host %s is %s", host, "taken out by hand" if out else "given back by hand")
+        self.feed(api.Maintained(host, out))
+        if out and (endpoint := self.discovery.endpoints.get(host)):
+            self.upstreams.retire(endpoint.place)
+
+    def _refresh(self) -> None:
+        for host, out in self.marks.refresh().items():
+            self._mark(host, out)
+        self.loop.call_later(REFRESH, self._refresh)
 
     def reload(self, config: Config) -> None:
         """Moves discovery and the counter to their new addresses; clients, hosts and requests go on.
@@ -218,6 +332,10 @@
         """Lets go of all sockets, at once."""
         self.watching.cancel()
         self.server.close()
+        if self.door:
+            self.door.close()
+        if self.offer:
+            self.offer.close()
         self.upstreams.close()
         if self.gate:
             self.gate.close()
@@ -277,6 +395,7 @@
         if not held.answered:
             held.answered = True
             held.exchange.reply(status, **answer)
+            self.figures.ended(held.arrival.cls, status)
             self._tell_answer(held, status)
             self._forget(held)
 
@@ -302,12 +421,12 @@
     def take(self, exchange: Exchange, arrival: Arrival) -> None:
         if arrival.id in self.held:  # ids are new with every request; two under one cannot be told apart
             exchange.refuse(400, b"x-request-id: in use\n")
+            self.figures.turned_away(arrival.cls, 400)
             return
-        if len(self.held) >= self.config.most_held:
-            exchange.reply(503, retry_after=self.settings.max_advice)
-            return
-        if self.recorder and self.recorder.refuses(arrival.cls):
+        full = len(self.held) >= self.config.most_held
+        if full or (self.recorder and self.recorder.refuses(arrival.cls)):
             exchange.reply(503, retry_after=self.settings.max_advice)
+            self.figures.turned_away(arrival.cls, 503)
             return
         now = self.clock.now()
         patience = min(arrival.time_out, self.settings.classes[arrival.cls].give_up)
@@ -317,6 +436,7 @@
         held = Held(exchange, arrival, expires_at)
         exchange.held = held
         self.held[arrival.id] = held
+        self.figures.taken()
         self.feed(
             api.Request(
                 id=arrival.id,
@@ -337,6 +457,7 @@
         held = exchange.held
         if held is not None and not held.answered:
             held.answered = True
+            self.figures.ended(held.arrival.cls, 499)
             self.feed(api.Abandoned(held.arrival.id))
             self._forget(held)
 
@@ -395,7 +516,7 @@
     def _may_go(self, chosen: Endpoint) -> bool:
         """Whether a host is still the one that was chosen, and not leaving for longer than is allowed."""
         endpoint = self.discovery.endpoints.get(chosen.server.id)
-        if endpoint is None or endpoint.place != chosen.place:
+        if endpoint is None or endpoint.place != chosen.place or chosen.server.id in self.marks.out:
             return False
         since = endpoint.leaving_since
         return since is None or self.clock.now() - since < self.settings.drain_grace / 2
@@ -427,6 +548,7 @@
         if outcome is Outcome.OK and answer and not held.answered:
             held.answered = True
             held.exchange.reply(200, answer.body, answer.headers)
+            self.figures.ended(held.arrival.cls, 200)
             self._tell_answer(held, 200)
         self.feed(
             api.AttemptDone(
@@ -517,6 +639,12 @@
     def _listed(self, kind: api.ListKind, servers: tuple[api.Server, ...], stale: list[Place]) -> None:
         for place in stale:
             self.upstreams.retire(place)
+        if self.config.management:
+            for server in servers:
+                self.seen[server.id] = None
+                self.seen.move_to_end(server.id)
+            while len(self.seen) > SEEN:
+                self.seen.popitem(last=False)
         self.feed(api.ServerList(kind, servers))
 
     # The end
@@ -530,8 +658,11 @@
         last = min(DEADLINE, max(c.give_up for c in self.settings.classes)) - BEFORE
         self.ends_at = self.clock.now() + last
         self.server.drain()
-        self.loop.call_later(min(ACCEPT, last), self._linger)
-        self.loop.call_later(min(ACCEPT + CROSSED, last), self._stop_accepting)
+        if self.ceded:
+            self._linger()
+        else:
+            self.loop.call_later(min(ACCEPT, last), self._linger)
+            self.loop.call_later(min(ACCEPT + CROSSED, last), self._stop_accepting)
         self.loop.call_later(last, self._end)
 
     def _stop_accepting(self) -> None:
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -398,8 +398,16 @@
     }  # fmt: skip
 
     def __init__(
-        self, address: Address, settings: api.Settings, handler: Handler, most: int, surplus: int
+        self,
+        address: Address,
+        settings: api.Settings,
+        handler: Handler,
+        most: int,
+        surplus: int,
+        listener: socket.socket | None = None,
+        shared: bool = False,
     ) -> None:
+        # `listener` is one that another process has handed on; `shared`: another may listen here as well.
         # Past `most` connections are told 503 and closed; past `surplus` more they wait in the kernel.
         self.handler, self.most, self.surplus = handler, most, surplus
         self.names, self.max_advice = Names(settings), settings.max_advice
@@ -410,15 +418,22 @@
         self.lingering: OrderedDict[ClientConnection, asyncio.TimerHandle] = OrderedDict()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.closing = self.accepting = False
+        if listener is not None:
+            self.socket = listener
+            return
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.socket = socket.socket(family, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.socket.setblocking(False)
         self.socket.bind(address)
 
-    def start(self) -> None:
+    def start(self, accept: bool = True) -> None:
+        """Listens; with `accept` clients are taken at once, else from `resume` on."""
         self.socket.listen(1024)
-        self._resume()
+        if accept:
+            self.resume()
         self.sweep = self.loop.call_later(SWEEP, self._sweep)
 
     @property
@@ -427,12 +442,14 @@
 
     # Accepting is done here: uvloop's own server ends for good at the first accept that fails.
 
-    def _resume(self) -> None:
+    def resume(self) -> None:
+        """Takes clients."""
         if not self.accepting and self.socket.fileno() >= 0:
             self.accepting = True
             self.loop.add_reader(self.socket.fileno(), self._accept)
 
-    def _pause(self) -> None:
+    def pause(self) -> None:
+        """Takes no more clients for now; they wait in the kernel."""
         if self.accepting:
             self.accepting = False
             self.loop.remove_reader(self.socket.fileno())
@@ -445,8 +462,8 @@
                 # A flood of silent ones must not keep out who waits in the kernel.
                 if not self._close_silent():
                     self._make_room()
-                self._pause()
-                self.loop.call_later(PAUSE, self._resume)
+                self.pause()
+                self.loop.call_later(PAUSE, self.resume)
                 return
             try:
                 accepted, _ = self.socket.accept()
@@ -458,8 +475,8 @@
                 # Out of descriptors or memory: the waiting connection would wake the loop without end.
                 log.warning("cannot accept: %s", error.strerror)
                 self._make_room()
-                self._pause()
-                self.loop.call_later(PAUSE, self._resume)
+                self.pause()
+                self.loop.call_later(PAUSE, self.resume)
                 return
             accepted.setblocking(False)
             connection = ClientConnection(self)
@@ -547,10 +564,17 @@
         """From now on each answer is the last of its connection."""
         self.closing = True
 
+    def hand_on(self) -> None:
+        """Another process listens on the same socket: this one lets go of it, and nothing is closed."""
+        self.pause()
+        self.socket.close()
+
     def stop_accepting(self) -> None:
         """Takes what the kernel has accepted already, then closes the listener."""
+        if self.socket.fileno() < 0:
+            return
         self._accept()
-        self._pause()
+        self.pause()
         self.socket.close()
 
     def close_idle(self) -> None:
@@ -558,7 +582,7 @@
             connection.close_idle()
 
     def close(self) -> None:
-        self._pause()
+        self.pause()
         self.sweep.cancel()
         self.socket.close()
         for connection in list(self.connections):
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -117,6 +117,8 @@
         self.unwritten = True
 
     def resume_writing(self) -> None:
+        if self.unwritten and self.attempt:
+            self.pool.owner.written += 1
         self.unwritten = False
 
     def stale(self, now: float) -> bool:
@@ -138,6 +140,8 @@
         if self.transport.is_closing():  # the write failed at once, so nothing has left this machine
             self._broke(attempt)
             self._finish(Outcome.CONNECT_FAILED)
+        elif not self.unwritten:
+            self.pool.owner.written += 1
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None:  # nothing was asked
@@ -382,6 +386,7 @@
         self.idle_limit = IdleLimit(idle * IDLE_SHARE)
         self.report_fields = report_fields
         self.open = 0  # connections up or being opened
+        self.written = 0  # attempts whose last byte was written
         self.pools: dict[Place, Pool] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections: set[Connection] = set()
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -28,10 +28,10 @@
         self.own = self.own_late = self.use = 0.0  # own_late lags own by as much as readings lag use
         self.reading, self.heard_at = 0.0, -math.inf
         self.asking, self.asked_at = 0.0, now  # units a second asked for here, refused ones too
-        self.checks = (
-            0.0  # units that an authoriser was asked about: a store of its own, that denials do not empty
-        )
+        # Units that an authoriser was asked about: a store of its own, that denials do not empty.
+        self.checks = 0.0
         self.uncounted, self.spent = 0.0, -1  # units let in here and not counted; the window used up
+        self.ceded = False  # another process has all that comes to the ceiling from now on
         # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
         self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born))
 
@@ -45,7 +45,9 @@
         elapsed, self.at = max(0.0, now - self.at), max(self.at, now)
         self.fill = max(0.0, self.fill - self.rate * elapsed)
         self.checks = max(0.0, self.checks - self.rate * elapsed)
-        if self.plan.ceiling_rate:  # a plan without one, named by mistake, leaves the customer's as it was
+        if (
+            self.plan.ceiling_rate and not self.ceded
+        ):  # a plan without one, named by mistake, leaves the customer's as it was
             self.ceiling = min(self.plan.ceiling_burst, self.ceiling + self.plan.ceiling_rate * elapsed)
 
     def threshold(self, units: float) -> float:
--- a/tests/authorisation/test_answering.py
+++ b/tests/authorisation/test_answering.py
@@ -64,7 +64,7 @@
         made = ControlService(control_config(w.roster.address, **changes), control)
         await made.start()
         assert made.answering
-        await until(lambda: made.answering and made.answering.answers.gateway.hosts)
+        await until(lambda: made.answering and made.answering.answers.gateway.fleet.hosts)
         async with grpc.aio.insecure_channel(w.target) as channel:
             try:
                 yield (
@@ -213,7 +213,7 @@
                 Control(service="x", listen=w.target, authorisation=ControlAuthorisation()),
             )
             await made.start()
-            await until(lambda: made.answering and made.answering.answers.gateway.hosts)
+            await until(lambda: made.answering and made.answering.answers.gateway.fleet.hosts)
             admitted: list[float] = []
             end = time.time() + 4.0
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -110,7 +110,7 @@
             held.append(name)
         if len(held) > 4:
             bench.done(held.pop(0), delay=0.1)
-    hung = len(bench.gateway.hosts["hung"].out)
+    hung = len(bench.gateway.fleet.hosts["hung"].out)
     assert hung >= 1
     assert all(isinstance(bench.request(customer=c)[1][0], api.Send) for c in range(900, 910))
 
@@ -191,7 +191,7 @@
         if isinstance(actions[0], api.Send):
             bench.done(name, api.Outcome.TIMEOUT, delay=0.5, finished=True)
     assert bench.gateway.usual[0] > 1.5 * before
-    assert all(h.failures == 0 for h in bench.gateway.hosts.values())
+    assert all(h.failures == 0 for h in bench.gateway.fleet.hosts.values())
 
 
 def test_reports_of_odd_length_or_value_change_nothing() -> None:
@@ -200,7 +200,7 @@
         name, actions = bench.request(customer=len(report) * 10 + bench.serial)
         assert isinstance(actions[0], api.Send)
         bench.done(name, report=report)
-    assert all(math.isfinite(h.reported) for h in bench.gateway.hosts.values())
+    assert all(math.isfinite(h.reported) for h in bench.gateway.fleet.hosts.values())
 
 
 def test_a_gateway_keeps_to_few_servers_and_leaves_the_slow_one() -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -421,7 +421,7 @@
         host = await Peer().start()
         async with world(entry("s-1", host.port), real=True) as w:
             client = await w.client()
-            seen = w.node.gateway.hosts["s-1"]
+            seen = w.node.gateway.fleet.hosts["s-1"]
             for number in range(5):
                 client.send(request(f"lost{number}"))
                 (await host.next()).reset()
@@ -441,7 +441,7 @@
             gone.stop()
             await soon(gone.server.wait_closed())
             assert (await w.ask(request())).status == 503
-            assert w.node.gateway.hosts["s-1"].retry_at > w.node.clock.now()
+            assert w.node.gateway.fleet.hosts["s-1"].retry_at > w.node.clock.now()
         host.stop()
 
     run(test())
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,253 @@
+"""One process after another: the state that is handed on, and real processes under load."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+from net_helpers import LIMIT, Client, Registry, entry, request, run, settings, until
+from test_door import call, operated
+
+from coralvale import Gateway, handover
+from coralvale import interface as api
+from coralvale.net.takeover import VERSION, Offer, Successor
+from coralvale.standins.gateways import free_port
+from coralvale.standins.hosts import Host
+
+ROOT = Path(__file__).resolve().parent.parent
+PLAN = api.Plan("limit", rate=5.0, burst=50.0, ceiling_rate=2.0, ceiling_burst=10.0)
+SETTINGS = api.Settings(
+    gateways=1,
+    zone=0,
+    classes=(api.RequestClass("read", aim=1.0, give_up=4.0, worth=1.0, repeat=api.Repeat.SAFE),),
+    plans=(PLAN,),
+    drain_grace=0.5,
+    cold_share=0.25,
+    warm_after=10.0,
+    fall_multiple=2.0,
+    fall_window=3.0,
+    max_attempts=4,
+)
+LIST = api.ServerList(
+    api.ListKind.FULL, tuple(api.Server(f"s-{i}", api.ServerState.HEALTHY) for i in range(4))
+)
+
+
+def let_in(gateway: Gateway, now: float, name: str, customer: int) -> bool:
+    """One request, answered at once if it is sent: whether it was."""
+    sent = [
+        a for a in gateway.handle(now, api.Request(name, 0, 0, customer, 1, now + 4.0)) if type(a) is api.Send
+    ]
+    if sent:
+        gateway.handle(now, api.AttemptDone(name, 0, api.Outcome.OK, 0.05, True))
+    return bool(sent)
+
+
+@examples(max_examples=200, deadline=None)
+@given(
+    st.lists(st.tuples(st.floats(0.0, 0.6), st.booleans(), st.integers(0, 2)), min_size=1, max_size=120),
+    st.integers(0, 100),
+)
+def test_two_processes_pass_no_ceiling_together(steps: list[tuple[float, bool, int]], when: int) -> None:
+    """In any window both let in at most the burst and what the rate gives, whichever is asked."""
+    old, new, now = Gateway(SETTINGS, 1), Gateway(SETTINGS, 2), 100.0
+    old.handle(now - 20.0, LIST)
+    new.handle(now, LIST)
+    sent: dict[int, list[float]] = {0: [], 1: [], 2: []}
+    for i, (gap, to_new, customer) in enumerate(steps):
+        now += gap
+        if i == when % len(steps):
+            state = json.loads(json.dumps(handover.give(old, now)))
+            handover.take(new, now, state)
+        handed = i >= when % len(steps)
+        gateway = new if handed and to_new else old
+        for n in range(4):
+            if let_in(gateway, now, f"{i}-{n}", customer):
+                sent[customer].append(now)
+    for times in sent.values():
+        for i, begin in enumerate(times):
+            for j in range(i, len(times)):
+                room = PLAN.ceiling_burst + PLAN.ceiling_rate * (times[j] - begin)
+                assert j - i + 1 <= room + 1e-6
+
+
+def test_the_next_process_goes_on_from_the_stores_as_they_stand() -> None:
+    old, new = Gateway(SETTINGS, 1), Gateway(SETTINGS, 2)
+    old.handle(0.0, LIST)
+    assert sum(let_in(old, 60.0, f"a{i}", 7) for i in range(30)) == 10  # the ceiling's burst
+    new.handle(61.0, LIST)
+    assert handover.take(new, 61.0, json.loads(json.dumps(handover.give(old, 61.0)))) == 1
+    assert sum(let_in(new, 61.0, f"b{i}", 7) for i in range(10)) == 1  # half of the 2 that a second gave
+    assert sum(let_in(new, 61.0, f"c{i}", 8) for i in range(30)) == 10  # one that is new has all of it
+    assert not let_in(old, 62.0, "d", 8)
+
+
+def test_one_that_keeps_its_work_goes_on() -> None:
+    old = Gateway(SETTINGS, 1)
+    old.handle(0.0, LIST)
+    assert let_in(old, 60.0, "a", 7)
+    handover.give(old, 60.0)
+    handover.keep(old, 60.0)
+    assert sum(let_in(old, 70.0, f"b{i}", 7) for i in range(30)) == 10
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.text(max_size=3) | st.integers(-5, 5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=3), inner, max_size=3),
+    max_leaves=6,
+)
+
+
+@examples(max_examples=300, deadline=None)
+@given(
+    st.sampled_from(["version", "born", "usual", "calm", "trust", "done", "customers", "hosts"]), json_values
+)
+def test_a_state_that_makes_no_sense_is_refused_whole(field: str, value: Any) -> None:
+    old, new = Gateway(SETTINGS, 1), Gateway(SETTINGS, 2)
+    for gateway in (old, new):
+        gateway.handle(0.0, LIST)
+    let_in(old, 1.0, "a", 7)
+    state = json.loads(json.dumps(handover.give(old, 2.0)))
+    state[field] = value
+    before = len(new.customers)
+    try:
+        handover.take(new, 2.0, state)
+    except ValueError:
+        assert len(new.customers) == before
+    let_in(new, 3.0, "b", 7)  # and it goes on either way
+
+
+def test_who_dies_while_taking_over_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = await Host("s-1").start()
+        async with operated(tmp_path, entry("s-1", host.port)) as (node, _, _port):
+            await until(lambda: node.offer)
+            found = await asyncio.to_thread(Successor.find, tmp_path / "takeover")
+            assert found
+            assert await found.take() is not None
+            assert not node.server.accepting
+            found.link.close()
+            found.listener.close()
+            await until(lambda: node.server.accepting)
+            client = Client(*await asyncio.open_connection("127.0.0.1", node.server.port))
+            message = await client.ask(request("r1"))
+            assert message.status == 200 and b"connection" not in message.headers
+            client.close()
+        host.stop()
+
+    run(test())
+
+
+def test_nobody_and_a_stranger_are_not_waited_for(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("coralvale.net.takeover.ANSWER", 0.05)
+
+    async def test() -> None:
+        assert Successor.find(tmp_path / "takeover") is None
+        with contextlib.closing(socket.socket(socket.AF_UNIX)) as hung:
+            hung.bind(str(tmp_path / "takeover"))
+            hung.listen(1)
+            assert Successor.find(tmp_path / "takeover") is None  # takes the connection and says nothing
+        assert Successor.find(tmp_path / "takeover") is None  # left behind by a kill
+        with pytest.raises(OSError, match="too long"):
+            Offer(tmp_path / ("x" * 120), lambda: None, dict, print)  # type: ignore[arg-type,return-value]
+        assert VERSION.endswith(b"\n")
+
+    run(test())
+
+
+class Process:
+    """The program as the platform starts it, with a door."""
+
+    def __init__(self, folder: Path, listen: int, discovery: int, known: list[Any]) -> None:
+        self.folder, self.door = folder, free_port()
+        data = {
+            "name": "n1",
+            "listen": f"127.0.0.1:{listen}",
+            "discovery": f"127.0.0.1:{discovery}",
+            "management": f"127.0.0.1:{self.door}",
+            "seed": "1",
+            "limits": {"sockets": 256},
+            "known": {"index": 41, "snapshot": True, "endpoints": known},
+            "settings": settings(family_info={"may_count": False}),
+        }
+        self.config = folder / f"{self.door}.json"
+        self.config.write_text(json.dumps(data))
+
+    async def start(self) -> Process:
+        environment = {**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(self.folder)}
+        with (self.folder / "log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "coralvale", cwd=ROOT, env=environment, stderr=log
+            )
+        async with asyncio.timeout(LIMIT):
+            while True:
+                with contextlib.suppress(OSError, IndexError):
+                    if (await call(self.door, "GET /healthcheck"))[0] == 200:
+                        return self
+                await asyncio.sleep(0.02)
+
+
+def test_a_new_version_takes_over_under_load_and_turns_nobody_back(tmp_path: Path) -> None:
+    """Three upgrades in a row while clients ask on kept and new connections: every one is answered 200."""
+
+    async def test() -> None:
+        hosts = [await Host(f"s-{i}", delay=0.01, slots=64, queue=500).start() for i in range(3)]
+        registry = await Registry().start()
+        known = [entry(h.name, h.port) for h in hosts]
+        port, over, turned, answers = free_port(), asyncio.Event(), [0], [0]
+        current = await Process(tmp_path, port, registry.port, known).start()
+
+        async def ask(number: int) -> None:
+            client = None
+            while not over.is_set():
+                answers[0] += 1
+                try:
+                    client = client or Client(*await asyncio.open_connection("127.0.0.1", port))
+                    message = await client.ask(request(f"r{number}-{answers[0]}"))
+                    assert message.status == 200, message
+                    if message.headers.get(b"connection") == b"close" or number % 2:
+                        client.close()
+                        client = None
+                except (OSError, asyncio.IncompleteReadError):
+                    turned[0] += 1
+                    client = None
+                await asyncio.sleep(0.005)
+            if client:
+                client.close()
+
+        asking = [asyncio.ensure_future(ask(i)) for i in range(12)]
+        assert (await call(current.door, "POST /hosts/s-0/maint"))[0] == 200
+        for _ in range(3):
+            await asyncio.sleep(0.2)
+            after = await Process(tmp_path, port, registry.port, known).start()
+            assert (await call(current.door, "GET /healthcheck"))[0] == 200  # stays until it is told
+            current.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(LIMIT):
+                assert await current.process.wait() == 0
+            current = after
+        seen = len(hosts[0].arrivals)
+        await asyncio.sleep(0.2)
+        over.set()
+        await asyncio.gather(*asking)
+        assert len(hosts[0].arrivals) == seen  # the ban holds across all of them
+        assert (await call(current.door, "POST /hosts/s-0/ready"))[0] == 200
+        current.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(LIMIT):
+            assert await current.process.wait() == 0
+        assert turned[0] == 0 and answers[0] > 100, (turned, answers)
+        for host in hosts:
+            host.stop()
+        registry.stop()
+
+    run(test())
