--- a/coralvale/handover.py
+++ b/coralvale/handover.py
@@ -50,6 +50,7 @@
         "done": [gateway.done.gap, gateway.done.at],
         "customers": customers,
         "hosts": hosts,
+        "out": list(gateway.fleet.out.items()),
     }
     gateway.born = math.inf  # who comes here for the first time has a whole ceiling at the next process
     return state
@@ -84,6 +85,7 @@
         }
         born, retries = min(now, _figure(state["born"])), _figure(state["retries"])
         trust, told_at = (_figure(value) for value in state["trust"])
+        out = {str(name): _figure(since) for name, since in state["out"]}
         gap, at = (_figure(value, True) for value in state["done"])
     except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
         raise ValueError(f"a state that cannot be used: {error!r}") from None
@@ -96,6 +98,8 @@
         host = gateway.fleet.hosts.get(name)
         if host and host.info.started_at == started and len(row) == len(HOST):
             _set(host, HOST, row)
+    for name in gateway.fleet.out.keys() & out.keys():  # which hosts are out is the marks' to say, not this
+        gateway.fleet.out[name] = out[name]
     gateway.sort_at = -math.inf
     return len(customers)
 
--- a/coralvale/health.py
+++ b/coralvale/health.py
@@ -9,6 +9,7 @@
 NEWS = 10.0  # s in which half of what is known of a server's delay is forgotten
 SILENCE = 4.0  # usual delays' worth of missing answers: by chance this happens to one attempt in fifty
 BREAKS = 3  # connections that break in a row, with no answer between, before it is the server's doing
+SPREAD = 1.4  # times its even share that a cold server may get where most are cold: the rule allows twice
 LOST = 16.0  # usual delays after which an attempt that others have overtaken is lost, not slow
 
 
@@ -76,7 +77,7 @@
 
     def __init__(self) -> None:
         self.hosts: dict[str, Host] = {}
-        self.out: set[str] = set()
+        self.out: dict[str, float] = {}  # since when
 
     def merge(self, now: float, event: api.ServerList) -> None:
         hosts = self.hosts if event.kind is api.ListKind.CHANGES else {}
@@ -92,12 +93,13 @@
 
     def maintain(self, now: float, event: api.Maintained) -> None:
         if event.out:
-            self.out.add(event.server)
-        elif event.server in self.out:
-            self.out.discard(event.server)
-            if host := self.hosts.get(event.server):
+            self.out.setdefault(event.server, now)
+        elif (since := self.out.pop(event.server, None)) is not None and (
+            host := self.hosts.get(event.server)
+        ):
+            if host.info.started_at < since:  # else the list has told of its restart
                 host.back_at = now
-                host.failures, host.retry_at, host.breaks = 0.0, 0.0, 0
+            host.failures, host.retry_at, host.breaks = 0.0, 0.0, 0
 
     def usable(self) -> list[Host]:
         """Servers that may get new work."""
@@ -107,3 +109,14 @@
     def avoided(self, now: float) -> int:
         """Listed servers that get nothing new now: taken out, draining, or passed over for what they did."""
         return len(self.hosts) - sum(now >= host.retry_at for host in self.usable())
+
+
+def by_lot(warm: list[Host], cold: list[Host], lot: float, settings: api.Settings, now: float) -> Host | None:
+    """The cold server that a lot from 0 to 1 falls on, or None if it falls on the warm ones."""
+    shares = [host.scale * host.warmth(settings, now) for host in cold]
+    full, every = sum(h.scale for h in warm), sum(h.scale for h in warm + cold)
+    lot *= max(every / SPREAD, full + sum(shares))
+    for host, share in zip(cold, shares, strict=True):
+        if (lot := lot - share) < 0:
+            return host
+    return None
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from coralvale import interface as api
-from coralvale.health import LOST, NEWS, SILENCE, Fleet, Host
+from coralvale.health import LOST, NEWS, SILENCE, Fleet, Host, by_lot
 from coralvale.interface import Outcome, Repeat, Verdict
 from coralvale.restrictor import QUIET, STEP, Restrictor
 from coralvale.state import Asked, Attempt, Held, Pace, Refusals
@@ -219,6 +219,7 @@
 
         Nought while less is out than the fleet carries without a queue: refusing does not help then.
         """
+        self._sort(now)  # one that has sent nothing yet must not take the fleet for empty
         usual, aim = self.usual[request.cls], self.settings.classes[request.cls].aim
         most = min(PRESSED * min(aim, request.expires_at - now), CROWD * self.calm[request.cls])
         counts = {h: len(h.waiting(now, self.mean)) for h in self.busy}
@@ -228,7 +229,8 @@
         ]  # fmt: skip
         if 2 * len(well) < len(self.busy):  # most of a fleet does not hang by chance: that is a jam
             well = list(counts.values())
-        rate, servers = self.done.rate(now), len(self.warm) + len(self.cold) - len(self.busy) + len(well)
+        rate, lost = self.done.rate(now), len(self.busy) - len(well)
+        servers = len(self.warm) + sum(h.warmth(self.settings, now) for h in self.cold) - lost
         wait = (sum(well) + 1) / (rate + 1 / self.mean)
         # Answers late in spite of the forecast (others' load, thrashing servers, work given up) tighten both.
         tight = min(1.0, most / usual)
@@ -264,13 +266,14 @@
         return self.random.choices(self.warm, weights=[h.scale for h in self.warm], k=size)
 
     def _pick_cold(self, now: float) -> Host | None:
-        """By lot, a cold server gets its surest warmth times its even share of own first attempts."""
+        """By lot, a cold server gets its surest warmth times its even share of own first attempts.
+
+        Where most are cold it is up to `SPREAD` times that, as the few warm ones cannot do the rest.
+        """
         # No short queue or saved credit counts, so hundreds of gateways add up to that share and no more.
-        lot = self.random.random() * sum(h.scale for h in self.warm + self.cold) if self.cold else 0.0
-        for host in self.cold:
-            if (lot := lot - host.scale * host.warmth(self.settings, now)) < 0:
-                return None if host.ill(now, self.mean) else host
-        return None
+        host = by_lot(self.warm, self.cold, self.random.random(), self.settings, now) if self.cold else None
+        warmth = host.warmth(self.settings, now) if host else 1.0
+        return None if host is None or host.ill(now, self.mean / warmth) else host
 
     def _pick(self, now: float, held: Held | None = None) -> Host | None:
         """Of some near servers drawn by lot, against herding, the one with the least expected wait."""
@@ -388,11 +391,12 @@
             self.done.note(now)
             # What is seldom heard of a server counts for more: one that grows slower is left before it dies.
             weight, host.slow = max(0.1, 1 - 0.5 ** ((now - host.heard_at) / NEWS)), host.slowness(now)
-            host.slow += weight * (event.delay / self.usual[cls] - host.slow)
+            delay = event.delay * host.warmth(self.settings, now)  # a cold one is slow by nature, not pressed
+            host.slow += weight * (delay / self.usual[cls] - host.slow)
             host.answered(now)
             host.failures = 0.0 if host.failures < 1 else host.failures / 2
             self.calm[cls] = min(self.calm[cls], self.usual[cls])
-            self.usual[cls] += MEMORY * (event.delay - self.usual[cls])
+            self.usual[cls] += MEMORY * (delay - self.usual[cls])
         elif event.outcome is Outcome.TIMEOUT:  # the delay is at least this; hung servers must not tell much
             self.usual[cls] += MEMORY * min(max(0.0, event.delay - self.usual[cls]), self.usual[cls])
             # Else only the patience was short, or, where others were answered since, the connection was bad.
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -243,3 +243,52 @@
         _, (send, *_) = bench.request(customer=1000, expires_at=begun + 4.0)
         assert (send.until < begun + cls.aim) == (cls is READ)
         assert cls is UNSAFE or send.until > begun + cls.aim / 2  # slow ones may still come
+
+
+def test_one_that_has_sent_nothing_yet_does_not_take_the_fleet_for_empty() -> None:
+    """After a takeover the delays are another process's, and no server has been picked yet."""
+    bench = Bench(servers=tuple(server(f"s{i}") for i in range(9)))
+    gateway = bench.gateway
+    gateway.usual, gateway.calm, gateway.mean = [0.24] * len(gateway.usual), [0.033] * len(gateway.usual), 0.24
+    gateway.warm, gateway.sort_at = [], -math.inf
+    assert isinstance(bench.request()[1][0], api.Send)
+
+
+def test_cold_servers_that_are_slow_by_nature_are_no_sign_of_a_pressed_fleet() -> None:
+    """Most are given back by hand and cold: each answer takes as much longer as it can do less."""
+    bench = Bench(servers=tuple(server(f"s{i}") for i in range(8)))
+    for i in range(200):
+        bench.wait(0.02)
+        name, _ = bench.request(customer=i)
+        bench.done(name, delay=0.04)
+    for i in range(6):
+        bench.feed(api.Maintained(f"s{i}", True))
+    bench.wait(3.0)
+    for i in range(6):
+        bench.feed(api.Maintained(f"s{i}", False))
+    refused = 0
+    for i in range(200):
+        bench.wait(0.02)
+        name, actions = bench.request(customer=1000 + i)
+        if not isinstance(actions[0], api.Send):
+            refused += 1
+            continue
+        host = bench.gateway.fleet.hosts[actions[0].server]
+        bench.done(name, delay=0.04 / host.warmth(bench.gateway.settings, bench.now))
+    assert refused == 0
+    assert all(usual < 0.06 for usual in bench.gateway.usual)
+
+
+def test_a_host_given_back_is_as_warm_as_the_list_tells_and_cold_if_it_tells_nothing() -> None:
+    bench = Bench(servers=(server("told"), server("silent")))
+    for name in ("told", "silent"):
+        bench.feed(api.Maintained(name, True))
+    assert not isinstance(bench.request()[1][0], api.Send)
+    bench.wait(1.0)
+    bench.feed(api.ServerList(api.ListKind.CHANGES, (server("told", started_at=bench.now),)))
+    bench.wait(3.0)
+    assert not isinstance(bench.request(customer=5)[1][0], api.Send)
+    for name in ("told", "silent", "unknown"):
+        bench.feed(api.Maintained(name, False))
+    warmth = {n: h.warmth(bench.gateway.settings, bench.now) for n, h in bench.gateway.fleet.hosts.items()}
+    assert warmth["silent"] < warmth["told"] < 1
