--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -215,9 +215,12 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamStarted:
+    """The first of a long answer has come; `usage` as in `AttemptDone`."""
+
     request: str
     attempt: int
     delay: float
+    usage: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -61,7 +61,7 @@
             api.Maintained: self._maintain,
             api.Request: self._arrive,
             api.AttemptDone: self._answer,
-            api.StreamStarted: self._leave,
+            api.StreamStarted: self._stream,
             api.Abandoned: self._leave,
             api.TimerFired: self._tick,
             api.CounterReply: self._counted,
@@ -272,8 +272,7 @@
         """
         # No short queue or saved credit counts, so hundreds of gateways add up to that share and no more.
         host = by_lot(self.warm, self.cold, self.random.random(), self.settings, now) if self.cold else None
-        warmth = host.warmth(self.settings, now) if host else 1.0
-        return None if host is None or host.ill(now, self.mean / warmth) else host
+        return None if host is None or host.ill(now, self.mean / host.warmth(self.settings, now)) else host
 
     def _pick(self, now: float, held: Held | None = None) -> Host | None:
         """Of some near servers drawn by lot, against herding, the one with the least expected wait."""
@@ -340,6 +339,11 @@
         if held := self.requests.get(event.request):
             self._close(event.request, held)
 
+    def _stream(self, now: float, event: api.StreamStarted) -> None:
+        if held := self.requests.get(event.request):
+            held.restrictor.heard(now, event.usage)  # at the end of the answer it would be seconds old
+        self._leave(now, event)
+
     def _handed(self, now: float, event: api.Handed) -> None:
         if held := self.requests.get(event.request):
             host = held.attempts[-1].host
@@ -357,8 +361,7 @@
         if not attempt.host.out:
             self.busy.pop(attempt.host, None)
         restrictor.open -= 1
-        if event.usage is not None and 0 <= event.usage < math.inf:
-            restrictor.reading, restrictor.heard_at = event.usage, now
+        restrictor.heard(now, event.usage)
         if self.settings.settles_after and 0 <= (event.units or -1) < math.inf:  # corrects the guess
             restrictor.fill += event.units - held.request.units
         self._learn(now, held.request.cls, attempt.host, event)
--- a/coralvale/net/config.py
+++ b/coralvale/net/config.py
@@ -28,6 +28,7 @@
     management: Address | None  # where operators call; without it there is no door for them
     seed: int
     sockets: int
+    memory: float  # MB
     known: dict[str, Any]
     settings: api.Settings
     zones: tuple[str, ...]
@@ -99,6 +100,7 @@
         management=read_address(data["management"]) if data.get("management") else None,
         seed=int(str(data["seed"]), 16),
         sockets=int(data.get("limits", {}).get("sockets", 1024)),
+        memory=float(data.get("limits", {}).get("memory_mb", 192)),
         known=data.get("known") or {},
         settings=read_settings(pairs),
         zones=names("zones"),
@@ -109,7 +111,7 @@
     )
     if config.sockets < 64:
         raise ValueError(f"limits.sockets: {config.sockets} is under 64")
-    for name in ("connect_timeout", "conn_idle", "most_held"):
+    for name in ("connect_timeout", "conn_idle", "most_held", "memory"):
         if not getattr(config, name) > 0:
             raise ValueError(f"{name}: {getattr(config, name)} is not above 0")
     return config
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -27,7 +27,7 @@
 from coralvale.net.door import Door
 from coralvale.net.figures import Figures
 from coralvale.net.marks import Marks
-from coralvale.net.server import NOT_PASSED_ON, Arrival, Exchange, Server
+from coralvale.net.server import NOT_PASSED_ON, SMALL_BODY, Arrival, Exchange, Server, Source
 from coralvale.net.takeover import Offer, Successor
 from coralvale.net.upstream import Answer, Attempt, Upstreams
 
@@ -44,6 +44,7 @@
 )  # s: the kill leaves the longest deadline, this at most, to answer; some less is used
 PATIENT = 1.0  # s that the counter may take for a call that nobody waits for
 FLUSH = 0.1  # s for the last answers to leave
+OWN_MEMORY, LEAST_BODIES = 48.0, 4.0  # MB: kept for all but bodies; for bodies, whatever the limit
 RESERVE = 64  # descriptors for all but clients and hosts: listener, watch, counter, logs, the loop's own
 REFRESH = 0.1  # s between looks at what another process of this gateway was told of hosts
 SEEN = 10_000  # hosts that were listed once, by which an operator may name one that is not listed now
@@ -120,6 +121,7 @@
         "maybe",
         "out",
         "ruling",
+        "streaming",
         "timer",
         "timed_out",
     )
@@ -128,7 +130,7 @@
         self.exchange, self.arrival, self.expires_at = exchange, arrival, expires_at
         self.attempts: list[Attempt] = []
         self.out = 0
-        self.answered = self.maybe = self.timed_out = self.checking = False
+        self.answered = self.maybe = self.timed_out = self.checking = self.streaming = False
         self.ruling: Ruling | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -175,7 +177,14 @@
         surplus = share // 8
         listener = self.successor.listener if self.successor else None
         self.server = Server(
-            config.listen, config.settings, self, share - surplus, surplus, listener, bool(self.folder)
+            config.listen,
+            config.settings,
+            self,
+            share - surplus,
+            surplus,
+            listener,
+            bool(self.folder),
+            int(max(config.memory - OWN_MEMORY, LEAST_BODIES) * 1e6),
         )
         self.upstreams = Upstreams(
             self.clock, config.connect_timeout, config.conn_idle, share, config.settings.report_fields
@@ -455,7 +464,13 @@
 
     def client_left(self, exchange: Exchange) -> None:
         held = exchange.held
-        if held is not None and not held.answered:
+        if held is not None and held.streaming:
+            held.streaming = False
+            self.figures.ended(held.arrival.cls, 499)
+            for attempt in list(held.attempts):
+                if not attempt.ended:
+                    self.upstreams.give_up(attempt, Outcome.CANCELLED)
+        elif held is not None and not held.answered:
             held.answered = True
             self.figures.ended(held.arrival.cls, 499)
             self.feed(api.Abandoned(held.arrival.id))
@@ -479,19 +494,21 @@
         number = len(held.attempts)
         held.out += 1
         if endpoint is None:
-            attempt = Attempt(action.server, ("", 0), lambda: None, partial(self._done, held), number, now)
+            done = partial(self._done, held)
+            attempt = Attempt(action.server, ("", 0), lambda: None, done, number=number, sent_at=now)
             held.attempts.append(attempt)
             attempt.end(Outcome.NOT_SENT)
             return
         until = min(action.until or held.expires_at, held.expires_at)
 
-        def payload() -> bytes | None:
+        def payload() -> list[bytes] | None:
             if held.answered or not self._may_go(endpoint):
                 return None
             left = until - self.clock.now()
             return self._payload(held, left) if left > 0 else None
 
-        attempt = Attempt(action.server, endpoint.address, payload, partial(self._done, held), number, now)
+        done, begun = partial(self._done, held), partial(self._begun, held)
+        attempt = Attempt(action.server, endpoint.address, payload, done, begun, number, now)
         attempt.started_at = endpoint.server.started_at
         held.attempts.append(attempt)
         if until < held.expires_at - 0.001:
@@ -522,21 +539,46 @@
         return since is None or self.clock.now() - since < self.settings.drain_grace / 2
 
     @staticmethod
-    def _payload(held: Held, left: float) -> bytes:
+    def _payload(held: Held, left: float) -> list[bytes]:
         exchange = held.exchange
-        body, headers = exchange.body, exchange.headers
+        body, headers = exchange.parts, exchange.headers
         if (ruling := held.ruling) and (ruling.headers or ruling.remove):
             other = ruling.remove | {name.lower() for name, _ in ruling.headers}
             headers = [h for h in headers if h[0].lower() not in other] + list(ruling.headers)
-        length = b"Content-Length: %d\r\n" % len(body) if body or exchange.method != b"GET" else b""
-        return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n%b" % (
+        size = sum(map(len, body))
+        length = b"Content-Length: %d\r\n" % size if body or exchange.method != b"GET" else b""
+        head = b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n" % (
             exchange.method,
             exchange.target,
             b"".join([b"%b: %b\r\n" % h for h in headers if h[0].lower() not in NOT_PASSED_ON]),
             left,
             length,
-            body,
         )
+        # In one write where it is short; a long body is written from the pieces that it came in.
+        return [head, *body] if size > SMALL_BODY else [b"".join([head, *body])]
+
+    def _begun(self, held: Held, attempt: Attempt, answer: Answer, length: int | None, source: Source) -> Any:  # noqa: ANN401
+        """A long answer begins: it goes to the client as it comes, and no deadline ends it from now on."""
+        if held.answered:
+            return None
+        held.answered = held.streaming = True
+        if held.timer:
+            held.timer.cancel()
+        held.exchange.begin(answer.headers, length, source)
+        delay = self.clock.now() - attempt.sent_at
+        self.feed(api.StreamStarted(held.arrival.id, attempt.number, delay, answer.usage))
+        self.feed(api.Handed(held.arrival.id))
+        return held.exchange
+
+    def _streamed(self, held: Held, whole: bool) -> None:
+        """A long answer has ended: all of it, or as much as there will be."""
+        held.streaming = False
+        if whole:
+            held.exchange.finish()
+        else:
+            held.exchange.abort()
+        self.figures.ended(held.arrival.cls, 200 if whole else 502)
+        self._tell_answer(held, 200)
 
     def _done(self, held: Held, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
         """An attempt's one outcome; the first whole answer goes to the client at once."""
@@ -545,7 +587,12 @@
         held.timed_out = outcome is Outcome.TIMEOUT
         if self.recorder and self.recorder.records(held.arrival.cls):
             self.recorder.ended(held.arrival.id, attempt.number, outcome)
-        if outcome is Outcome.OK and answer and not held.answered:
+        until = (
+            attempt.streamed_at or self.clock.now()
+        )  # what the client took to read is not the host's delay
+        if attempt.sink and held.streaming:
+            self._streamed(held, outcome is Outcome.OK)
+        elif outcome is Outcome.OK and answer and not held.answered:
             held.answered = True
             held.exchange.reply(200, answer.body, answer.headers)
             self.figures.ended(held.arrival.cls, 200)
@@ -555,9 +602,9 @@
                 request=held.arrival.id,
                 attempt=attempt.number,
                 outcome=outcome,
-                delay=self.clock.now() - attempt.sent_at,
+                delay=until - attempt.sent_at,
                 finished=held.answered,
-                usage=answer.usage if answer else None,
+                usage=answer.usage if answer and not attempt.sink else None,
                 report=answer.report if answer else (),
                 broke=attempt.broke,
             )
@@ -589,7 +636,7 @@
             self.feed(api.ProbeDone(action.server, outcome, self.clock.now() - started, report))
 
         text = f"GET /alive HTTP/1.1\r\nHost: {action.server}\r\n\r\n".encode()
-        attempt = Attempt(action.server, endpoint.address if endpoint else ("", 0), lambda: text, ended)
+        attempt = Attempt(action.server, endpoint.address if endpoint else ("", 0), lambda: [text], ended)
         if endpoint is None:
             attempt.end(Outcome.NOT_SENT)
             return
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -21,10 +21,13 @@
 
 log = logging.getLogger(__name__)
 
-MAX_BODY = 64 * 1024
-MAX_HEAD = 16 * 1024  # bytes of headers
+MAX_BODY = 32 * 1024 * 1024
+SMALL_BODY = 64 * 1024  # bytes that a body may have without being counted against the bound on all bodies
+MAX_HEAD = 64 * 1024  # bytes of headers
 PIPELINED = 16  # requests of one connection in hand, past which it is not read
-PARTIAL = 2.0  # s that a request may take to arrive, or its connection may say nothing before it
+PARTIAL = 2.0  # s that a head may take to arrive, or a connection may say nothing before it
+SLOWEST = 64_000  # bytes a second at which a body has to come, past its first 2 s
+STREAM_BUFFER = 256 * 1024  # bytes that the kernel keeps of an answer that is passed on as it comes
 LINGER = 1.0  # s for an answer to arrive that was sent in the middle of what still comes
 LINGERING = 32  # connections in that state, past which the oldest is cut off
 IDLE = 10.0  # s that a connection may stand idle between requests
@@ -53,6 +56,7 @@
     b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"content-length",
     b"proxy-authorization", b"proxy-connection", b"expect", b"x-timeout",
 }  # fmt: skip
+ABSOLUTE = re.compile(rb"(?i)https?://[^/?#]*(?=/|$)")  # RFC 9112, section 3.2.2
 COOKIE = re.compile(rb"(?:^|;)\s*client=([^;]*)")
 HEX = re.compile(rb"[0-9a-fA-F]{16}")
 PAIR = re.compile(rb"([a-z]+)=([^,; ]*)")
@@ -67,17 +71,38 @@
 class Exchange:
     """One request of a connection and its answer."""
 
-    __slots__ = ("answer", "body", "close", "connection", "fields", "headers", "held", "method", "target")
+    __slots__ = (
+        "answer", "chunked", "close", "connection", "counted", "fields", "headers", "held", "method", "old",
+        "parts", "pending", "source", "started", "target", "whole",
+    )  # fmt: skip
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
-        self.method = self.target = self.body = b""
+        self.method = self.target = b""
+        self.parts: list[bytes] = []  # of the body, as they came
+        self.counted = 0  # bytes of it that count against the bound on all bodies
+        self.old = False  # the client speaks HTTP/1.0
+        self.source: Source | None = None  # what an answer that is passed on as it comes is read from
+        self.pending: list[bytes] = []  # of that answer, to be written
+        self.started = self.whole = self.chunked = False
         self.headers: list[tuple[bytes, bytes]] = []  # as they came
         self.fields: dict[bytes, bytes] = {}
         self.answer: bytes | None = None
         self.close = False
         self.held: Any = None  # the node's record of it
 
+    @property
+    def body(self) -> bytes:
+        if len(self.parts) > 1:
+            self.parts = [b"".join(self.parts)]
+        return self.parts[0] if self.parts else b""
+
+    def forget_body(self) -> None:
+        """Nobody needs the body any more."""
+        self.parts = []
+        self.connection.server.bodies -= self.counted
+        self.counted = 0
+
     def reply(
         self,
         status: int,
@@ -100,14 +125,65 @@
             parts.append(b"Connection: close\r\n")
         parts += (b"\r\n", body if self.method != b"HEAD" else b"")
         self.answer = b"".join(parts)
+        self.forget_body()
         self.connection.flush()
 
+    # An answer that is passed on as it comes
+
+    def begin(self, headers: list[tuple[bytes, bytes]], length: int | None, source: Source) -> None:
+        """Status and headers of an answer 200 of `length` bytes, or of an unknown length; `write` follows."""
+        self.source = source
+        parts = [STATUS_LINES[200], *(b"%b: %b\r\n" % header for header in headers)]
+        if length is not None:
+            parts.append(b"Content-Length: %d\r\n" % length)
+        elif self.old:
+            self.close = True
+        else:
+            self.chunked = True
+            parts.append(b"Transfer-Encoding: chunked\r\n")
+        self.close = self.close or self.connection.server.closing
+        if self.close:
+            parts.append(b"Connection: close\r\n")
+        parts.append(b"\r\n")
+        self.answer = b"".join(parts)
+        self.forget_body()
+
+    def write(self, data: list[bytes]) -> None:
+        """More of it. While the client takes no more, or is owed another answer first, the source waits."""
+        if self.chunked and data:
+            data = [b"%x\r\n" % sum(map(len, data)), *data, b"\r\n"]
+        self.pending += data
+        self.connection.flush()
+        if self.source and not self.whole and (self.pending or self.connection.stuck):
+            self.source.pause()
+
+    def finish(self) -> None:
+        """All of it has been written."""
+        self.whole = True
+        self.source = None
+        if self.chunked:
+            self.pending.append(b"0\r\n\r\n")
+        self.connection.flush()
+
+    def abort(self) -> None:
+        """The rest will not come: the client is left to see that the answer is not whole."""
+        self.source = None
+        self.connection.cut_off()
+
     def refuse(self, status: int, body: bytes = b"") -> None:
         """Turns away what the protocol does not know, and ends the connection: the next may be no better."""
         self.close = True
         self.reply(status, body)
 
 
+class Source(Protocol):
+    """What an answer is read from while it is passed on."""
+
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+
 class Handler(Protocol):
     """What takes the requests: the node."""
 
@@ -203,6 +279,7 @@
         self.complete: list[Exchange] = []
         self.active_at = self.opened_at = time.monotonic()
         self.begun_at = 0.0
+        self.headed_at = 0.0  # when the head of the request that is being read was whole
         self.asked = False  # whether a whole request has ever come
         self.size = self.head_size = 0
         self.in_body = False
@@ -247,10 +324,12 @@
         if self.transport and not self.paused:
             self.paused = True
             self.transport.pause_reading()
+        if self.reading:
+            self.reading.forget_body()
         exchange = Exchange(self)
         exchange.close = True
         self.exchanges.append(exchange)
-        exchange.reply(self.failed)
+        exchange.reply(self.failed, retry_after=self.server.max_advice if self.failed == 503 else 0.0)
 
     def rest(self) -> None:
         """Notes that it stands idle, or does not: the longest idle is the first to make room."""
@@ -260,8 +339,16 @@
     def time_out(self) -> None:
         """Half a request: the client is told so, as long as no other answer is owed ahead of it."""
         self.failed = 408
-        self.reading = None
         self._answer_failed()
+        self.reading = None
+
+    def overdue(self, now: float) -> bool:
+        """Whether the request that is being read comes more slowly than clients may be."""
+        if not self.reading or self.exchanges:
+            return False
+        if self.in_body:
+            return now - self.headed_at > PARTIAL + self.size / SLOWEST
+        return now - self.begun_at > PARTIAL
 
     def on_message_begin(self) -> None:
         self.reading = Exchange(self)
@@ -273,8 +360,10 @@
         self.reading.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        exchange, lower = self.reading, name.lower()
+        exchange, lower, value = self.reading, name.lower(), value.strip(b" \t")  # RFC 9110, section 5.5
         assert exchange is not None
+        if self.in_body:  # a trailer: nothing in it is of use to a host, and it must not stand for a header
+            return
         self.size += len(name) + len(value)
         if self.size > MAX_HEAD:
             raise ValueError("too many headers")
@@ -288,16 +377,21 @@
         exchange = self.reading
         assert exchange is not None
         exchange.method = self.parser.get_method()
+        exchange.old = self.parser.get_http_version() == "1.0"
         self.size, self.in_body = 0, True
+        self.headed_at = time.monotonic()
         length = exchange.fields.get(b"content-length", b"0")
         if b"transfer-encoding" in exchange.fields:
             # With a length beside it, it may hide a second request in the body of the first.
-            if b"content-length" in exchange.fields or exchange.fields[b"transfer-encoding"] != b"chunked":
+            coding = exchange.fields[b"transfer-encoding"].strip().lower()
+            if b"content-length" in exchange.fields or coding != b"chunked":
                 self.failed = 400
-        elif not length.isdigit():  # a sign, a list, or two of them
+        elif not length.strip().isdigit():  # a sign, a list, or two of them
             self.failed = 400
-        elif len(length) > 6 or int(length) > MAX_BODY:
+        elif len(length.strip()) > 9 or int(length) > MAX_BODY:
             self.failed = 413
+        elif int(length) > SMALL_BODY and not self.server.has_room(exchange, int(length)):
+            self.failed = 503
         if self.failed:
             raise ValueError("the length cannot be used")  # no byte of the body is looked at
         if exchange.fields.get(b"expect", b"").lower() == b"100-continue" and not self.exchanges:
@@ -309,8 +403,16 @@
         self.size += len(body)
         if self.size > MAX_BODY:
             self.failed = 413
+        elif (
+            self.size > SMALL_BODY
+            and self.size > self.reading.counted
+            and not self.server.has_room(self.reading, max(self.size, min(2 * self.size, MAX_BODY)))
+        ):
+            self.failed = 503
         else:
-            self.reading.body += body
+            self.reading.parts.append(body)
+        if self.failed:
+            raise ValueError("the body cannot be kept")
 
     def on_message_complete(self) -> None:
         exchange, self.reading = self.reading, None
@@ -328,9 +430,22 @@
         if self.transport is None or self.transport.is_closing():
             return
         while self.exchanges and (answer := self.exchanges[0].answer) is not None:
-            exchange = self.exchanges.popleft()
-            self.transport.write(answer)
+            exchange = self.exchanges[0]
             self.active_at = time.monotonic()
+            if not exchange.started:
+                exchange.started = True
+                if exchange.source:
+                    sock = self.transport.get_extra_info("socket")
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_BUFFER)
+                self.transport.write(answer)
+            if exchange.pending:
+                self.transport.writelines(exchange.pending)
+                exchange.pending = []
+            if exchange.source:  # the rest is still to come
+                if not self.stuck:
+                    exchange.source.resume()
+                return
+            self.exchanges.popleft()
             if exchange.close:
                 self.leave()
                 return
@@ -363,14 +478,27 @@
         self.stuck = True
 
     def resume_writing(self) -> None:
-        self.stuck = False
+        self.stuck, self.active_at = False, time.monotonic()
+        if self.exchanges and (source := self.exchanges[0].source):
+            source.resume()
+
+    def cut_off(self) -> None:
+        """Ends the connection in the middle of an answer, in a way that cannot be taken for its end."""
+        if self.transport:
+            self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.lost(self)
+        if self.reading:
+            self.reading.forget_body()
         for exchange in self.exchanges:
+            exchange.forget_body()
             if exchange.answer is None:
                 exchange.answer = b""
                 self.server.handler.client_left(exchange)
+            elif exchange.source:
+                exchange.source = None
+                self.server.handler.client_left(exchange)
         self.exchanges.clear()
 
     def idle(self) -> bool:
@@ -406,6 +534,7 @@
         surplus: int,
         listener: socket.socket | None = None,
         shared: bool = False,
+        most_bodies: int = MAX_BODY,
     ) -> None:
         # `listener` is one that another process has handed on; `shared`: another may listen here as well.
         # Past `most` connections are told 503 and closed; past `surplus` more they wait in the kernel.
@@ -418,6 +547,7 @@
         self.lingering: OrderedDict[ClientConnection, asyncio.TimerHandle] = OrderedDict()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.closing = self.accepting = False
+        self.bodies, self.most_bodies = 0, most_bodies  # bytes of larger bodies, kept and at most
         if listener is not None:
             self.socket = listener
             return
@@ -522,7 +652,17 @@
 
     # Requests
 
+    def has_room(self, exchange: Exchange, size: int) -> bool:
+        """Whether a body of `size` bytes may be kept; if so its bytes count until nobody needs them."""
+        if self.bodies + size - exchange.counted > self.most_bodies:
+            return False
+        self.bodies += size - exchange.counted
+        exchange.counted = size
+        return True
+
     def request(self, exchange: Exchange) -> None:
+        if absolute := ABSOLUTE.match(exchange.target):
+            exchange.target = exchange.target[absolute.end() :] or b"/"
         path, query, _ = exchange.target.partition(b"?")
         if path == b"/api":
             if exchange.connection.surplus:
@@ -555,7 +695,7 @@
                 most = IDLE if connection.asked and room else SHORT_IDLE if connection.asked else PARTIAL
                 if quiet > most:
                     connection.close_idle()
-            elif connection.reading and now - connection.begun_at > PARTIAL and not connection.exchanges:
+            elif connection.overdue(now):
                 connection.time_out()  # never came whole, so it was not taken
 
     # The end
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -15,7 +15,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 import httptools
 
@@ -23,7 +23,9 @@
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address, Place
 
-MAX_BODY = 64 * 1024
+WHOLE = 64 * 1024  # bytes of an answer up to which it is waited for whole; a longer one is passed on
+MAX_BODY = 1 << 40  # bytes of an answer that is passed on
+STALL = 10.0  # s that a host may say nothing in the middle of an answer that is passed on
 MAX_HEAD = 64 * 1024  # bytes before the body of an answer, interim answers among them
 INTERIM = 8  # answers 1xx ahead of the real one
 REST = 0.002  # s between an answer and the next use of its connection: what follows the answer shows up in it
@@ -56,6 +58,13 @@
     body: bytes
     usage: float | None = None
     report: tuple[float, ...] = ()
+    not_processed: bool = False
+
+
+class Sink(Protocol):
+    """What takes an answer as it comes: the client's exchange."""
+
+    def write(self, data: list[bytes]) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
@@ -64,8 +73,10 @@
 
     server: str
     address: Address
-    payload: Callable[[], bytes | None]  # asked just before the write; None means: do not send
+    payload: Callable[[], list[bytes] | None]  # asked just before the write; None means: do not send
     on_end: Callable[[Attempt, Outcome, Answer | None], None]
+    # Asked when an answer 200 gets longer than is waited for; what it gives takes the answer, None none.
+    on_stream: Callable[[Attempt, Answer, int | None, Connection], Sink | None] | None = None
     number: int = 0
     sent_at: float = 0.0
     started_at: float = 0.0
@@ -73,6 +84,8 @@
     connection: Connection | None = field(default=None, repr=False)
     ended: bool = False
     broke: bool = False  # its connection had come up, and broke
+    sink: Sink | None = None  # what takes its answer as it comes
+    streamed_at: float = 0.0  # since when
 
     @property
     def place(self) -> Place:
@@ -100,7 +113,10 @@
 
     def _clear(self) -> None:
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []
+        self.body: list[bytes] = []  # what has not been passed on
+        self.length: int | None = None
+        self.to_the_end = False  # the answer ends with its connection
+        self.paused, self.heard_at = False, 0.0
         self.size = self.status = self.head_size = self.interim = 0
         self.in_body = False
 
@@ -136,7 +152,7 @@
             return
         self.attempt, attempt.connection = attempt, self
         self.age = self.pool.owner.clock.now() - self.idle_since
-        self.transport.write(payload)
+        self.transport.writelines(payload)
         if self.transport.is_closing():  # the write failed at once, so nothing has left this machine
             self._broke(attempt)
             self._finish(Outcome.CONNECT_FAILED)
@@ -157,6 +173,7 @@
     def _read(self, data: bytes) -> None:
         if not self.in_body:
             self.head_size += len(data)
+        self.heard_at = self.pool.owner.clock.now()
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -166,24 +183,72 @@
                 return
         if self.complete:
             self._answered()
-        elif self.size > MAX_BODY or (not self.in_body and self.head_size > MAX_HEAD):
+        elif not self.in_body and self.head_size > MAX_HEAD:
             self._finish(Outcome.ERROR)
+        elif self.size > WHOLE:
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        """A long answer: its head, once, then what has come of its body, goes on."""
+        attempt = self.attempt
+        if attempt is None:
+            return
+        if attempt.sink is None:
+            answer = self._make_answer()
+            sink = None
+            if answer.status == 200 and attempt.on_stream:
+                sink = attempt.on_stream(attempt, answer, self.length, self)
+            if sink is None:
+                self._finish(Outcome.ERROR)
+                return
+            attempt.sink, attempt.streamed_at = sink, self.heard_at
+            if attempt.timer:
+                attempt.timer.cancel()
+        body, self.body = self.body, []
+        attempt.sink.write(body)
+
+    def pause(self) -> None:
+        if not self.paused and self.transport and not self.transport.is_closing():
+            self.paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.paused and self.transport and not self.transport.is_closing():
+            self.paused, self.heard_at = False, self.pool.owner.clock.now()
+            self.transport.resume_reading()
+
+    def stalled(self, now: float) -> bool:
+        streaming = self.attempt is not None and self.attempt.sink is not None
+        return streaming and not self.paused and now - self.heard_at > STALL
+
+    def eof_received(self) -> bool:
+        """An answer with neither a length nor chunks ends here (RFC 9112, section 6.3), if in order."""
+        if self.attempt and self.in_body and self.to_the_end and not self.complete:
+            self.complete, self.keep_alive = True, False
+            self.status = self.parser.get_status_code()
+            self._answered()
+        return False
 
     def on_message_begin(self) -> None:
         if self.complete:  # one request was sent, so a second answer is nobody's
             self.keep_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.complete:
-            self.headers.append((name, value))
+        if not self.complete and not self.in_body:  # a trailer comes behind what has been passed on
+            self.headers.append((name, value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
         if self.complete or self.parser.get_status_code() < 200:
             return
         self.in_body = True
+        self.status, self.to_the_end = self.parser.get_status_code(), True
         for name, value in self.headers:
-            if name.lower() == b"content-length" and (len(value) > 6 or int(value) > MAX_BODY):
-                raise ValueError("too large")  # 3 GB need not be waited for
+            if name.lower() == b"content-length":
+                self.length, self.to_the_end = int(value), False
+                if self.length > (MAX_BODY if self.status == 200 else WHOLE):
+                    raise ValueError("too large")  # 3 GB of a failure need not be waited for
+            elif name.lower() == b"transfer-encoding":
+                self.to_the_end = False
 
     def on_body(self, body: bytes) -> None:
         if not self.complete:
@@ -207,28 +272,34 @@
     def _answered(self) -> None:
         if self.kept:
             self.pool.owner.idle_limit.note(self.age, False)
-        status = self.status
-        answer = Answer(status, [], b"".join(self.body))
-        not_processed = False
+        answer = self._make_answer()
+        if answer.status == 200:
+            outcome = Outcome.OK
+        elif answer.status in (503, 504) and answer.not_processed:
+            outcome = Outcome.FULL
+        else:
+            outcome = Outcome.ERROR
+        if self.attempt and self.attempt.sink and self.body:
+            self.attempt.sink.write(self.body)
+        # An answer that overtook the end of its request leaves the connection in the middle of it.
+        keep = self.keep_alive and not self.unwritten
+        self._finish(outcome, answer, keep)
+
+    def _make_answer(self) -> Answer:
+        passed_on = self.attempt is not None and self.attempt.sink is not None
+        body = b"" if passed_on or not self.complete else b"".join(self.body)
+        answer = Answer(self.status, [], body)
         for name, value in self.headers:
             lower = name.lower()
             if lower == b"usage-percent":
                 answer.usage = read_usage(value)
             elif lower == b"x-not-processed":
-                not_processed = value.strip() == b"1"
+                answer.not_processed = value.strip() == b"1"
             elif lower == b"x-server-load":
                 answer.report = read_load(value, self.pool.owner.report_fields)
             elif lower not in NOT_PASSED_ON:
                 answer.headers.append((name, value))
-        if status == 200 and self.size <= MAX_BODY:
-            outcome = Outcome.OK
-        elif status in (503, 504) and not_processed:
-            outcome = Outcome.FULL
-        else:
-            outcome = Outcome.ERROR
-        # An answer that overtook the end of its request leaves the connection in the middle of it.
-        keep = self.keep_alive and not self.unwritten
-        self._finish(outcome, answer, keep)
+        return answer
 
     def _finish(self, outcome: Outcome, answer: Answer | None = None, keep: bool = False) -> None:
         attempt, self.attempt = self.attempt, None
@@ -466,6 +537,9 @@
         self.sweep = self.loop.call_later(SWEEP, self._sweep)
         self.idle_limit.forget(SWEEP)
         now = self.clock.now()
+        for connection in [c for c in self.connections if c.stalled(now)]:
+            if connection.attempt:
+                self.give_up(connection.attempt, Outcome.RESET)
         for place, pool in list(self.pools.items()):
             while pool.idle and now - pool.idle[0].idle_since >= self.idle_limit.now:
                 pool.idle[0].close()
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -107,6 +107,11 @@
         self.fill, self.passed = max(0.0, self.fill - filled), max(0.0, self.passed - units)
         self.ceiling = min(max(self.ceiling, self.plan.ceiling_burst), self.ceiling + units * self.entries)
 
+    def heard(self, now: float, usage: float | None) -> None:
+        """Takes a reading of the meter."""
+        if usage is not None and 0 <= usage < math.inf:
+            self.reading, self.heard_at = usage, now
+
     def step(self, now: float) -> None:
         """Sets the leak rate: own use times the quota over metered use of the same, late, time."""
         self.drain(now)
