--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -25,6 +25,7 @@
 
 WHOLE = 64 * 1024  # bytes of an answer up to which it is waited for whole; a longer one is passed on
 MAX_BODY = 1 << 40  # bytes of an answer that is passed on
+HOLD = 0.25  # s that an answer of unknown length is waited for before it is passed on, however little it is
 STALL = 10.0  # s that a host may say nothing in the middle of an answer that is passed on
 MAX_HEAD = 64 * 1024  # bytes before the body of an answer, interim answers among them
 INTERIM = 8  # answers 1xx ahead of the real one
@@ -116,6 +117,7 @@
         self.body: list[bytes] = []  # what has not been passed on
         self.length: int | None = None
         self.to_the_end = False  # the answer ends with its connection
+        self.headed_at: float | None = None  # since when an answer of unknown length is waited for
         self.paused, self.heard_at = False, 0.0
         self.size = self.status = self.head_size = self.interim = 0
         self.in_body = False
@@ -185,7 +187,27 @@
             self._answered()
         elif not self.in_body and self.head_size > MAX_HEAD:
             self._finish(Outcome.ERROR)
-        elif self.size > WHOLE:
+        elif self.size > WHOLE or (self.in_body and self.status == 200 and self._long()):
+            self._pass_on()
+
+    def _long(self) -> bool:
+        """Whether an answer is sure to get longer than is waited for, or nobody knows and it takes its time."""
+        if self.attempt and self.attempt.sink:
+            return bool(self.body)
+        if self.length is not None:
+            return self.length > WHOLE
+        if self.headed_at is None:
+            self.headed_at = self.heard_at
+            self.pool.owner.loop.call_later(HOLD, self._hold_no_longer, self.attempt)
+        return self.heard_at - self.headed_at >= HOLD
+
+    def _hold_no_longer(self, attempt: Attempt | None) -> None:
+        if (
+            attempt is not None
+            and attempt is self.attempt
+            and not self.complete
+            and self.headed_at is not None
+        ):
             self._pass_on()
 
     def _pass_on(self) -> None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -398,3 +398,27 @@
         host.stop()
 
     run(test())
+
+
+def test_a_host_that_writes_slowly_is_passed_on_from_its_first_bytes() -> None:
+    """By its head if that names a long answer, after a quarter of a second if it names no length."""
+
+    async def test() -> None:
+        host = await Peer().start()
+        async with world(entry("s-1", host.port)) as w:
+            for name, whole in (("r1", with_length(LONG)), ("r2", in_chunks(LONG))):
+                send_all(w, "s-1", until_in=1.0)
+                reader, writer = await raw(w)
+                writer.write(request(name, X_Timeout="1.5"))
+                arrived = await host.next()
+                arrived.reply(whole[:500])
+                status, _ = await head_of(reader)  # long before 64 KiB have come
+                assert status == 200 and w.script.of(api.StreamStarted)[-1].request == name
+                arrived.reply(whole[500:])
+                got = await (chunks_of(reader) if name == "r2" else soon(reader.readexactly(len(LONG))))
+                assert got == LONG
+                await w.done(1 if name == "r1" else 2)
+                writer.close()
+        host.stop()
+
+    run(test())
