--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -108,7 +108,7 @@
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.idle_since = self.age = 0.0  # age: how long it had stood idle before its newest request
-        self.kept = False
+        self.kept = self.paused = False
         self.unwritten = self.complete = self.keep_alive = False
         self._clear()
 
@@ -118,7 +118,7 @@
         self.length: int | None = None
         self.to_the_end = False  # the answer ends with its connection
         self.headed_at: float | None = None  # since when an answer of unknown length is waited for
-        self.paused, self.heard_at = False, 0.0
+        self.heard_at = 0.0
         self.size = self.status = self.head_size = self.interim = 0
         self.in_body = False
 
@@ -328,6 +328,7 @@
         self.complete = False
         self._clear()
         if keep:
+            self.resume()  # its last bytes may have had to wait for the client, which the next answer need not
             self.pool.release(self)
         else:
             self.close()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -422,3 +422,36 @@
         host.stop()
 
     run(test())
+
+
+def test_a_connection_that_waited_for_a_slow_client_hears_the_next_answer() -> None:
+    """The last bytes of a long answer come while the client takes no more: the host is read again after it."""
+
+    async def test() -> None:
+        host = await Peer().start()
+        async with world(entry("s-1", host.port)) as w:
+            w.script.on(api.Request, lambda e: [api.Send(e.id, "s-1", w.node.clock.now() + 60)])
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(("127.0.0.1", w.node.server.port))
+            client.setblocking(False)
+            await asyncio.get_running_loop().sock_sendall(client, request("r1"))
+            (await host.next()).reply(with_length(LONG[:900_000]))
+            got = b""
+            while len(got) < 900_000:
+                got += await soon(asyncio.get_running_loop().sock_recv(client, 20_000))
+                await asyncio.sleep(0)
+            assert (await w.done()).outcome is Outcome.OK
+            client.close()
+            await asyncio.sleep(0.01)  # the connection to the host has rested
+            reader, writer = await raw(w)
+            writer.write(request("r2"))
+            arrived = await host.next()
+            assert arrived.connection == 1  # the same one
+            arrived.reply(answer(200, b"next"))
+            status, _ = await head_of(reader)
+            assert status == 200 and await soon(reader.readexactly(4)) == b"next"
+            writer.close()
+        host.stop()
+
+    run(test())
