--- a/coralvale/handover.py
+++ b/coralvale/handover.py
@@ -87,7 +87,7 @@
         trust, told_at = (_figure(value) for value in state["trust"])
         out = {str(name): _figure(since) for name, since in state["out"]}
         gap, at = (_figure(value, True) for value in state["done"])
-    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, IndexError, AttributeError, OverflowError) as error:
         raise ValueError(f"a state that cannot be used: {error!r}") from None
     gateway.usual, gateway.calm, gateway.born, gateway.retries = usual, calm, born, retries
     gateway.mean = sum(usual) / len(usual)
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -705,10 +705,10 @@
         last = min(DEADLINE, max(c.give_up for c in self.settings.classes)) - BEFORE
         self.ends_at = self.clock.now() + last
         self.server.drain()
-        if self.ceded:
-            self._linger()
-        else:
-            self.loop.call_later(min(ACCEPT, last), self._linger)
+        # Idle connections are left alone for a while: who asks on one in that time is served and told to go,
+        # where closing it at once would cross the request.
+        self.loop.call_later(min(ACCEPT, last), self._linger)
+        if not self.ceded:
             self.loop.call_later(min(ACCEPT + CROSSED, last), self._stop_accepting)
         self.loop.call_later(last, self._end)
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -206,6 +206,7 @@
         registry = await Registry().start()
         known = [entry(h.name, h.port) for h in hosts]
         port, over, turned, answers = free_port(), asyncio.Event(), [0], [0]
+        renewed = [0] * 12
         current = await Process(tmp_path, port, registry.port, known).start()
 
         async def ask(number: int) -> None:
@@ -213,7 +214,9 @@
             while not over.is_set():
                 answers[0] += 1
                 try:
-                    client = client or Client(*await asyncio.open_connection("127.0.0.1", port))
+                    if client is None:
+                        client = Client(*await asyncio.open_connection("127.0.0.1", port))
+                        renewed[number] += 1
                     message = await client.ask(request(f"r{number}-{answers[0]}"))
                     assert message.status == 200, message
                     if message.headers.get(b"connection") == b"close" or number % 2:
@@ -231,6 +234,10 @@
         for _ in range(3):
             await asyncio.sleep(0.2)
             after = await Process(tmp_path, port, registry.port, known).start()
+            before = list(
+                renewed
+            )  # each is told to come anew, by the answer to what it asked on its connection
+            await until(lambda before=before: all(n > b for n, b in zip(renewed, before, strict=True)))
             assert (await call(current.door, "GET /healthcheck"))[0] == 200  # stays until it is told
             current.process.send_signal(signal.SIGTERM)
             async with asyncio.timeout(LIMIT):
