--- a/coralvale/attempts/frames.py
+++ b/coralvale/attempts/frames.py
@@ -1,10 +1,10 @@
 """The form of a segment: a header, then records, each with its length and checksum. No I/O.
 
   header   MAGIC, version (2 bytes), number of the segment (4), CRC-32 of these (4)
-  record   MARK, length (4 bytes), CRC-32 of length and payload (4), payload: a list in JSON, its kind first
+  record   a frame of `coralvale.disk`, whose payload is a list in JSON, its kind first
 
-Numbers are little-endian. A record that is damaged is skipped up to the next place at which a whole one begins:
-MARK finds candidates, length and checksum decide. What stands at the end and is no whole record is a torn tail.
+Numbers are little-endian. A record that is damaged is skipped up to the next place at which a whole one begins.
+What stands at the end and is no whole record is a torn tail.
 """
 
 from __future__ import annotations
@@ -14,11 +14,11 @@
 import zlib
 from dataclasses import dataclass, field
 
+from coralvale import disk
 from coralvale.attempts.model import Answered, Checkpoint, End, Ended, Intent, JournalError, Record
 
 MAGIC, VERSION = b"\x89ATT\r\n\x1a\n", 1
-MARK = b"\xf5\xa7"
-HEAD, FRAME = struct.Struct("<8sHII"), struct.Struct("<2sII")
+HEAD = struct.Struct("<8sHII")
 MOST = 16 * 1024  # bytes of a record
 KINDS: dict[str, type] = {"i": Intent, "e": Ended, "a": Answered, "c": Checkpoint}
 LETTERS = {kind: letter for letter, kind in KINDS.items()}
@@ -36,19 +36,7 @@
     payload = json.dumps([LETTERS[type(record)], *fields], separators=(",", ":")).encode()
     if len(payload) > MOST:
         raise ValueError(f"a record of {len(payload)} bytes, at most {MOST}")
-    length = struct.pack("<I", len(payload))
-    return MARK + length + struct.pack("<I", zlib.crc32(payload, zlib.crc32(length))) + payload
-
-
-def _payload(data: bytes, at: int) -> bytes | None:
-    """The payload of the whole record that begins at `at`, or None if none does."""
-    if len(data) - at < FRAME.size:
-        return None
-    mark, length, check = FRAME.unpack_from(data, at)
-    payload = data[at + FRAME.size : at + FRAME.size + length]
-    if mark != MARK or length > MOST or len(payload) < length:
-        return None
-    return payload if zlib.crc32(payload, zlib.crc32(struct.pack("<I", length))) == check else None
+    return disk.frame(payload)
 
 
 def _record(payload: bytes) -> Record | None:
@@ -89,16 +77,14 @@
         raise JournalError(f"{name}: the header is damaged")
     found, at = Scan(number), HEAD.size
     while at < len(data):
-        if (payload := _payload(data, at)) is not None:
+        if (read := disk.payload_at(data, at, MOST)) is not None:
+            payload, at = read
             if (record := _record(payload)) is not None:
                 if isinstance(record, Checkpoint):
                     found.checkpoint = len(found.records)
                 found.records.append(record)
-            at += FRAME.size + len(payload)
             continue
-        after = at + 1
-        while (after := data.find(MARK, after)) >= 0 and _payload(data, after) is None:
-            after += 1
+        after = disk.whole_after(data, at, MOST)
         if after < 0:
             found.torn = len(data) - at
             break
--- /dev/null
+++ b/coralvale/disk.py
@@ -0,0 +1,159 @@
+"""Files of a folder that one process has, and records in them that carry their own check.
+
+  record   MARK, length (4 bytes, little-endian), CRC-32 of length and payload (4), payload
+
+A damaged record is skipped up to the next place at which a whole one begins: MARK finds candidates, length and
+checksum decide. Files are always an argument of what decides (the journal of attempts, the spool), so that a test
+can put a faulty folder in their place.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import struct
+import zlib
+from pathlib import Path
+from typing import Protocol
+
+LOCK = "lock"
+MARK = b"\xf5\xa7"
+FRAME = struct.Struct("<2sII")
+
+
+class InUse(OSError):
+    """Another process has this folder."""
+
+
+def frame(payload: bytes) -> bytes:
+    """A record that holds a payload."""
+    length = struct.pack("<I", len(payload))
+    return MARK + length + struct.pack("<I", zlib.crc32(payload, zlib.crc32(length))) + payload
+
+
+def payload_at(data: bytes, at: int, most: int) -> tuple[bytes, int] | None:
+    """The payload of the whole record that begins at `at`, and where it ends; None if none does."""
+    if len(data) - at < FRAME.size:
+        return None
+    mark, length, check = FRAME.unpack_from(data, at)
+    end = at + FRAME.size + length
+    if mark != MARK or length > most or end > len(data):
+        return None
+    payload = data[at + FRAME.size : end]
+    return (payload, end) if zlib.crc32(payload, zlib.crc32(struct.pack("<I", length))) == check else None
+
+
+def whole_after(data: bytes, at: int, most: int) -> int:
+    """Where the next whole record behind `at` begins; -1 if none does."""
+    after = at + 1
+    while (after := data.find(MARK, after)) >= 0 and payload_at(data, after, most) is None:
+        after += 1
+    return after
+
+
+class Opened:
+    """A file that is appended to."""
+
+    def __init__(self, path: str) -> None:
+        self.number = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+
+    def write(self, data: bytes) -> None:
+        left = memoryview(data)
+        while left:
+            left = left[os.write(self.number, left) :]
+
+    def sync(self) -> None:
+        os.fdatasync(self.number)
+
+    def close(self) -> None:
+        if self.number >= 0:
+            number, self.number = self.number, -1
+            os.close(number)
+
+
+class Appended(Protocol):
+    """What `Opened` does, for folders of tests."""
+
+    def write(self, data: bytes) -> None: ...
+
+    def sync(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Files(Protocol):
+    """What `Folder` does, for folders of tests. Every call may raise OSError."""
+
+    def names(self) -> list[str]: ...
+
+    def read(self, name: str) -> bytes: ...
+
+    def read_from(self, name: str, place: int, size: int) -> bytes: ...
+
+    def size(self, name: str) -> int: ...
+
+    def create(self, name: str) -> Appended: ...
+
+    def replace(self, name: str, data: bytes) -> None: ...
+
+    def remove(self, name: str) -> None: ...
+
+
+class Folder:
+    """A directory; with `lock` no other process may have it, until `close`.
+
+    Raises InUse if another process has it, OSError if it cannot be made.
+    """
+
+    def __init__(self, path: str, lock: bool = True) -> None:
+        self.path, self.number = Path(path), -1
+        if lock:
+            self.path.mkdir(parents=True, exist_ok=True)
+            self.number = os.open(self.path / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            try:
+                fcntl.flock(self.number, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except OSError:
+                os.close(self.number)
+                raise InUse(f"{path}: another process has this folder") from None
+
+    def close(self) -> None:
+        if self.number >= 0:
+            os.close(self.number)
+            self.number = -1
+
+    def names(self) -> list[str]:
+        return os.listdir(self.path)
+
+    def read(self, name: str) -> bytes:
+        return (self.path / name).read_bytes()
+
+    def read_from(self, name: str, place: int, size: int) -> bytes:
+        """At most `size` bytes from a place on."""
+        with (self.path / name).open("rb") as file:
+            return os.pread(file.fileno(), size, place)
+
+    def size(self, name: str) -> int:
+        return (self.path / name).stat().st_size
+
+    def create(self, name: str) -> Opened:
+        return Opened(str(self.path / name))
+
+    def replace(self, name: str, data: bytes) -> None:
+        """A small file's new contents, all or nothing."""
+        opened = Opened(str(self.path / f"{name}.new"))
+        try:
+            opened.write(data)
+        finally:
+            opened.close()
+        os.replace(self.path / f"{name}.new", self.path / name)
+
+    def rename(self, name: str, new: str) -> None:
+        os.replace(self.path / name, self.path / new)
+        number = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(number)
+        finally:
+            os.close(number)
+
+    def remove(self, name: str) -> None:
+        os.unlink(self.path / name)
