Send every final answer to syslog: transports, failover, a spool, names, sampling, the search

When a station says that bookmarks vanished after a match, operators search by station, class and request.

- `delivery.py` decides (no I/O): connecting, backoff, failover and going back, when a receiver counts as stalled, what has arrived, when the disk is used.
`spool.py` keeps messages on a disk in order, with shares of the bound by rank.
`sampling.py` thins refusals so that the factors add up.
`transports.py`: UDP, TCP with octet counting, TLS, local datagrams; TCP counts what the receiver's kernel has acknowledged (SIOCOUTQ).
- The node tells a `Witness` of each final answer; a refusal carries the decisions' reason.
Without `[syslog]` in the operator's file this is one test for None an answer.
- `coralvale answers search` and `summary` over lines, octet-counted captures, gzip and rotated sets.
- A gap is told as soon as nothing is on its way; it waited for the next message, so that the last gap of a quiet gateway was never told.

--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -24,6 +24,7 @@
     from coralvale.authorisation.service import Authorisers
     from coralvale.interface import Allowance
     from coralvale.operator import Operator
+    from coralvale.syslog.service import Sender
 
 log = logging.getLogger(__name__)
 
@@ -50,13 +51,25 @@
         log.error("keeping the old authorisers: %s", error)
 
 
+def reload_sender(sender: Sender, operator: str) -> None:
+    """SIGHUP: takes the receivers and names of the operator's file as it is now; a bad file changes nothing."""
+    from coralvale.operator import OperatorError, read_operator
+    from coralvale.syslog.service import SyslogError
+
+    try:
+        sender.reload(read_operator(operator).syslog)
+    except (OperatorError, SyslogError) as error:
+        log.error("keeping the old receivers: %s", error)
+
+
 async def serve(config: Config, path: str, operator: Operator | None = None, named: str = "") -> None:
     loop = asyncio.get_running_loop()
     clock = Clock()
     gate = authorise(config, operator, clock) if operator else None
     allowance = share(config, operator, clock) if operator else None
     recorder = record(config, operator, clock) if operator else None
-    node = Node(config, clock, allowance, gate, recorder, own_folder(config))
+    sender = tell(config, operator, clock) if operator else None
+    node = Node(config, clock, allowance, gate, recorder, own_folder(config), sender)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
 
@@ -64,6 +77,8 @@
         reload(node, path)
         if gate:
             reload_gate(gate, named)
+        if sender:
+            reload_sender(sender, named)
 
     loop.add_signal_handler(signal.SIGHUP, again)
     node.start()
@@ -72,6 +87,8 @@
     gc.freeze()
     await node.stopped
     node.close()
+    if sender:
+        await sender.finish()
 
 
 def own_folder(config: Config) -> Path | None:
@@ -116,6 +133,18 @@
         raise ConfigError(f"attempts: {error}") from None
 
 
+def tell(config: Config, operator: Operator, clock: Clock) -> Sender | None:
+    """Whoever sends final answers to syslog, if the operator's file names a receiver."""
+    if operator.syslog is None:
+        return None
+    from coralvale.syslog.service import Sender, SyslogError
+
+    try:
+        return Sender(operator.syslog, config, clock)
+    except SyslogError as error:
+        raise ConfigError(f"operator's file: {error}") from None
+
+
 def run(operator: str = "") -> int:
     """The gateway; `operator` names the operator's file, if one is given."""
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
--- a/coralvale/cli.py
+++ b/coralvale/cli.py
@@ -15,6 +15,12 @@
 
 EXTRAS = {"msgspec": "operator", "grpc": "control", "envoy": "control", "google": "control"}
 
+# Commands that only read what gateways wrote: each brings its own words.
+READERS = {
+    "attempts": ("coralvale.attempts.main", "What journals tell of attempts."),
+    "answers": ("coralvale.syslog.main", "What files of syslog messages tell of final answers."),
+}
+
 
 def parser() -> argparse.ArgumentParser:
     top = argparse.ArgumentParser(
@@ -35,6 +41,7 @@
     check.add_argument("--json", action="store_true", help="one JSON object: ok, file, error, tables")
 
     commands.add_parser("attempts", help="what journals tell of attempts that must not run twice")
+    commands.add_parser("answers", help="what files of syslog messages tell of final answers")
 
     demo = commands.add_parser("demo", help="a gateway between stand-ins, on loopback, for some seconds")
     demo.add_argument("--seconds", type=float, default=12.0, metavar="N", help="how long (12)")
@@ -44,13 +51,11 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    if arguments[:1] == ["attempts"]:
-        words = argparse.ArgumentParser(
-            prog="coralvale attempts", description="What journals tell of attempts."
-        )
-        attempts = importlib.import_module("coralvale.attempts.main")
-        attempts.add(words)
-        return int(attempts.run(words.parse_args(arguments[1:])))
+    if arguments and (told := READERS.get(arguments[0])):
+        words = argparse.ArgumentParser(prog=f"coralvale {arguments[0]}", description=told[1])
+        reader = importlib.import_module(told[0])
+        reader.add(words)
+        return int(reader.run(words.parse_args(arguments[1:])))
     asked = parser().parse_args(arguments)
     try:
         return _run(asked)
--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
@@ -316,8 +316,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
+    """`advice`: seconds after which to come back; `reason`: for logs, never for the client."""
+
     request: str
     advice: float = 0.0
+    reason: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -309,7 +309,7 @@
         if reason.startswith("quota"):  # another of the customer's gateways may have room, and in time
             wait = min(wait, self.settings.classes[request.cls].aim * SOON)
         advice = min(wait, self.settings.max_advice * self.settings.advice)
-        self.actions.append(api.Refuse(request.id, advice))
+        self.actions.append(api.Refuse(request.id, advice, reason))
 
     def _send(self, now: float, held: Held, host: Host) -> None:
         host.out[held.request.id, len(held.attempts)] = now
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -108,6 +108,28 @@
         """Makes durable what is on its way."""
 
 
+@dataclass(slots=True)
+class Final:
+    """A request's final answer, and how it came about. Times in seconds, `at` of Unix time."""
+
+    arrival: Arrival | None  # None: it was turned away before it was known what it is
+    fields: dict[bytes, bytes]  # the headers that it came with, by lower-case name; may be empty
+    target: bytes
+    at: float
+    status: int  # 499: the client had gone
+    reason: str  # the decisions' reason for a refusal, or why it was turned away
+    took: float
+    left: float  # of the client's time; below 0 if the answer was late
+    attempts: tuple[tuple[str, int, Outcome | None, float], ...]  # server, zone, outcome (None: out), delay
+    outcome: str = ""  # where it is not what the status tells
+
+
+class Witness(Protocol):
+    """Whoever is to be told of every final answer. It is called on the answer's path and must never wait."""
+
+    def answered(self, final: Final) -> None: ...
+
+
 class Held:
     """A request from its last byte until it is answered and no attempt is out."""
 
@@ -122,12 +144,14 @@
         "out",
         "ruling",
         "streaming",
+        "taken_at",
         "timer",
         "timed_out",
     )
 
-    def __init__(self, exchange: Exchange, arrival: Arrival, expires_at: float) -> None:
-        self.exchange, self.arrival, self.expires_at = exchange, arrival, expires_at
+    def __init__(self, exchange: Exchange, arrival: Arrival, taken_at: float, expires_at: float) -> None:
+        self.exchange, self.arrival = exchange, arrival
+        self.taken_at, self.expires_at = taken_at, expires_at
         self.attempts: list[Attempt] = []
         self.out = 0
         self.answered = self.maybe = self.timed_out = self.checking = self.streaming = False
@@ -151,7 +175,9 @@
         gate: Gate | None = None,
         recorder: Recorder | None = None,
         folder: Path | None = None,
+        witness: Witness | None = None,
     ) -> None:
+        self.witness = witness
         self.config, self.settings = config, config.settings
         self.clock = clock or Clock()
         self.loop = asyncio.get_running_loop()
@@ -395,22 +421,41 @@
         if held is None or held.answered:
             return
         if held.maybe and self.settings.classes[held.arrival.cls].repeat is not api.Repeat.SAFE:
-            self._finish(held, 504 if held.timed_out else 502)
+            self._finish(held, 504 if held.timed_out else 502, "given up")
         else:
-            self._finish(held, 503, retry_after=self.settings.max_advice)
+            self._finish(held, 503, "given up", retry_after=self.settings.max_advice)
         self.feed(api.Abandoned(held.arrival.id))
 
-    def _finish(self, held: Held, status: int, **answer: Any) -> None:  # noqa: ANN401
+    def _finish(self, held: Held, status: int, reason: str, outcome: str = "", **answer: Any) -> None:  # noqa: ANN401
         if not held.answered:
             held.answered = True
             held.exchange.reply(status, **answer)
             self.figures.ended(held.arrival.cls, status)
-            self._tell_answer(held, status)
+            self._tell_answer(held, status, reason, outcome)
             self._forget(held)
 
-    def _tell_answer(self, held: Held, status: int) -> None:
-        if self.recorder and held.attempts and self.recorder.records(held.arrival.cls):
+    def _tell_answer(self, held: Held, status: int, reason: str = "", outcome: str = "") -> None:
+        if self.recorder and held.attempts and status != 499 and self.recorder.records(held.arrival.cls):
             self.recorder.answered(held.arrival.id, status)
+        if self.witness:
+            now, arrival = self.clock.now(), held.arrival
+            took = now - held.taken_at
+            attempts = tuple(
+                [(a.server, a.zone, a.outcome, a.delay or now - a.sent_at) for a in held.attempts]
+            )
+            left = arrival.time_out - took
+            target = held.exchange.target
+            told = Final(arrival, {}, target, now, status, reason, took, left, attempts, outcome)
+            self.witness.answered(told)
+
+    def turned_away(self, exchange: Exchange, status: int, why: str, arrival: Arrival | None = None) -> None:
+        """A request was answered that the decisions have not seen."""
+        if self.witness:
+            left = arrival.time_out if arrival else 0.0
+            told = Final(
+                arrival, exchange.fields, exchange.target, self.clock.now(), status, why, 0.0, left, ()
+            )
+            self.witness.answered(told)
 
     def _forget(self, held: Held) -> None:
         if held.answered and held.checking and self.gate:
@@ -431,18 +476,20 @@
         if arrival.id in self.held:  # ids are new with every request; two under one cannot be told apart
             exchange.refuse(400, b"x-request-id: in use\n")
             self.figures.turned_away(arrival.cls, 400)
+            self.turned_away(exchange, 400, "x-request-id in use", arrival)
             return
         full = len(self.held) >= self.config.most_held
         if full or (self.recorder and self.recorder.refuses(arrival.cls)):
             exchange.reply(503, retry_after=self.settings.max_advice)
             self.figures.turned_away(arrival.cls, 503)
+            self.turned_away(exchange, 503, "too many held" if full else "not to be recorded", arrival)
             return
         now = self.clock.now()
         patience = min(arrival.time_out, self.settings.classes[arrival.cls].give_up)
         expires_at = now + max(0.0, patience - ANSWER_ROOM)
         if self.ends_at is not None:
             expires_at = min(expires_at, self.ends_at)
-        held = Held(exchange, arrival, expires_at)
+        held = Held(exchange, arrival, now, expires_at)
         exchange.held = held
         self.held[arrival.id] = held
         self.figures.taken()
@@ -467,12 +514,14 @@
         if held is not None and held.streaming:
             held.streaming = False
             self.figures.ended(held.arrival.cls, 499)
+            self._tell_answer(held, 499, "client left")
             for attempt in list(held.attempts):
                 if not attempt.ended:
                     self.upstreams.give_up(attempt, Outcome.CANCELLED)
         elif held is not None and not held.answered:
             held.answered = True
             self.figures.ended(held.arrival.cls, 499)
+            self._tell_answer(held, 499, "client left")
             self.feed(api.Abandoned(held.arrival.id))
             self._forget(held)
 
@@ -509,7 +558,7 @@
 
         done, begun = partial(self._done, held), partial(self._begun, held)
         attempt = Attempt(action.server, endpoint.address, payload, done, begun, number, now)
-        attempt.started_at = endpoint.server.started_at
+        attempt.started_at, attempt.zone = endpoint.server.started_at, endpoint.server.zone
         held.attempts.append(attempt)
         if until < held.expires_at - 0.001:
             attempt.timer = self.loop.call_later(
@@ -578,7 +627,7 @@
         else:
             held.exchange.abort()
         self.figures.ended(held.arrival.cls, 200 if whole else 502)
-        self._tell_answer(held, 200 if whole else 502)
+        self._tell_answer(held, 200 if whole else 502, "" if whole else "broke in the middle")
 
     def _done(self, held: Held, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
         """An attempt's one outcome; the first whole answer goes to the client at once."""
@@ -587,9 +636,9 @@
         held.timed_out = outcome is Outcome.TIMEOUT
         if self.recorder and self.recorder.records(held.arrival.cls):
             self.recorder.ended(held.arrival.id, attempt.number, outcome)
-        until = (
-            attempt.streamed_at or self.clock.now()
-        )  # what the client took to read is not the host's delay
+        # What the client took to read is not the host's delay.
+        attempt.delay = (attempt.streamed_at or self.clock.now()) - attempt.sent_at
+        attempt.outcome = outcome
         if attempt.sink and held.streaming:
             self._streamed(held, outcome is Outcome.OK)
         elif outcome is Outcome.OK and answer and not held.answered:
@@ -602,7 +651,7 @@
                 request=held.arrival.id,
                 attempt=attempt.number,
                 outcome=outcome,
-                delay=until - attempt.sent_at,
+                delay=attempt.delay,
                 finished=held.answered,
                 usage=answer.usage if answer and not attempt.sink else None,
                 report=answer.report if answer else (),
@@ -618,11 +667,11 @@
 
     def _refuse(self, action: api.Refuse) -> None:
         if held := self.held.get(action.request):
-            self._finish(held, 503, retry_after=action.advice)
+            self._finish(held, 503, action.reason, retry_after=action.advice)
 
     def _fail(self, action: api.Fail) -> None:
         if held := self.held.get(action.request):
-            self._finish(held, 504 if held.timed_out else 502)
+            self._finish(held, 504 if held.timed_out else 502, "failed")
 
     def _set_timer(self, action: api.SetTimer) -> None:
         self.delays[action.token] = action.delay
@@ -678,8 +727,9 @@
             ):
                 wait = self.settings.max_advice
             self._finish(
-                held, ruling.status, body=ruling.body, headers=list(ruling.headers), retry_after=wait
-            )
+                held, ruling.status, ruling.why, "denied",
+                body=ruling.body, headers=list(ruling.headers), retry_after=wait,
+            )  # fmt: skip
 
     # The list of hosts
 
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -199,6 +199,8 @@
 
     def client_left(self, exchange: Exchange) -> None: ...
 
+    def turned_away(self, exchange: Exchange, status: int, why: str) -> None: ...
+
 
 class Arrival:
     """The fields of a request that the decisions need."""
@@ -337,6 +339,7 @@
         exchange.close = True
         self.exchanges.append(exchange)
         exchange.reply(self.failed, retry_after=self.server.max_advice if self.failed == 503 else 0.0)
+        self.server.handler.turned_away(self.reading or exchange, self.failed, REASONS[self.failed].lower())
 
     def rest(self) -> None:
         """Notes that it stands idle, or does not: the longest idle is the first to make room."""
@@ -710,11 +713,13 @@
             if exchange.connection.surplus:
                 exchange.close = True
                 exchange.reply(503, retry_after=self.max_advice)
+                self.handler.turned_away(exchange, 503, "too many connections")
                 return
             try:
                 arrival = Arrival(self.names, exchange)
             except BadRequest as error:
                 exchange.refuse(400, f"{error}\n".encode())
+                self.handler.turned_away(exchange, 400, str(error))
                 return
             self.handler.take(exchange, arrival)
         elif path == b"/up" and exchange.method in (b"GET", b"HEAD"):
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -87,6 +87,9 @@
     broke: bool = False  # its connection had come up, and broke
     sink: Sink | None = None  # what takes its answer as it comes
     streamed_at: float = 0.0  # since when
+    zone: int = -1
+    outcome: Outcome | None = None  # once it has ended
+    delay: float = 0.0  # s, once it has ended
 
     @property
     def place(self) -> Place:
--- a/coralvale/operator/__init__.py
+++ b/coralvale/operator/__init__.py
@@ -12,6 +12,8 @@
     ControlTls,
     Operator,
     OperatorError,
+    Receiver,
+    Syslog,
 )
 from coralvale.operator.read import read_operator
 
@@ -27,5 +29,7 @@
     "ControlTls",
     "Operator",
     "OperatorError",
+    "Receiver",
+    "Syslog",
     "read_operator",
 ]
--- a/coralvale/operator/model.py
+++ b/coralvale/operator/model.py
@@ -142,6 +142,58 @@
     segment_bytes: Annotated[int, Meta(ge=4096)] = 4 * 1024 * 1024
 
 
+class Receiver(Table, frozen=True):
+    """`[[syslog.receivers]]`: one that messages go to."""
+
+    name: Annotated[str, Meta(pattern="^[a-z0-9][a-z0-9._-]{0,31}$")]  # in the log; of its part of the spool
+    target: Annotated[str, Meta(min_length=1, max_length=256)]  # address:port, or a path where it is local
+    transport: Literal["tcp", "tls", "udp", "local"] = "tcp"
+    ca: str = ""  # PEM files, for tls; empty: the system's authorities, no certificate of our own
+    certificate: str = ""
+    key: str = ""
+    server_name: str = ""  # that its certificate must have; empty: the address in `target`
+
+
+class Syslog(Table, frozen=True):
+    """`[syslog]`: every final answer as a message of RFC 5424."""
+
+    receivers: tuple[Receiver, ...]
+    mode: Literal["failover", "all"] = "failover"  # the first that is well, or each of them
+    hostname: Annotated[str, Meta(max_length=255)] = ""  # empty: the gateway's name in its configuration
+    enterprise: Annotated[str, Meta(pattern="^[0-9]{1,10}$")] = "32473"  # RFC 5612: the one for examples
+    facility: Annotated[int, Meta(ge=0, le=23)] = 16  # local0
+    synced: bool = False  # whether this machine's clock is kept by an outside source (RFC 5424, 7.1.2)
+    message_bytes: Annotated[int, Meta(ge=2048, le=60_000)] = 2048  # of a message; every receiver takes 2,048
+    queue_bytes: Annotated[int, Meta(ge=64 * 1024, le=1 << 30)] = 4 * 1024 * 1024  # for each stream
+    stall_s: Seconds = 30.0  # without anything taken, after which a receiver counts as gone
+    home_s: Seconds = 60.0  # after a failover, after which the first receiver is tried again
+    flush_s: Annotated[float, Meta(ge=0, le=60)] = 1.0  # at SIGTERM
+    spool: str = ""  # directory on a disk that outlives the process; empty: memory alone
+    spool_bytes: Annotated[int, Meta(ge=4 * 1024 * 1024)] = 256 * 1024 * 1024  # for each stream
+    names: str = ""  # file with the names of stations and programmes, read again at SIGHUP
+    sample_over: Annotated[int, Meta(ge=0, le=1_000_000)] = (
+        20  # refusals of a kind and second told one by one
+    )
+    sample_factor: Annotated[int, Meta(ge=1, le=100_000)] = 1  # beyond those, one in so many; 1: all
+
+    def check(self) -> None:
+        if not 1 <= len(self.receivers) <= 8:
+            raise ValueError("syslog.receivers: expected 1 to 8 tables")
+        names = [receiver.name for receiver in self.receivers]
+        for number, receiver in enumerate(self.receivers):
+            path = f"syslog.receivers[{number}]"
+            if names.index(receiver.name) != number:
+                raise ValueError(f"{path}.name: {receiver.name!r} is there already")
+            if receiver.transport != "local":
+                _address(f"{path}.target", receiver.target)
+            elif len(receiver.target.encode()) > 107:  # unix(7)
+                raise ValueError(f"{path}.target: expected a path of at most 107 bytes")
+            if bool(receiver.certificate) != bool(receiver.key):
+                raise ValueError(f"{path}: expected certificate and key together")
+            if receiver.transport != "tls" and (receiver.ca or receiver.key or receiver.server_name):
+                raise ValueError(f'{path}: ca, key and server_name are for transport = "tls"')
+
+
 class Operator(Table, frozen=True):
     """The whole file. A table that is not there is a subsystem that is off."""
 
@@ -149,10 +201,13 @@
     allowance: Allowance | None = None
     authorisation: tuple[Authoriser, ...] = ()
     attempts: Attempts | None = None
+    syslog: Syslog | None = None
 
     def check(self) -> None:
         if self.control:
             self.control.check()
+        if self.syslog:
+            self.syslog.check()
         names = [authoriser.name for authoriser in self.authorisation]
         for number, authoriser in enumerate(self.authorisation):
             path = f"authorisation[{number}]"
--- a/coralvale/syslog/messages.py
+++ b/coralvale/syslog/messages.py
@@ -13,8 +13,10 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
+from functools import lru_cache
 
 LEAST = 2048  # bytes that a receiver should take
 ENTERPRISE = "32473"  # the number that RFC 5612 keeps for examples; an installation has its own
@@ -29,7 +31,11 @@
     "request": 128,
     "gateway": 48,
     "reason": 48,
+    "outcome": 16,
+    "programme": 64,
 }
+LAST_SEQUENCE = 2147483647
+PLAIN = re.compile(r"[ !#-\[^-~]*")  # what is neither escaped nor replaced, and has one byte a character
 NODE = 64  # bytes of the names of node and zone
 BAD = "\ufffd"
 CONTROL = re.compile("[\x00-\x1f\x7f-\x9f\u2028\u2029\ud800-\udfff]")
@@ -70,6 +76,7 @@
     units: float = 1.0
     spread: int = 1
     attempts: tuple[Attempt, ...] = ()
+    programme: str = ""
     factor: int = 1  # answers that this one stands for, where refusals are sampled
 
 
@@ -101,83 +108,103 @@
     return text if len(data) <= most else data[:most].decode("utf-8", "ignore")
 
 
-def element(name: str, values: dict[str, str], bounds: dict[str, int]) -> str:
+def _param(key: str, text: str, most: int) -> tuple[str, str, str]:
+    """An SD-PARAM, and the key where something had to be replaced and where something had to be cut."""
+    if len(text) <= most and PLAIN.fullmatch(text):  # nearly all
+        return f'{key}="{text}"', "", ""
+    clean = CONTROL.sub(BAD, text)
+    kept = cut(clean, most)
+    escaped = ESCAPED.sub(lambda m: chr(92) + m[0], kept)
+    return f'{key}="{escaped}"', key if clean != text else "", key if kept != clean else ""
+
+
+_named = lru_cache(4096)(_param)  # for what comes again and again: names of stations, plans, classes, nodes
+
+
+def _element(name: str, params: list[tuple[str, str, str]], more: str = "") -> str:
     """An SD-ELEMENT; says by itself what it had to cut or replace."""
-    parts, replaced, short = [], [], []
-    for key, value in values.items():
-        clean = CONTROL.sub(BAD, value)
-        if clean != value:
-            replaced.append(key)
-        kept = cut(clean, bounds.get(key, 256))
-        if kept != clean:
-            short.append(key)
-        parts.append(f'{key}="{ESCAPED.sub(lambda m: chr(92) + m[0], kept)}"')
-    if replaced:
-        parts.append(f'replaced="{",".join(replaced)}"')
-    if short:
-        parts.append(f'cut="{",".join(short)}"')
-    return f"[{name} {' '.join(parts)}]"
+    told = " ".join([param for param, _, _ in params]) + more
+    if replaced := ",".join([key for _, key, _ in params if key]):
+        told += f' replaced="{replaced}"'
+    if short := ",".join([key for _, _, key in params if key]):
+        told += f' cut="{short}"'
+    return f"[{name} {told}]"
+
+
+@lru_cache(64)
+def _header(origin: Origin, outcome: str, severity: int) -> tuple[str, str]:
+    """What stands before and behind the time: the same in all messages of an origin and outcome."""
+    synced = f'[timeQuality tzKnown="1" isSynced="{int(origin.synced)}"]'
+    known = f'[origin software="coralvale" enterpriseId="{token(origin.enterprise, 12)}"]'
+    fields = f"{token(origin.hostname, 64)} {token(origin.app, 48)} {token(origin.process, 32)}"
+    return f"<{origin.facility * 8 + severity}>1 ", f" {fields} {token(outcome, 32)} {synced}{known}"
 
 
 def encode(answer: Answer, origin: Origin, limit: int = LEAST) -> bytes:
     """The message of an answer, of at most `limit` bytes. Raises ValueError for a limit under LEAST."""
     if limit < LEAST:
         raise ValueError(f"a limit of {limit} bytes, at least {LEAST}")
-    priority = origin.facility * 8 + SEVERITIES.get(answer.outcome, 5)
-    head = (
-        f"<{priority}>1 {stamp(answer.at)} {token(origin.hostname, 64)} {token(origin.app, 48)} "
-        f"{token(origin.process, 32)} {token(answer.outcome, 32)} "
+    priority, head = _header(origin, answer.outcome, SEVERITIES.get(answer.outcome, 5))
+    params = [
+        _named("station", answer.station, BOUNDS["station"]),
+        _named("stationId", answer.station_id, BOUNDS["stationId"]),
+        _named("plan", answer.plan, BOUNDS["plan"]),
+        _named("class", answer.cls, BOUNDS["class"]),
+        _param("request", answer.request, BOUNDS["request"]),
+        _named("gateway", origin.hostname, BOUNDS["gateway"]),
+        _named("outcome", answer.outcome, BOUNDS["outcome"]),
+        _named("reason", answer.reason, BOUNDS["reason"]),
+    ]
+    if answer.programme:
+        params.append(_named("programme", answer.programme, BOUNDS["programme"]))
+    numbers = (
+        f' status="{answer.status}" took="{answer.took:.6f}" left="{answer.left:.6f}" units="{answer.units:g}"'
+        f' spread="{answer.spread}" attempts="{len(answer.attempts)}"'
     )
-    synced = f'[timeQuality tzKnown="1" isSynced="{int(origin.synced)}"]'
-    known = f'[origin software="coralvale" enterpriseId="{token(origin.enterprise, 12)}"]'
-    meta = f'[meta sequenceId="{(answer.sequence - 1) % 2147483647 + 1}"]'  # 7.3.1: from 1, wraps to 1
-    values = {
-        "station": answer.station,
-        "stationId": answer.station_id,
-        "plan": answer.plan,
-        "class": answer.cls,
-        "request": answer.request,
-        "gateway": origin.hostname,
-        "outcome": answer.outcome,
-        "status": str(answer.status),
-        "reason": answer.reason,
-        "took": f"{answer.took:.6f}",
-        "left": f"{answer.left:.6f}",
-        "units": f"{answer.units:g}",
-        "spread": str(answer.spread),
-        "attempts": str(len(answer.attempts)),
-    }
     if answer.factor != 1:
-        values["factor"] = str(answer.factor)
-    text = f" {answer.outcome} {answer.status}"
-
-    def whole(told: str, left_out: int) -> bytes:
-        more = {"attemptsCut": str(left_out)} if left_out else {}
-        own = element(f"answer@{token(origin.enterprise, 12)}", values | more, BOUNDS | {"outcome": 16})
-        return f"{head}{synced}{known}{meta}{own}{told}{text}".encode()
-
-    room = limit - len(whole("", len(answer.attempts)))
-    kept: list[str] = []
-    for number in range(len(answer.attempts) - 1, -1, -1):
-        told = _attempt(number, answer.attempts[number], origin)
-        size = len(told.encode())
-        if size > room or len(kept) >= MOST_ATTEMPTS:
-            break
-        room -= size
-        kept.insert(0, told)
-    return whole("".join(kept), len(answer.attempts) - len(kept))
+        numbers += f' factor="{answer.factor}"'
+    # 7.3.1: sequenceId begins at 1 and goes on with 1 after its last value.
+    start = (
+        f'{priority}{stamp(answer.at)}{head}[meta sequenceId="{(answer.sequence - 1) % LAST_SEQUENCE + 1}"]'
+    )
+    first = max(0, len(answer.attempts) - MOST_ATTEMPTS)
+    told = [_attempt(n, answer.attempts[n], origin) for n in range(first, len(answer.attempts))]
+    while True:
+        left_out = len(answer.attempts) - len(told)
+        more = f'{numbers} attemptsCut="{left_out}"' if left_out else numbers
+        own = _element(f"answer@{_enterprise(origin)}", params, more)
+        text = f"{answer.outcome} {answer.status}"
+        data = f"{start}{own}{''.join(told)} {CONTROL.sub(BAD, text)}".encode()
+        if len(data) <= limit or not told:
+            return data
+        del told[0]
+
+
+def _enterprise(origin: Origin) -> str:
+    return token(origin.enterprise, 12)
 
 
 def _attempt(number: int, attempt: Attempt, origin: Origin) -> str:
-    values = {
-        "node": attempt.node,
-        "zone": attempt.zone,
-        "outcome": attempt.outcome,
-        "delay": f"{attempt.delay:.6f}",
-        "mayHaveRun": str(int(attempt.may_have_run)),
-    }
-    name = f"attempt{number}@{token(origin.enterprise, 12)}"
-    return element(name, values, {"node": NODE, "zone": NODE, "outcome": 32})
+    params = [
+        _named("node", attempt.node, NODE),
+        _named("zone", attempt.zone, NODE),
+        _named("outcome", attempt.outcome, 32),
+    ]
+    more = f' delay="{attempt.delay:.6f}" mayHaveRun="{int(attempt.may_have_run)}"'
+    return _element(f"attempt{number}@{_enterprise(origin)}", params, more)
+
+
+def encode_gap(
+    at: float, counts: Mapping[str, int], first: int, last: int, dropped: int, origin: Origin
+) -> bytes:
+    """The message that tells of answers that were dropped: how many of each outcome, between which sequence ids.
+
+    `dropped`: all since the start. It has no sequence id of its own, so that those of answers have no other gaps.
+    """
+    priority, head = _header(origin, "dropped", 4)
+    told = " ".join(f'{name}="{counts[name]}"' for name in sorted(counts) if name in SEVERITIES)
+    element = f'[dropped@{_enterprise(origin)} {told} first="{first}" last="{last}" sinceStart="{dropped}"]'
+    return f"{priority}{stamp(at)}{head}{element} dropped {sum(counts.values())}".encode()
 
 
 # The way back
--- a/coralvale/syslog/queue.py
+++ b/coralvale/syslog/queue.py
@@ -4,9 +4,9 @@
                      and denials (0), then failures and lost ones (1), then what was served (2). One that ranks
                      lower than all that waits is dropped itself. So a flood of refusals costs refusals.
   order              what is left goes out in the order in which it came.
-  gap                as soon as there is room again, a message says how many of each outcome were dropped since
-                     the last one that said so, and between which sequence ids. It is made when the queue is read,
-                     so that it takes no room while there is none.
+  gap                ahead of the next message, or as soon as nothing is on its way, a message says how many of
+                     each outcome were dropped since the last one that said so, and between which sequence ids.
+                     It is made when the queue is read, so that it takes no room while there is none.
   in flight          what was read is kept until `sent`; after `back` (the connection was lost) it goes out again,
                      the same bytes with the same sequence id. A receiver can tell the second by that id.
 
@@ -17,22 +17,35 @@
 
 from collections import Counter, OrderedDict, deque
 from dataclasses import dataclass, field
+from typing import Protocol
 
 RANKS = {"refused": 0, "denied": 0, "failed": 1, "lost": 1, "served": 2}
 OVERHEAD = 120  # bytes that a message takes beside its own
 
 
+class Told(Protocol):
+    """A message that is not encoded yet; `size` is what it takes at most, as it stands and encoded."""
+
+    size: int
+
+    def encode(self) -> bytes: ...
+
+
 @dataclass(frozen=True, slots=True)
 class Queued:
-    """An encoded message and what the rule needs of it."""
+    """A message and what the rule needs of it. It is encoded when it is sent."""
 
     sequence: int
     outcome: str
-    data: bytes
+    data: bytes | Told
+
+    @property
+    def length(self) -> int:
+        return len(self.data) if isinstance(self.data, bytes) else self.data.size
 
     @property
     def size(self) -> int:
-        return len(self.data) + OVERHEAD
+        return self.length + OVERHEAD
 
 
 @dataclass(slots=True)
@@ -62,6 +75,11 @@
         self.gap = Gap()
         self.dropped = self.done = 0
 
+    @property
+    def untold(self) -> bool:
+        """Whether something was dropped of which no gap has told yet."""
+        return bool(self.gap.counts)
+
     def put(self, message: Queued) -> bool:
         """Takes a message; whether it waits now. Sequence ids are new with every message."""
         rank = RANKS.get(message.outcome, 0)
@@ -90,25 +108,28 @@
     def read(self, most: int) -> tuple[Gap | None, list[Queued]]:
         """The gap that is to be told, if any, and the next batch: `most` bytes at most, one message at least."""
         gap, batch, size = None, list[Queued](), 0
-        if self.gap.counts and self.waiting:
+        if self.untold and (self.waiting or not self.flying):
             gap, self.gap = self.gap, Gap()
         while self.waiting:
             message = next(iter(self.waiting.values()))
-            if batch and size + len(message.data) > most:
+            if batch and size + message.length > most:
                 break
             self._take(message.sequence)
             self.bytes += message.size  # what flies takes its room still
             self.flying.append(message)
             batch.append(message)
-            size += len(message.data)
+            size += message.length
         return gap, batch
 
-    def sent(self, count: int) -> None:
-        """The oldest `count` messages in flight have gone."""
+    def sent(self, count: int, dropped: frozenset[int] = frozenset()) -> None:
+        """The oldest `count` messages in flight have gone, but for those of these sequence ids."""
         for _ in range(count):
             message = self.flying.popleft()
             self.bytes -= message.size
-            self.done += 1
+            if message.sequence in dropped:
+                self._drop(message)
+            else:
+                self.done += 1
 
     def back(self, gap: Gap | None = None) -> None:
         """The connection was lost: what flies waits again, ahead of all else; an untold gap is told again."""
@@ -123,9 +144,13 @@
             self.ranks[RANKS.get(message.outcome, 0)][message.sequence] = None
             self.bytes += message.size
         if gap:
-            self.gap.first = min(gap.first, self.gap.first) if self.gap.counts else gap.first
-            self.gap.last = max(gap.last, self.gap.last)
-            self.gap.counts += gap.counts
+            self.tell_again(gap)
+
+    def tell_again(self, gap: Gap) -> None:
+        """A gap that was read did not arrive: it is told again."""
+        self.gap.first = min(gap.first, self.gap.first) if self.gap.counts else gap.first
+        self.gap.last = max(gap.last, self.gap.last)
+        self.gap.counts += gap.counts
 
     def accounts(self) -> tuple[int, int, int]:
         """Messages that have gone, that wait or fly, and that were dropped."""
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -12,7 +12,15 @@
 import msgspec
 import pytest
 
-from coralvale.operator import Allowance, Control, Operator, OperatorError, read_operator
+from coralvale.operator import (
+    Allowance,
+    Control,
+    Operator,
+    OperatorError,
+    Receiver,
+    Syslog,
+    read_operator,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
 HEAVY = (
@@ -25,7 +33,9 @@
     "coralvale.attempts",
     "coralvale.authorisation",
     "coralvale.control",
+    "coralvale.disk",
     "coralvale.standins",
+    "coralvale.syslog",
 )
 
 
@@ -47,6 +57,14 @@
     for table in ("limits", "quotas"):
         kind = type(getattr(Control(service="x"), table))
         assert set(named["control"][table]) == set(kind.__struct_fields__)
+    for name, table, kind in (
+        ("syslog", named["syslog"], Syslog),
+        ("receivers", named["syslog"].pop("receivers")[0], Receiver),
+    ):
+        fields = {f.name: f.default for f in msgspec.structs.fields(kind) if f.name != "receivers"}
+        assert set(table) == set(fields), name
+        for key, default in fields.items():
+            assert table[key] == default or default is msgspec.NODEFAULT, key
     assert set(named["control"]["tls"]) == {"certificate", "key", "client_ca"}
 
 
@@ -64,6 +82,21 @@
         ("[control]\nservice = 'a'\nlisten = 'here'", "control.listen: expected address:port, got 'here'"),
         ("[control]\nservice = 'a'\nlisten = '0.0.0.0:1'", "control.listen: 0.0.0.0:1 is off loopback"),
         ("[control\n", "no TOML"),
+        ("[syslog]", "syslog: Object missing required field `receivers`"),
+        ("[syslog]\nreceivers = []", "syslog.receivers: expected 1 to 8 tables"),
+        (
+            "[[syslog.receivers]]\nname = 'a'\ntarget = 'x'",
+            "syslog.receivers[0].target: expected address:port",
+        ),
+        (
+            "[[syslog.receivers]]\nname = 'a'\ntarget = 'x:1'\nca = 'y'",
+            'syslog.receivers[0]: ca, key and server_name are for transport = "tls"',
+        ),
+        (
+            "[[syslog.receivers]]\nname = 'a'\ntarget = 'x:1'\n[[syslog.receivers]]\nname = 'a'\ntarget = 'x:1'",
+            "syslog.receivers[1].name: 'a' is there already",
+        ),
+        ("[[syslog.receivers]]\nname = '../a'\ntarget = 'x:1'", "syslog.receivers[0].name: Expected `str`"),
     ],
 )
 def test_a_mistake_is_told_by_file_key_and_what_was_expected(tmp_path: Path, text: str, told: str) -> None:
