Encode answers in a third of the time, search by bytes first, read files by lines

A gateway with a receiver paid 50 to 96 us a request more than one without, where 15 are wanted, and a search for a name outside of ASCII read 4 MB a second, since every message was decoded.

What many messages have in common is made once (64 us a message at the start, 14 after the first change, 10 now); writes gather answers for 0.1 s, as each costs as much as ten messages; a message's size is reckoned once. A parameter's pattern has no alternative a character (decoding 123 us, now 57), lines are split at once, and any name that a message holds as it is written is looked for as bytes.

--- a/coralvale/syslog/framing.py
+++ b/coralvale/syslog/framing.py
@@ -40,6 +40,14 @@
                     break
                 self.skipping, at = False, end + 1
                 continue
+            if buffer[at] == 60 and (last := buffer.rfind(b"\n", at)) > 0:  # lines, as long as they are
+                for line in buffer[at:last].split(b"\n"):
+                    if line[:1] != b"<":
+                        break
+                    at += len(line) + 1
+                    yield line.removesuffix(b"\r") if len(line) <= self.most else Bad(line[:80])
+                if at > last or buffer[at] == 60:
+                    continue
             if buffer[at] in DIGITS:
                 blank = buffer.find(b" ", at, at + 9)
                 if blank < 0 and len(buffer) - at < 9 and buffer[at:].isdigit():
--- a/coralvale/syslog/messages.py
+++ b/coralvale/syslog/messages.py
@@ -34,7 +34,8 @@
     "outcome": 16,
     "programme": 64,
 }
-LAST_SEQUENCE = 2147483647
+LAST = 2147483647  # sequence id
+WHO = ("station", "stationId", "plan", "class", "gateway", "outcome", "reason", "programme")
 PLAIN = re.compile(r"[ !#-\[^-~]*")  # what is neither escaped nor replaced, and has one byte a character
 NODE = 64  # bytes of the names of node and zone
 BAD = "\ufffd"
@@ -48,7 +49,7 @@
     """A line that is no message; the text says what and at which byte."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Attempt:
     node: str
     zone: str
@@ -57,7 +58,7 @@
     may_have_run: bool
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Answer:
     """A final answer. Times in seconds, `at` of Unix time; texts as they came, with any character."""
 
@@ -111,100 +112,120 @@
 def _param(key: str, text: str, most: int) -> tuple[str, str, str]:
     """An SD-PARAM, and the key where something had to be replaced and where something had to be cut."""
     if len(text) <= most and PLAIN.fullmatch(text):  # nearly all
-        return f'{key}="{text}"', "", ""
+        return f' {key}="{text}"', "", ""
     clean = CONTROL.sub(BAD, text)
     kept = cut(clean, most)
     escaped = ESCAPED.sub(lambda m: chr(92) + m[0], kept)
-    return f'{key}="{escaped}"', key if clean != text else "", key if kept != clean else ""
-
-
-_named = lru_cache(4096)(_param)  # for what comes again and again: names of stations, plans, classes, nodes
-
-
-def _element(name: str, params: list[tuple[str, str, str]], more: str = "") -> str:
-    """An SD-ELEMENT; says by itself what it had to cut or replace."""
-    told = " ".join([param for param, _, _ in params]) + more
-    if replaced := ",".join([key for _, key, _ in params if key]):
-        told += f' replaced="{replaced}"'
-    if short := ",".join([key for _, _, key in params if key]):
-        told += f' cut="{short}"'
-    return f"[{name} {told}]"
-
-
-@lru_cache(64)
-def _header(origin: Origin, outcome: str, severity: int) -> tuple[str, str]:
-    """What stands before and behind the time: the same in all messages of an origin and outcome."""
-    synced = f'[timeQuality tzKnown="1" isSynced="{int(origin.synced)}"]'
-    known = f'[origin software="coralvale" enterpriseId="{token(origin.enterprise, 12)}"]'
-    fields = f"{token(origin.hostname, 64)} {token(origin.app, 48)} {token(origin.process, 32)}"
-    return f"<{origin.facility * 8 + severity}>1 ", f" {fields} {token(outcome, 32)} {synced}{known}"
+    return f' {key}="{escaped}"', key if clean != text else "", key if kept != clean else ""
+
+
+def _params(*rows: tuple[str, str, int]) -> tuple[str, tuple[str, ...], tuple[str, ...]]:
+    """SD-PARAMs of keys, texts and bounds; the keys of those that were changed, and of those that were cut."""
+    made = [_param(*row) for row in rows]
+    replaced = tuple(key for _, key, _ in made if key)
+    return "".join([text for text, _, _ in made]), replaced, tuple(key for _, _, key in made if key)
+
+
+def _marks(replaced: tuple[str, ...], short: tuple[str, ...]) -> str:
+    """What an element says of what it had to cut or replace."""
+    told = f' replaced="{",".join(replaced)}"' if replaced else ""
+    return f'{told} cut="{",".join(short)}"' if short else told
+
+
+@lru_cache(8192)
+def _who(*texts: str) -> tuple[str, tuple[str, ...], tuple[str, ...]]:
+    """The part of `answer` that many messages have in common, in the order of WHO."""
+    rows = zip(WHO, texts, strict=True)
+    return _params(*[(key, text, BOUNDS[key]) for key, text in rows if text or key != "programme"])
+
+
+@lru_cache(8192)
+def _attempt(number: int, enterprise: str, node: str, zone: str, outcome: str, may_have_run: bool) -> str:
+    """An element of an attempt but for its delay and its end."""
+    text, *marks = _params(("node", node, NODE), ("zone", zone, NODE), ("outcome", outcome, 32))
+    return f'[attempt{number}@{enterprise}{text} mayHaveRun="{int(may_have_run)}"{_marks(*marks)} delay="'
+
+
+class Encoder:
+    """Makes the messages of one sender, of at most `limit` bytes. Raises ValueError for a limit under LEAST."""
+
+    def __init__(self, origin: Origin, limit: int = LEAST) -> None:
+        if limit < LEAST:
+            raise ValueError(f"a limit of {limit} bytes, at least {LEAST}")
+        self.origin, self.limit = origin, limit
+        self.enterprise = token(origin.enterprise, 12)
+        self.fields = f"{token(origin.hostname, 64)} {token(origin.app, 48)} {token(origin.process, 32)}"
+        self.known = (
+            f'[timeQuality tzKnown="1" isSynced="{int(origin.synced)}"]'
+            f'[origin software="coralvale" enterpriseId="{self.enterprise}"]'
+        )
+        self.heads = {outcome: self._head(outcome, severity) for outcome, severity in SEVERITIES.items()}
+        self.second, self.stamp = -1, ""
+
+    def _head(self, kind: str, severity: int) -> tuple[str, str]:
+        """What stands before and behind the time."""
+        return f"<{self.origin.facility * 8 + severity}>1 ", f" {self.fields} {token(kind, 32)} {self.known}"
+
+    def _time(self, at: float) -> str:
+        """RFC 3339 with microseconds and an offset (section 6.2.3); a second's text is made once."""
+        micros = round(at * 1e6)
+        second = micros // 1_000_000
+        if second != self.second:
+            self.second, self.stamp = second, stamp(second)[:19]
+        return f"{self.stamp}.{micros - second * 1_000_000:06d}+00:00"
+
+    def encode(self, answer: Answer) -> bytes:
+        """The message of an answer."""
+        outcome, attempts = answer.outcome, answer.attempts
+        priority, head = self.heads.get(outcome) or self._head(outcome, 5)
+        who, replaced, short = _who(
+            answer.station, answer.station_id, answer.plan, answer.cls, self.origin.hostname, outcome,
+            answer.reason, answer.programme,
+        )  # fmt: skip
+        request, request_replaced, request_cut = _param("request", answer.request, BOUNDS["request"])
+        if request_replaced:
+            replaced = (*replaced, "request")
+        if request_cut:
+            short = (*short, "request")
+        # 7.3.1: sequenceId begins at 1 and goes on with 1 after its last value.
+        own = (
+            f'{priority}{self._time(answer.at)}{head}[meta sequenceId="{(answer.sequence - 1) % LAST + 1}"]'
+            f'[answer@{self.enterprise}{who}{request} status="{answer.status}" took="{answer.took:.6f}"'
+            f' left="{answer.left:.6f}" units="{answer.units:g}" spread="{answer.spread}"'
+            f' attempts="{len(attempts)}"'
+        )
+        if answer.factor != 1:
+            own += f' factor="{answer.factor}"'
+        if replaced or short:
+            own += _marks(replaced, short)
+        first = max(0, len(attempts) - MOST_ATTEMPTS)
+        told = [
+            f'{_attempt(n, self.enterprise, a.node, a.zone, a.outcome, a.may_have_run)}{a.delay:.6f}"]'
+            for n, a in enumerate(attempts[first:], first)
+        ]
+        text = f"{token(outcome, 32)} {answer.status}"
+        while True:
+            left_out = f' attemptsCut="{len(attempts) - len(told)}"' if len(told) < len(attempts) else ""
+            data = f"{own}{left_out}]{''.join(told)} {text}".encode()
+            if len(data) <= self.limit or not told:
+                return data
+            del told[0]
+
+    def gap(self, at: float, counts: Mapping[str, int], first: int, last: int, dropped: int) -> bytes:
+        """The message of answers that were dropped: how many of each outcome, between which sequence ids.
+
+        `dropped`: all since the start. It has no sequence id of its own, so that those of answers have no other
+        gaps.
+        """
+        priority, head = self._head("dropped", 4)
+        told = " ".join(f'{name}="{counts[name]}"' for name in sorted(counts) if name in SEVERITIES)
+        own = f'[dropped@{self.enterprise} {told} first="{first}" last="{last}" sinceStart="{dropped}"]'
+        return f"{priority}{self._time(at)}{head}{own} dropped {sum(counts.values())}".encode()
 
 
 def encode(answer: Answer, origin: Origin, limit: int = LEAST) -> bytes:
-    """The message of an answer, of at most `limit` bytes. Raises ValueError for a limit under LEAST."""
-    if limit < LEAST:
-        raise ValueError(f"a limit of {limit} bytes, at least {LEAST}")
-    priority, head = _header(origin, answer.outcome, SEVERITIES.get(answer.outcome, 5))
-    params = [
-        _named("station", answer.station, BOUNDS["station"]),
-        _named("stationId", answer.station_id, BOUNDS["stationId"]),
-        _named("plan", answer.plan, BOUNDS["plan"]),
-        _named("class", answer.cls, BOUNDS["class"]),
-        _param("request", answer.request, BOUNDS["request"]),
-        _named("gateway", origin.hostname, BOUNDS["gateway"]),
-        _named("outcome", answer.outcome, BOUNDS["outcome"]),
-        _named("reason", answer.reason, BOUNDS["reason"]),
-    ]
-    if answer.programme:
-        params.append(_named("programme", answer.programme, BOUNDS["programme"]))
-    numbers = (
-        f' status="{answer.status}" took="{answer.took:.6f}" left="{answer.left:.6f}" units="{answer.units:g}"'
-        f' spread="{answer.spread}" attempts="{len(answer.attempts)}"'
-    )
-    if answer.factor != 1:
-        numbers += f' factor="{answer.factor}"'
-    # 7.3.1: sequenceId begins at 1 and goes on with 1 after its last value.
-    start = (
-        f'{priority}{stamp(answer.at)}{head}[meta sequenceId="{(answer.sequence - 1) % LAST_SEQUENCE + 1}"]'
-    )
-    first = max(0, len(answer.attempts) - MOST_ATTEMPTS)
-    told = [_attempt(n, answer.attempts[n], origin) for n in range(first, len(answer.attempts))]
-    while True:
-        left_out = len(answer.attempts) - len(told)
-        more = f'{numbers} attemptsCut="{left_out}"' if left_out else numbers
-        own = _element(f"answer@{_enterprise(origin)}", params, more)
-        text = f"{answer.outcome} {answer.status}"
-        data = f"{start}{own}{''.join(told)} {CONTROL.sub(BAD, text)}".encode()
-        if len(data) <= limit or not told:
-            return data
-        del told[0]
-
-
-def _enterprise(origin: Origin) -> str:
-    return token(origin.enterprise, 12)
-
-
-def _attempt(number: int, attempt: Attempt, origin: Origin) -> str:
-    params = [
-        _named("node", attempt.node, NODE),
-        _named("zone", attempt.zone, NODE),
-        _named("outcome", attempt.outcome, 32),
-    ]
-    more = f' delay="{attempt.delay:.6f}" mayHaveRun="{int(attempt.may_have_run)}"'
-    return _element(f"attempt{number}@{_enterprise(origin)}", params, more)
-
-
-def encode_gap(
-    at: float, counts: Mapping[str, int], first: int, last: int, dropped: int, origin: Origin
-) -> bytes:
-    """The message that tells of answers that were dropped: how many of each outcome, between which sequence ids.
-
-    `dropped`: all since the start. It has no sequence id of its own, so that those of answers have no other gaps.
-    """
-    priority, head = _header(origin, "dropped", 4)
-    told = " ".join(f'{name}="{counts[name]}"' for name in sorted(counts) if name in SEVERITIES)
-    element = f'[dropped@{_enterprise(origin)} {told} first="{first}" last="{last}" sinceStart="{dropped}"]'
-    return f"{priority}{stamp(at)}{head}{element} dropped {sum(counts.values())}".encode()
+    """One message. Raises ValueError for a limit under LEAST."""
+    return Encoder(origin, limit).encode(answer)
 
 
 # The way back
@@ -232,7 +253,7 @@
 NAME = rb"[!#-<>-\\^-~]{1,32}"
 OPEN, PARAM = (
     re.compile(rb"\[(" + NAME + rb")"),
-    re.compile(rb" (" + NAME + rb')="((?:[^"\\\]]|\\.)*)"', re.S),
+    re.compile(rb" (" + NAME + rb')="([^"\\\]]*(?:\\.[^"\\\]]*)*)"', re.S),
 )
 UNESCAPE = re.compile(r'\\([\\"\]])')
 
@@ -274,7 +295,7 @@
                 value = param[2].decode()
             except UnicodeDecodeError:
                 raise BadMessage(f"no UTF-8 at byte {param.start(2)}") from None
-            values[param[1].decode()] = UNESCAPE.sub(r"\1", value)
+            values[param[1].decode()] = UNESCAPE.sub(r"\1", value) if "\\" in value else value
             place = param.end()
         if data[place : place + 1] != b"]":
             raise BadMessage(f"no end of {name} at byte {place}")
--- a/coralvale/syslog/queue.py
+++ b/coralvale/syslog/queue.py
@@ -31,21 +31,18 @@
     def encode(self) -> bytes: ...
 
 
-@dataclass(frozen=True, slots=True)
 class Queued:
-    """A message and what the rule needs of it. It is encoded when it is sent."""
+    """A message and what the rule needs of it. It is encoded when it is sent.
 
-    sequence: int
-    outcome: str
-    data: bytes | Told
+    `length`: bytes that it takes when it is sent, at most; `size`: those that it takes in the queue.
+    """
 
-    @property
-    def length(self) -> int:
-        return len(self.data) if isinstance(self.data, bytes) else self.data.size
+    __slots__ = ("data", "length", "outcome", "rank", "sequence", "size")
 
-    @property
-    def size(self) -> int:
-        return self.length + OVERHEAD
+    def __init__(self, sequence: int, outcome: str, data: bytes | Told) -> None:
+        self.sequence, self.outcome, self.data = sequence, outcome, data
+        self.length = len(data) if isinstance(data, bytes) else data.size
+        self.size, self.rank = self.length + OVERHEAD, RANKS.get(outcome, 0)
 
 
 @dataclass(slots=True)
@@ -82,7 +79,7 @@
 
     def put(self, message: Queued) -> bool:
         """Takes a message; whether it waits now. Sequence ids are new with every message."""
-        rank = RANKS.get(message.outcome, 0)
+        rank = message.rank
         while self.bytes + message.size > self.most:
             lowest = next((r for r in range(rank + 1) if self.ranks[r]), None)
             if lowest is None:
@@ -97,7 +94,7 @@
 
     def _take(self, sequence: int) -> Queued:
         message = self.waiting.pop(sequence)
-        del self.ranks[RANKS.get(message.outcome, 0)][sequence]
+        del self.ranks[message.rank][sequence]
         self.bytes -= message.size
         return message
 
@@ -141,7 +138,7 @@
         self.bytes = 0
         for message in [*flying, *rest]:
             self.waiting[message.sequence] = message
-            self.ranks[RANKS.get(message.outcome, 0)][message.sequence] = None
+            self.ranks[message.rank][message.sequence] = None
             self.bytes += message.size
         if gap:
             self.tell_again(gap)
--- a/coralvale/syslog/search.py
+++ b/coralvale/syslog/search.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from coralvale.syslog.framing import Bad
-from coralvale.syslog.messages import BOUNDS, ESCAPED, NODE, PLAIN, SEVERITIES, BadMessage, Message, decode
+from coralvale.syslog.messages import BOUNDS, CONTROL, ESCAPED, NODE, SEVERITIES, BadMessage, Message, decode
 
 ROWS = 100_000  # rows of a summary; what comes beyond is put together as OTHERS
 OTHERS = "(others)"
@@ -139,7 +139,8 @@
         found = []
         for key, value in asked:
             bound = BOUNDS.get(key, NODE)
-            if value and len(value) <= bound and PLAIN.fullmatch(value):
+            # As it stands in a message, unless it had to be cut or replaced there.
+            if value and len(value.encode("utf-8", "replace")) <= bound and not CONTROL.search(value):
                 escaped = ESCAPED.sub(lambda m: "\\" + m[0], value)
                 found.append((f'{key}="{escaped}"' if key else f'="{escaped}"').encode())
         return found
--- a/coralvale/syslog/service.py
+++ b/coralvale/syslog/service.py
@@ -28,14 +28,14 @@
 from coralvale.syslog import delivery as rules
 from coralvale.syslog import names as tables
 from coralvale.syslog.delivery import Delivery, Limits
-from coralvale.syslog.messages import Answer, Attempt, Origin, encode, encode_gap
-from coralvale.syslog.queue import RANKS, Gap, Queued
+from coralvale.syslog.messages import Answer, Attempt, Encoder, Origin
+from coralvale.syslog.queue import Gap, Queued
 from coralvale.syslog.sampling import Sampler
 from coralvale.syslog.spool import Spool
 from coralvale.syslog.transports import Datagrams, Stream, Told, Way, context, reason
 
 log = logging.getLogger(__name__)
-GATHER = 0.01  # s in which answers are gathered for one write
+GATHER = 0.1  # s in which answers are gathered for one write: each write costs as much as ten messages
 NEXT = 0.001  # s between two writes while there is more: answers go between them
 TICK = 0.25  # s between looks at what is overdue
 WEIGHT = 900  # bytes that an answer takes beside its texts, as an object and encoded
@@ -77,10 +77,11 @@
         settings = config.settings
         self.classes = [cls.name for cls in settings.classes]
         self.plans = [plan.name for plan in settings.plans]
-        self.origin = Origin(
+        origin = Origin(
             table.hostname or config.name, "coralvale", str(os.getpid()), table.enterprise, table.facility,
             table.synced,
         )  # fmt: skip
+        self.encoder = Encoder(origin, table.message_bytes)
         try:
             self.names = tables.read(table.names)
         except tables.NamesError as error:
@@ -137,10 +138,10 @@
             final.outcome or outcome_of(final.status), final.status, final.reason, final.took, final.left, units,
             spread, attempts, names.programmes.get(target, ""), lazy.factor,
         )  # fmt: skip
-        return encode(answer, self.origin, self.table.message_bytes)
+        return self.encoder.encode(answer)
 
     def gap(self, gap: Gap, dropped: int) -> bytes:
-        return encode_gap(self.clock.now(), gap.counts, gap.first, gap.last, dropped, self.origin)
+        return self.encoder.gap(self.clock.now(), gap.counts, gap.first, gap.last, dropped)
 
     # Its life
 
@@ -336,9 +337,7 @@
     def _store(self, action: rules.Store) -> None:
         rows = []
         for message in action.messages:
-            rank, sequence = (2, 0) if isinstance(message, Gap) else (
-                RANKS.get(message.outcome, 0), message.sequence
-            )  # fmt: skip
+            rank, sequence = (2, 0) if isinstance(message, Gap) else (message.rank, message.sequence)
             rows.append((rank, sequence, self._one(message)))
         self._disk("append", rows)
 
--- a/tests/syslog/test_messages.py
+++ b/tests/syslog/test_messages.py
@@ -105,9 +105,9 @@
         b"<132>1 2026-12-01T10:30:00.123456+00:00 gateway-1 coralvale 77 failed "
         b'[timeQuality tzKnown="1" isSynced="1"][origin software="coralvale" enterpriseId="32473"]'
         b'[meta sequenceId="5"][answer@32473 station="Radio \\"Ceibo\\" [AM\\]" stationId="0000000000000101" '
-        b'plan="basico" class="bookmark-add" request="r1" gateway="gateway-1" outcome="failed" reason="" '
+        b'plan="basico" class="bookmark-add" gateway="gateway-1" outcome="failed" reason="" request="r1" '
         b'status="502" took="0.250000" left="1.500000" units="1" spread="3" attempts="1"]'
-        b'[attempt0@32473 node="s-1" zone="a" outcome="reset" delay="0.200000" mayHaveRun="1"] failed 502'
+        b'[attempt0@32473 node="s-1" zone="a" outcome="reset" mayHaveRun="1" delay="0.200000"] failed 502'
     )
 
 
