--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	python benchmarks/quotas.py $(ARGS)
 	python benchmarks/authorisation.py $(ARGS)
 	python benchmarks/attempts.py $(ARGS)
+	python benchmarks/syslog.py $(ARGS)
 
 $(VENV)/made: requirements.txt requirements-control.txt requirements-dev.txt
 	rm -rf $(VENV)
--- a/benchmarks/syslog.py
+++ b/benchmarks/syslog.py
@@ -160,7 +160,7 @@
         elif state == "gone":
             receiver.stop()
         used, asked, delays = [0.0, 0.0], [0, 0], [list[float](), list[float]()]
-        for second in range(max(2, int(seconds))):
+        for second in range(max(4, int(seconds))):
             for n, gateway in enumerate(pair) if second % 2 else reversed(list(enumerate(pair))):
                 before = cpu(gateway.process)
                 count, took = await ask(gateway, 1.0, 8, 100)
--- /dev/null
+++ b/coralvale/ledger/__init__.py
@@ -0,0 +1,4 @@
+"""A ledger for billing: use by station, plan, class and period, exported once and only once.
+
+`model` has the records, `book` and `export` decide, `log` keeps what happened on a disk.
+"""
--- a/coralvale/standins/receivers.py
+++ b/coralvale/standins/receivers.py
@@ -45,6 +45,7 @@
         self.server.close()
         for writer in self.writers:
             writer.transport.abort()
+        self.turn("read")  # whoever waits in a stall comes to its end
 
     def turn(self, mode: str) -> None:
         """Another mode, from now on."""
--- a/coralvale/syslog/__init__.py
+++ b/coralvale/syslog/__init__.py
@@ -1,5 +1,6 @@
 """Final answers as syslog messages (RFC 5424).
 
-`messages` writes and reads them, `queue` holds what waits for a receiver; neither does I/O. Transports, the
-spool, the hook in the node and the search are still to come.
+`messages` writes and reads them, `queue`, `delivery`, `spool`, `framing` and `sampling` decide what becomes
+of them, `search` what is asked of files of them; none of these opens a socket or asks the time.
+`transports`, `service` and `main` carry out.
 """
--- a/coralvale/syslog/delivery.py
+++ b/coralvale/syslog/delivery.py
@@ -60,7 +60,7 @@
 
     queue: int = 4 * 1024 * 1024
     batch: int = 16 * 1024  # of one step: encoding it takes under half a millisecond
-    window: int = 256 * 1024  # or a quarter of the queue, if that is less
+    window: int = 1024 * 1024  # or a quarter of the queue, if that is less
     first_pause: float = 0.25
     most_pause: float = 30.0
     patience: float = 5.0
--- a/coralvale/syslog/messages.py
+++ b/coralvale/syslog/messages.py
@@ -162,9 +162,10 @@
         self.heads = {outcome: self._head(outcome, severity) for outcome, severity in SEVERITIES.items()}
         self.second, self.stamp = -1, ""
 
-    def _head(self, kind: str, severity: int) -> tuple[str, str]:
-        """What stands before and behind the time."""
-        return f"<{self.origin.facility * 8 + severity}>1 ", f" {self.fields} {token(kind, 32)} {self.known}"
+    def _head(self, kind: str, severity: int) -> tuple[str, str, str]:
+        """What stands before the time, behind it, and in the text."""
+        word = token(kind, 32)
+        return f"<{self.origin.facility * 8 + severity}>1 ", f" {self.fields} {word} {self.known}", word
 
     def _time(self, at: float) -> str:
         """RFC 3339 with microseconds and an offset (section 6.2.3); a second's text is made once."""
@@ -177,7 +178,7 @@
     def encode(self, answer: Answer) -> bytes:
         """The message of an answer."""
         outcome, attempts = answer.outcome, answer.attempts
-        priority, head = self.heads.get(outcome) or self._head(outcome, 5)
+        priority, head, word = self.heads.get(outcome) or self._head(outcome, 5)
         who, replaced, short = _who(
             answer.station, answer.station_id, answer.plan, answer.cls, self.origin.hostname, outcome,
             answer.reason, answer.programme,
@@ -203,10 +204,9 @@
             f'{_attempt(n, self.enterprise, a.node, a.zone, a.outcome, a.may_have_run)}{a.delay:.6f}"]'
             for n, a in enumerate(attempts[first:], first)
         ]
-        text = f"{token(outcome, 32)} {answer.status}"
         while True:
             left_out = f' attemptsCut="{len(attempts) - len(told)}"' if len(told) < len(attempts) else ""
-            data = f"{own}{left_out}]{''.join(told)} {text}".encode()
+            data = f"{own}{left_out}]{''.join(told)} {word} {answer.status}".encode()
             if len(data) <= self.limit or not told:
                 return data
             del told[0]
@@ -217,7 +217,7 @@
         `dropped`: all since the start. It has no sequence id of its own, so that those of answers have no other
         gaps.
         """
-        priority, head = self._head("dropped", 4)
+        priority, head, _ = self._head("dropped", 4)
         told = " ".join(f'{name}="{counts[name]}"' for name in sorted(counts) if name in SEVERITIES)
         own = f'[dropped@{self.enterprise} {told} first="{first}" last="{last}" sinceStart="{dropped}"]'
         return f"{priority}{self._time(at)}{head}{own} dropped {sum(counts.values())}".encode()
--- a/coralvale/syslog/queue.py
+++ b/coralvale/syslog/queue.py
@@ -24,9 +24,10 @@
 
 
 class Told(Protocol):
-    """A message that is not encoded yet; `size` is what it takes at most, as it stands and encoded."""
+    """A message that is not encoded yet: bytes that it takes in memory, and when it is sent, about."""
 
     size: int
+    length: int
 
     def encode(self) -> bytes: ...
 
@@ -41,8 +42,11 @@
 
     def __init__(self, sequence: int, outcome: str, data: bytes | Told) -> None:
         self.sequence, self.outcome, self.data = sequence, outcome, data
-        self.length = len(data) if isinstance(data, bytes) else data.size
-        self.size, self.rank = self.length + OVERHEAD, RANKS.get(outcome, 0)
+        if isinstance(data, bytes):
+            self.length, self.size = len(data), len(data) + OVERHEAD
+        else:
+            self.length, self.size = data.length, data.size
+        self.rank = RANKS.get(outcome, 0)
 
 
 @dataclass(slots=True)
--- a/coralvale/syslog/service.py
+++ b/coralvale/syslog/service.py
@@ -21,6 +21,7 @@
 from typing import Any
 
 from coralvale.disk import Folder, InUse
+from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
 from coralvale.net.config import Config
 from coralvale.net.node import NOT_RUN, Final
@@ -38,7 +39,11 @@
 GATHER = 0.1  # s in which answers are gathered for one write: each write costs as much as ten messages
 NEXT = 0.001  # s between two writes while there is more: answers go between them
 TICK = 0.25  # s between looks at what is overdue
-WEIGHT = 900  # bytes that an answer takes beside its texts, as an object and encoded
+LENGTH, ATTEMPT = 450, 110  # bytes of a message and of each attempt in it, about
+OBJECTS, OBJECT = 700, 200  # bytes that they take as objects
+
+
+OUTCOMES: dict[Outcome | None, str] = {None: "out", **{outcome: outcome.value for outcome in Outcome}}
 
 
 class SyslogError(ValueError):
@@ -48,11 +53,12 @@
 class Lazy:
     """An answer that is encoded when it is first sent."""
 
-    __slots__ = ("data", "factor", "final", "sender", "sequence", "size")
+    __slots__ = ("data", "factor", "final", "length", "sender", "sequence", "size")
 
     def __init__(self, sender: Sender, final: Final, sequence: int, factor: int) -> None:
         self.sender, self.final, self.sequence, self.factor = sender, final, sequence, factor
-        self.size = WEIGHT + 300 * len(final.attempts)
+        self.length = LENGTH + ATTEMPT * len(final.attempts)
+        self.size = self.length + OBJECTS + OBJECT * len(final.attempts)
         self.data = b""
 
     def encode(self) -> bytes:
@@ -111,7 +117,10 @@
     def encode(self, lazy: Lazy) -> bytes:
         final, names, zones = lazy.final, self.names, self.config.zones
         arrival, fields = final.arrival, final.fields
-        target = final.target.partition(b"?")[0].decode("utf-8", "surrogateescape")
+        programme = ""
+        if names.programmes:
+            target = final.target.partition(b"?")[0].decode("utf-8", "surrogateescape")
+            programme = names.programmes.get(target, "")
         if arrival:
             station, request = f"{arrival.customer:016x}", arrival.id
             plan, cls = self.plans[arrival.plan], self.classes[arrival.cls]
@@ -127,7 +136,7 @@
             Attempt(
                 server,
                 zones[zone] if 0 <= zone < len(zones) else "",
-                outcome.value if outcome else "out",
+                OUTCOMES[outcome],
                 delay,
                 outcome not in NOT_RUN,
             )
@@ -136,7 +145,7 @@
         answer = Answer(
             final.at, lazy.sequence, names.stations.get(station, ""), station, plan, cls, request,
             final.outcome or outcome_of(final.status), final.status, final.reason, final.took, final.left, units,
-            spread, attempts, names.programmes.get(target, ""), lazy.factor,
+            spread, attempts, programme, lazy.factor,
         )  # fmt: skip
         return self.encoder.encode(answer)
 
--- a/coralvale/syslog/transports.py
+++ b/coralvale/syslog/transports.py
@@ -25,7 +25,7 @@
 
 from coralvale.syslog.framing import Arrivals, frame
 
-LOOK = 0.1  # s between looks at what has arrived, while something is out
+LOOK = 0.05  # s between looks at what has arrived, while something is out
 SELDOM = 0.25  # the same, after it has not moved for a while
 DATAGRAM = 65_507  # bytes of a datagram by UDP over IPv4 (RFC 5426, section 3.2)
 
