Record a try when it first leaves, not when it is first ordered; take a ledger's period from itself

A try whose first server was no longer listed was recorded by its number of attempts, which had moved on by the time that one left: it was never opened, and so never billed. The node keeps whether the ledger knows a request. A ledger holds its period, a start with another is refused, and the commands read it there: with the wrong one `export` would have sealed periods that never were.

--- a/coralvale/ledger/log.py
+++ b/coralvale/ledger/log.py
@@ -118,13 +118,19 @@
     return json.loads(payload), found
 
 
-def load(files: Files, terms: Terms) -> tuple[str, Book] | None:
-    """The name and the book of the ledger in `files`; None if there is none. Raises LedgerError, OSError."""
+def load(files: Files, terms: Terms | None = None) -> tuple[str, Book] | None:
+    """The name and the book of the ledger in `files`; None if there is none. Raises LedgerError, OSError.
+
+    Without `terms` it is read by its own period, and all that is over is due.
+    """
     for name in reversed(segments(files.names())):
         if (read := read_segment(name, files.read(name))) is None:
             continue  # the process was gone before it was whole: the one before it has all
         snapshot, records = read
-        book = Book.restore(terms, snapshot["book"])
+        period = float(snapshot["period"])
+        if terms and terms.period != period:
+            raise LedgerError(f"{name}: its period is {period:g} s, not {terms.period:g}")
+        book = Book.restore(terms or Terms(period, 0.0, 0.0, 0.0), snapshot["book"])
         for number, record in enumerate(records):
             try:
                 book.apply(record)
@@ -135,7 +141,7 @@
 
 
 class Log:
-    """A ledger that is written to. `new` makes the name of a ledger that begins here.
+    """A ledger that is written to. `new` makes the name of a ledger that begins here; its period is for good.
 
     Raises LedgerError, or OSError where the files do. An OSError of `write` leaves book and disk as they were.
     """
@@ -153,7 +159,8 @@
 
     def _begin(self) -> None:
         """A new segment, with all that is so far."""
-        told = json.dumps({"ledger": self.ledger, "book": self.book.snapshot()}, separators=(",", ":"))
+        state = {"ledger": self.ledger, "period": self.book.terms.period, "book": self.book.snapshot()}
+        told = json.dumps(state, separators=(",", ":"))
         data = disk.frame(told.encode())
         size = max(self.segment, 2 * (len(HEADER) + len(data)))
         serial = self.serial + 1
--- a/coralvale/ledger/main.py
+++ b/coralvale/ledger/main.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from coralvale.ledger.book import Book, Terms
+from coralvale.ledger.book import Book
 from coralvale.ledger.export import Exporter
 from coralvale.ledger.log import Folder, Log, load
 from coralvale.ledger.model import MILLION, LedgerError, body, digest
@@ -38,9 +38,6 @@
             "directory", nargs="+" if many else None, metavar="DIRECTORY", help="a gateway's ledger"
         )
         one.add_argument("--json", action="store_true", help="JSON, for programs")
-        one.add_argument(
-            "--period-s", type=float, default=3600.0, metavar="S", help="period_s of the ledger (3600)"
-        )
         if word == "resolve":
             one.add_argument(
                 "--ran", required=True, metavar="FILE", help="request ids that arrived, one a line"
@@ -76,9 +73,9 @@
     return 2
 
 
-def book_of(directory: str, period: float) -> tuple[str, Book]:
+def book_of(directory: str) -> tuple[str, Book]:
     """A ledger as it is at this moment; its gateway may go on. Raises LedgerError, OSError."""
-    found = load(Folder(directory, lock=False), Terms(period, 0.0, 0.0))
+    found = load(Folder(directory, lock=False))
     if found is None:
         raise LedgerError(f"{directory}: no ledger")
     return found
@@ -92,7 +89,7 @@
     """1 if anything is in doubt."""
     rows, open_ = list[Row](), 0
     for directory in asked.directory:
-        name, book = book_of(directory, asked.period_s)
+        name, book = book_of(directory)
         total = book.totals()
         open_ += len(book.doubts)
         rows.append(
@@ -101,7 +98,7 @@
                 "sealed": book.sealed, "batches": book.serial, "waiting": len(book.batches),
                 "open": len(book.open_), "doubts": len(book.doubts), "corrections": len(book.corrections),
                 "periods": [
-                    {"period": p, "from": when(p, asked.period_s),
+                    {"period": p, "from": when(p, book.terms.period),
                      "tries": sum(s.tries for s in accounts.values()),
                      "units": sum(s.units for s in accounts.values()) / MILLION}
                     for p, accounts in sorted(book.balances.items())
@@ -129,7 +126,7 @@
     """1 if there are any."""
     rows = []
     for directory in asked.directory:
-        _, book = book_of(directory, asked.period_s)
+        _, book = book_of(directory)
         rows += [
             {
                 "request": o.request, "at": datetime.fromtimestamp(o.at, UTC).isoformat(timespec="milliseconds"),
@@ -152,7 +149,7 @@
 def resolve(asked: argparse.Namespace) -> int:
     from coralvale.ledger.service import write_inbox
 
-    _, book = book_of(asked.directory, asked.period_s)
+    _, book = book_of(asked.directory)
     ran = set(Path(asked.ran).read_text().split())
     rows: list[Row] = [{"resolve": request, "arrived": True} for request in book.doubts if request in ran]
     if asked.rest:
@@ -172,7 +169,7 @@
 def adjust(asked: argparse.Namespace) -> int:
     from coralvale.ledger.service import write_inbox
 
-    book_of(asked.directory, asked.period_s)
+    book_of(asked.directory)
     name = f"adjust-{secrets.token_hex(8)}"
     fields = {
         key: getattr(asked, key) for key in ("period", "station", "plan", "class", "tries", "units", "why")
@@ -196,9 +193,9 @@
 
     folder = Folder(asked.directory)
     try:
-        if load(folder, Terms()) is None:
+        if (found := load(folder)) is None:
             raise LedgerError(f"{asked.directory}: no ledger")
-        ledger = Log(folder, Terms(asked.period_s, 0.0, 0.0, 0.0), lambda: "")
+        ledger = Log(folder, found[1].terms, lambda: "")
         ledger.write(ledger.book.doubt_all())
         while records := ledger.book.tick(time.time()):
             ledger.write(records)
@@ -242,7 +239,7 @@
         received[key] = text
     own, own_units, known, found = 0, 0, set[str](), Counter[str]()
     for directory in asked.directory:
-        name, book = book_of(directory, asked.period_s)
+        name, book = book_of(directory)
         known.add(name)
         waiting = sum(line.tries for batch in book.batches.values() for line in batch.lines)
         own += book.done.tries + waiting
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -158,6 +158,7 @@
         "exchange",
         "expires_at",
         "maybe",
+        "metered",
         "out",
         "ruling",
         "streaming",
@@ -171,7 +172,7 @@
         self.taken_at, self.expires_at = taken_at, expires_at
         self.attempts: list[Attempt] = []
         self.out = 0
-        self.answered = self.maybe = self.timed_out = self.checking = self.streaming = False
+        self.answered = self.maybe = self.timed_out = self.checking = self.streaming = self.metered = False
         self.ruling: Ruling | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -485,7 +486,7 @@
             if held.timer:
                 held.timer.cancel()
             self.held.pop(held.arrival.id, None)
-            if self.meter and held.attempts:
+            if self.meter and held.metered:
                 arrived = any(attempt.outcome not in UNWRITTEN for attempt in held.attempts)
                 self.meter.closed(held.arrival.id, arrived)
             held.exchange.held = None  # no cycles are left behind: nothing waits for the collector
@@ -566,7 +567,9 @@
         now, endpoint = self.clock.now(), self.discovery.endpoints.get(action.server)
         number = len(held.attempts)
         held.out += 1
-        if endpoint is None or (number == 0 and self.meter and not self.meter.opened(held.arrival)):
+        if endpoint is not None and self.meter and not held.metered:
+            held.metered = self.meter.opened(held.arrival)
+        if endpoint is None or (self.meter and not held.metered):
             done = partial(self._done, held)
             attempt = Attempt(action.server, ("", 0), lambda: None, done, number=number, sent_at=now)
             held.attempts.append(attempt)
--- a/tests/ledger/test_billing.py
+++ b/tests/ledger/test_billing.py
@@ -16,7 +16,6 @@
 
 from net_helpers import run, until
 
-from coralvale.ledger.book import Terms
 from coralvale.ledger.log import Folder, load, segments
 from coralvale.standins.billing import Billing
 from coralvale.standins.clients import Client, Station, Tallies, request
@@ -51,7 +50,7 @@
     """Exit code, what was printed as JSON, and standard error; the stand-ins go on meanwhile."""
     said = await asyncio.to_thread(
         subprocess.run,
-        [sys.executable, "-m", "coralvale", "ledger", *words, "--json", "--period-s", "1"],
+        [sys.executable, "-m", "coralvale", "ledger", *words, "--json"],
         cwd=ROOT, capture_output=True, text=True, timeout=60, check=False,
     )  # fmt: skip
     return said.returncode, json.loads(said.stdout) if said.stdout.strip() else None, said.stderr
@@ -230,7 +229,7 @@
         assert (lines[-1]["correction"], lines[-1]["microunits"]) == ("agreed by telephone", -2_500_000)
         assert (await command("export", str(folder), "--target", billing.target))[:2] == (0, {"waiting": 0})
         assert set(billing.created.values()) == {1} and not billing.repeated
-        found = load(Folder(str(folder), lock=False), Terms(1.0, 0.0, 0.0))
+        found = load(Folder(str(folder), lock=False))
         assert found and not found[1].batches and segments([p.name for p in folder.iterdir()])
         host.stop()
         roster.stop()
--- a/tests/ledger/test_log.py
+++ b/tests/ledger/test_log.py
@@ -121,6 +121,10 @@
         load(folder, TERMS)
     with pytest.raises(LedgerError, match="another process has this ledger"):
         Folder(str(tmp_path))
+    memory = Memory()
+    Log(memory, TERMS, lambda: "name", 2048)
+    with pytest.raises(LedgerError, match="its period is 100 s, not 60"):
+        Log(memory, Terms(period=60.0), lambda: "name", 2048)
     folder.close()
 
 
