--- a/coralvale/syslog/service.py
+++ b/coralvale/syslog/service.py
@@ -396,8 +396,14 @@
             return rules.Stored(False, why=error.strerror or str(error))
 
     def _fetch(self, connection: int, size: int) -> rules.Event:
+        damaged = self.spool.damaged
         try:
-            return rules.Fetched(connection, self.spool.fetch(size))
+            messages = self.spool.fetch(size)
+            if self.spool.damaged > damaged:
+                log.warning(
+                    "syslog: %d damaged places of the spool passed over", self.spool.damaged - damaged
+                )
+            return rules.Fetched(connection, messages)
         except OSError as error:
             log.error("syslog: the spool cannot be read: %s", error.strerror)
             return rules.Fetched(connection, ())
--- a/tests/syslog/test_sender.py
+++ b/tests/syslog/test_sender.py
@@ -110,7 +110,8 @@
             assert (await client.receive()).status == 400
             client.close()
             assert await ask(gateway, "r" * 129) == 400
-            await until(lambda: len(receiver.messages) >= 6)
+            assert await ask(gateway, "r" * 64 * 1024) == 400
+            await until(lambda: len(receiver.messages) >= 7)
             found = {row.values["request"]: row for row in rows(receiver.messages)}
             good = found["good"].told()
             assert good["station"] == HARD and good["stationId"] == f"{0x101:016x}"
@@ -128,7 +129,7 @@
             assert (
                 len(found["r" * 128].values["request"]) == 128 and "request" in found["r" * 128].values["cut"]
             )
-            assert sorted(r.sequence for r in rows(receiver.messages)) == list(range(1, 7))
+            assert sorted(r.sequence for r in rows(receiver.messages)) == list(range(1, 8))
             for data in receiver.messages:
                 SyslogMessage.parse(data.decode())
             assert await gateway.end() == 0
