--- a/coralvale/disk.py
+++ b/coralvale/disk.py
@@ -18,7 +18,7 @@
 
 LOCK = "lock"
 MARK = b"\xf5\xa7"
-FRAME = struct.Struct("<2sII")
+FRAME, LENGTH = struct.Struct("<2sII"), struct.Struct("<I")
 
 
 class InUse(OSError):
@@ -27,8 +27,8 @@
 
 def frame(payload: bytes) -> bytes:
     """A record that holds a payload."""
-    length = struct.pack("<I", len(payload))
-    return MARK + length + struct.pack("<I", zlib.crc32(payload, zlib.crc32(length))) + payload
+    length = LENGTH.pack(len(payload))
+    return FRAME.pack(MARK, len(payload), zlib.crc32(payload, zlib.crc32(length))) + payload
 
 
 def payload_at(data: bytes, at: int, most: int) -> tuple[bytes, int] | None:
@@ -40,7 +40,7 @@
     if mark != MARK or length > most or end > len(data):
         return None
     payload = data[at + FRAME.size : end]
-    return (payload, end) if zlib.crc32(payload, zlib.crc32(struct.pack("<I", length))) == check else None
+    return (payload, end) if zlib.crc32(payload, zlib.crc32(LENGTH.pack(length))) == check else None
 
 
 def whole_after(data: bytes, at: int, most: int) -> int:
--- a/coralvale/ledger/model.py
+++ b/coralvale/ledger/model.py
@@ -10,6 +10,7 @@
 import hashlib
 import json
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any
 
 
@@ -135,9 +136,24 @@
     return value
 
 
+text_of = json.JSONEncoder(separators=(",", ":")).encode  # json.dumps would make one for each call
+quoted = json.encoder.encode_basestring_ascii
+
+
+@lru_cache(16_384)
+def _account(account: Account) -> str:
+    return text_of(written(account))
+
+
 def encode(record: Record) -> bytes:
+    """A record as it stands in a log; the two that each try has are put together by hand."""
+    if isinstance(record, Opened):
+        account = _account(record.account)
+        return f'["o",{quoted(record.request)},{record.at!r},{account},{record.units}]'.encode()
+    if isinstance(record, Closed):
+        return f'["c",{quoted(record.request)},{"true" if record.arrived else "false"}]'.encode()
     fields = [written(getattr(record, name)) for name in record.__slots__]
-    return json.dumps([LETTERS[type(record)], *fields], separators=(",", ":")).encode()
+    return text_of([LETTERS[type(record)], *fields]).encode()
 
 
 def decode(data: bytes) -> Record:
@@ -147,6 +163,14 @@
         kind = KINDS[letter]
         values = [Account(*f) if isinstance(f, list) else f for f in fields]
         made: Record = kind(*values)
+        if hasattr(made, "request") and not isinstance(made.request, str):
+            raise TypeError(f"a request {made.request!r}")
+        if isinstance(made, Opened) and not (
+            isinstance(made.at, float | int)
+            and isinstance(made.account, Account)
+            and isinstance(made.units, int)
+        ):
+            raise TypeError("an opened try of other fields")
     except (ValueError, KeyError, TypeError) as error:
         raise LedgerError(f"no record of a ledger: {error}") from None
     return made
