Bound what bad requests and many stations can make answers and ledger keep

Reading the change again: the record of a bad request held all of its headers, up to 64 KB, while the queue counted 650 bytes; caches of the encoder kept such texts as keys; a period of the ledger had a line for each id that clients may name, and those are 2^33. Four headers are kept now, 256 bytes of each, and counted; a period has 100,000 accounts, and use past that is billed for "(others)", by plan and class, none lost.

--- a/coralvale/ledger/book.py
+++ b/coralvale/ledger/book.py
@@ -49,6 +49,7 @@
 )
 
 LATE, FOUND = "late", "resolved"  # why there is a correction
+OTHERS = "(others)"  # in place of a station, where there are too many
 REMEMBERED = 10_000  # corrections by hand
 
 
@@ -60,9 +61,8 @@
     grace: float = 10.0  # at least the longest time that a try may take
     patience: float = 60.0
     gather: float = 60.0  # corrections are gathered for as long
-    most_open: int = (
-        200_000  # tries that are open or in doubt; past that a try is counted when it is over, or lost
-    )
+    most_accounts: int = 100_000  # of a period; use past that is counted for OTHERS, by plan and class
+    most_open: int = 200_000  # tries that are open or in doubt; past that one is refused, or served unbilled
 
     def __post_init__(self) -> None:
         if not (self.period > 0 and 0 <= self.grace <= self.patience and self.gather >= 0):
@@ -204,11 +204,18 @@
         return self.sealed is not None and period <= self.sealed
 
     def _count(self, opened: Opened, why: str) -> None:
-        period = self.period(opened.at)
+        period, account = self.period(opened.at), opened.account
+        others = Account(OTHERS, account.plan, account.cls)
         if self._is_sealed(period):
-            self.corrections.setdefault((period, opened.account, why), Sum()).add(1, opened.units)
-        else:
-            self.balances.setdefault(period, {}).setdefault(opened.account, Sum()).add(1, opened.units)
+            key = period, account, why
+            if key not in self.corrections and len(self.corrections) >= self.terms.most_accounts:
+                key = period, others, why
+            self.corrections.setdefault(key, Sum()).add(1, opened.units)
+            return
+        accounts = self.balances.setdefault(period, {})
+        if account not in accounts and len(accounts) >= self.terms.most_accounts:
+            account = others
+        accounts.setdefault(account, Sum()).add(1, opened.units)
 
     def _seal(self, period: int) -> None:
         if self._is_sealed(period) or any(other < period for other in self.balances):
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -50,6 +50,8 @@
 SEEN = 10_000  # hosts that were listed once, by which an operator may name one that is not listed now
 LEFT = 12.0  # s after which a process that has handed on its work ends by itself, if no SIGTERM has come
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+NAMED = (b"plan", b"x-priority-class", b"x-request-id", b"cookie")  # headers that a witness is told
+TOLD, TARGET = 256, 1024  # bytes of each of them, and of a target
 UNWRITTEN = (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # what was written whole has come to its host
 
 
@@ -114,7 +116,7 @@
     """A request's final answer, and how it came about. Times in seconds, `at` of Unix time."""
 
     arrival: Arrival | None  # None: it was turned away before it was known what it is
-    fields: dict[bytes, bytes]  # the headers that it came with, by lower-case name; may be empty
+    fields: dict[bytes, bytes]  # without an arrival: what there is of the headers NAMED, cut to TOLD bytes
     target: bytes
     at: float
     status: int  # 499: the client had gone
@@ -465,7 +467,7 @@
                 [(a.server, a.zone, a.outcome, a.delay or now - a.sent_at) for a in held.attempts]
             )
             left = arrival.time_out - took
-            target = held.exchange.target
+            target = held.exchange.target[:TARGET]
             told = Final(arrival, {}, target, now, status, reason, took, left, attempts, outcome)
             self.witness.answered(told)
 
@@ -473,10 +475,12 @@
         """A request was answered that the decisions have not seen."""
         if self.witness:
             left = arrival.time_out if arrival else 0.0
-            told = Final(
-                arrival, exchange.fields, exchange.target, self.clock.now(), status, why, 0.0, left, ()
+            # Whoever sent it may have sent 64 KB of headers: no more is kept of them than is told.
+            fields = {name: exchange.fields[name][:TOLD] for name in NAMED if name in exchange.fields}
+            target = exchange.target[:TARGET]
+            self.witness.answered(
+                Final(arrival, fields, target, self.clock.now(), status, why, 0.0, left, ())
             )
-            self.witness.answered(told)
 
     def _forget(self, held: Held) -> None:
         if held.answered and held.checking and self.gate:
--- a/coralvale/syslog/service.py
+++ b/coralvale/syslog/service.py
@@ -58,7 +58,9 @@
     def __init__(self, sender: Sender, final: Final, sequence: int, factor: int) -> None:
         self.sender, self.final, self.sequence, self.factor = sender, final, sequence, factor
         self.length = LENGTH + ATTEMPT * len(final.attempts)
-        self.size = self.length + OBJECTS + OBJECT * len(final.attempts)
+        self.size = self.length + OBJECTS + OBJECT * len(final.attempts) + len(final.target)
+        if final.fields:
+            self.size += 2 * sum(map(len, final.fields.values()))  # as they came, and in the message
         self.data = b""
 
     def encode(self) -> bytes:
--- a/tests/ledger/test_book.py
+++ b/tests/ledger/test_book.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from coralvale.ledger.book import Book, Terms
+from coralvale.ledger.book import OTHERS, Book, Terms
 from coralvale.ledger.model import (
     Account,
     Batch,
@@ -122,6 +122,28 @@
     assert not kept.book.close("x", True) and not kept.book.acknowledge(99)
 
 
+def test_accounts_of_a_period_are_bounded_and_no_use_is_lost() -> None:
+    book = Book(Terms(period=100.0, grace=0.0, patience=0.0, gather=0.0, most_accounts=3))
+
+    def do(records: list[Record]) -> None:
+        for record in records:
+            book.apply(record)
+
+    for n in range(10):
+        for late in ("", "late"):
+            do(book.open(1.0, f"r{n}{late}", Account(f"{n:016x}", "team", "c"), 1))
+    for n in range(10):
+        do(book.close(f"r{n}", True))
+    do(book.tick(100.0))
+    for n in range(10):
+        do(book.close(f"r{n}late", True))
+    do(book.tick(101.0))
+    for batch in book.batches.values():
+        assert len(batch.lines) == 4 and sum(line.tries for line in batch.lines) == 10
+        assert [line.tries for line in batch.lines if line.account.station == OTHERS] == [7]
+    assert len(book.batches) == 2
+
+
 def test_tries_that_are_open_are_bounded() -> None:
     book = Book(Terms(most_open=2))
     for n in range(2):
--- a/tests/syslog/test_sender.py
+++ b/tests/syslog/test_sender.py
@@ -16,8 +16,10 @@
 import pytest
 import trustme
 from net_helpers import run, soon, until
+from net_helpers import world as node_world
 from syslog_rfc5424_parser import SyslogMessage
 
+from coralvale.net.node import Final
 from coralvale.standins.clients import Client, Station, Tallies, load, request
 from coralvale.standins.demo import CLASSES, settings
 from coralvale.standins.discovery import Roster, entry
@@ -26,6 +28,7 @@
 from coralvale.standins.receivers import DatagramReceiver, Receiver
 from coralvale.syslog.messages import decode
 from coralvale.syslog.search import Dropped, Row, read
+from coralvale.syslog.service import Lazy
 
 PLANS = [{"name": "team", "per_second": 1000.0, "most_at_once": 1000.0, "excess_cost": 1.0}]
 HARD = 'Radio "Ceibo" [AM\\FM]\\] \u202e\U0001f4fb ñ'
@@ -138,6 +141,31 @@
     run(test())
 
 
+def test_no_more_is_kept_of_a_bad_request_than_is_told() -> None:
+    """A flood of large headers must not take more memory than the queue's bound says."""
+
+    async def test() -> None:
+        told: list[Final] = []
+
+        class Witness:
+            def answered(self, final: Final) -> None:
+                told.append(final)
+
+        async with node_world() as w:
+            w.node.witness = Witness()
+            large = "x" * 30_000
+            assert (await w.ask(request("a", Plan=large, Cookie="client=" + large))).status == 400
+            assert (await w.ask(request("b", target="/api?" + large, Plan="none"))).status == 400
+        for final in told:
+            sizes = [len(value) for value in final.fields.values()]
+            assert max(sizes) <= 256 and len(sizes) <= 4 and len(final.target) <= 1024
+            lazy = Lazy(None, final, 1, 1)  # type: ignore[arg-type]
+            assert lazy.size > len(final.target) + 2 * sum(sizes)
+        assert len(told) == 2
+
+    run(test())
+
+
 def test_a_stalled_receiver_delays_nothing_and_every_answer_is_accounted_for(tmp_path: Path) -> None:
     """Two gateways under the same load at the same time, one of them with a receiver that reads nothing."""
 
