--- a/benchmarks/syslog.py
+++ b/benchmarks/syslog.py
@@ -1,6 +1,6 @@
 """What telling of every answer costs, and how fast files of answers are searched.
 
-    python benchmarks/syslog.py [--quick]
+    python benchmarks/syslog.py [--quick | --stall S]
 
   message    CPU of the answer's path (an object and a place in the queue) and of encoding, each in microseconds a
              message, in one process without sockets
@@ -12,6 +12,9 @@
   search     MB a second of `coralvale answers search` for one station and for one request, beside `grep -c -F` on
              the same file
 
+  --stall   in place of these: S seconds in which the receiver reads nothing, two gateways under the same load at
+            the same time; afterwards every message is read and every answer accounted for
+
 The last line is one JSON object. Aims: 15 us or less a message beyond the bare request; 97% of its requests.
 """
 
@@ -46,8 +49,9 @@
 from coralvale.standins.gateways import GatewayProcess  # noqa: E402
 from coralvale.standins.hosts import Host  # noqa: E402
 from coralvale.standins.receivers import Receiver  # noqa: E402
-from coralvale.syslog.messages import Answer, Attempt, Origin, encode  # noqa: E402
+from coralvale.syslog.messages import Answer, Attempt, Origin, decode, encode  # noqa: E402
 from coralvale.syslog.queue import Queued  # noqa: E402
+from coralvale.syslog.search import Dropped, Row, read  # noqa: E402
 from coralvale.syslog.service import Lazy, Sender, accounts  # noqa: E402
 
 PLANS = [{"name": "team", "per_second": 1e6, "most_at_once": 1e6, "excess_cost": 1.0}]
@@ -187,6 +191,52 @@
     return result
 
 
+async def stalled(seconds: float, folder: Path) -> dict[str, Any]:
+    """Raises AssertionError if an answer is neither received nor told as dropped, or a message cannot be read."""
+    hosts = [await Host(f"s-{i}", delay=0.002, slots=256, queue=4096).start() for i in range(3)]
+    roster = await Roster(*(entry(h.name, h.port, zone="north") for h in hosts)).start()
+    receiver = await Receiver().start()
+    shared = {**settings(), "packages": PLANS}
+    text = f'[syslog]\nstall_s = 3600.0\n[[syslog.receivers]]\nname = "r"\ntarget = "{receiver.target}"\n'
+    pair = [
+        await GatewayProcess(folder, name, shared, roster.address, "", roster.known(), 1, operator).start()
+        for name, operator in (("with", text), ("without", ""))
+    ]
+    receiver.turn("stall")
+    runs = await asyncio.gather(*(ask(gateway, seconds, 4, 100) for gateway in pair))
+    assert pair[0].process
+    status = Path(f"/proc/{pair[0].process.pid}/status").read_text()
+    peak = int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1])
+    receiver.turn("read")
+    count, ids, dropped, end = runs[0][0], set[int](), 0, time.monotonic() + 30
+    while len(ids) + dropped < count and time.monotonic() < end:
+        await asyncio.sleep(0.25)
+        ids, dropped = set(), 0
+        for message in receiver.messages:
+            told = read(decode(message))
+            if isinstance(told, Row):
+                ids.add(told.sequence)
+            elif isinstance(told, Dropped):
+                dropped += sum(told.counts.values())
+    assert len(ids) + dropped == count, (len(ids), dropped, count)
+    for gateway in pair:
+        await gateway.end()
+    roster.stop()
+    receiver.stop()
+    for host in hosts:
+        host.stop()
+    return {
+        "stalled_s": seconds,
+        "answers": [n for n, _ in runs],
+        "received": len(ids),
+        "told_as_dropped": dropped,
+        "late": [sum(d > 3.0 for d in delays) for _, delays in runs],
+        "longest_ms": [round(1e3 * max(delays), 1) for _, delays in runs],
+        "p99_ms": [round(1e3 * at(delays, 0.99), 2) for _, delays in runs],
+        "peak_mb": round(peak / 1000, 1),
+    }
+
+
 async def carried(count: int, folder: Path) -> dict[str, Any]:
     """The receiver's work is in the rate as well."""
     ca = trustme.CA()
@@ -252,7 +302,14 @@
 def main() -> int:
     told = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     told.add_argument("--quick", action="store_true", help="a fifth of all")
+    told.add_argument(
+        "--stall", type=float, default=0.0, metavar="S", help="a receiver that stalls for S seconds"
+    )
     options = told.parse_args()
+    if options.stall:
+        with tempfile.TemporaryDirectory() as name:
+            print(json.dumps({"benchmark": "syslog", **uvloop.run(stalled(options.stall, Path(name)))}))
+        return 0
     with tempfile.TemporaryDirectory() as name:
         result = uvloop.run(all_parts(options.quick, Path(name)))
         result |= searched(400_000 // (5 if options.quick else 1), Path(name))
--- a/tests/syslog/test_messages.py
+++ b/tests/syslog/test_messages.py
@@ -15,6 +15,7 @@
     Answer,
     Attempt,
     BadMessage,
+    Encoder,
     Origin,
     decode,
     encode,
@@ -139,3 +140,11 @@
     )
     with pytest.raises(ValueError, match="a limit of 100 bytes"):
         encode(Answer(AT, 1, "s", "1", "p", "c", "r", "served", 200), ORIGIN, 100)
+
+
+@given(st.lists(st.floats(0, 4e9) | st.integers(0, 20).map(lambda n: AT + n / 7), min_size=1, max_size=20))
+def test_one_encoder_tells_the_time_of_each_answer_also_when_the_clock_steps_back(times: list[float]) -> None:
+    encoder = Encoder(ORIGIN)
+    for at in times:
+        message = decode(encoder.encode(Answer(at, 1, "s", "1", "p", "c", "r", "served", 200)))
+        assert message.at is not None and abs(message.at - at) < 2e-6
