Keep one ceiling over a takeover: the new store is smaller by what the old one kept

What an old process keeps is now told to the next as lent: its store holds that much less until the old one's part ends, 12 s after the hand-over, which is as long as it lives. The same over several hand-overs in a row and after one that came to nothing. What a station owes of its ceiling goes to the new process whole.

--- a/coralvale/handover.py
+++ b/coralvale/handover.py
@@ -1,9 +1,11 @@
 """What one process of a gateway hands to the next, so that both together keep to one gateway's limits.
 
 No input or output here. `give` takes the state out of a gateway that goes on for a while, for the requests
-that still reach it on kept connections; `take` puts it into the one that follows. A ceiling is split in
-halves: the old process spends its half and gets no more, the new one has the other half and all that comes
-after, so the two never let in more than one would. A quota, which is soft, is known to both as it stands.
+that still reach it on kept connections; `take` puts it into the one that follows. What is left of a ceiling
+is split in halves: the old process spends its half, gets no more and loses the rest after `HOLD`; the new one
+has the other half and all that comes after, and its store is smaller by the old one's half for as long. So
+at every moment the stores of all processes together hold one burst at most and fill at one rate, and they
+never let in more than one would. A quota, which is soft, is known to both as it stands.
 """
 
 from __future__ import annotations
@@ -15,11 +17,12 @@
 from coralvale.logic import Gateway
 from coralvale.restrictor import Restrictor
 
-VERSION = 1
+VERSION = 2  # 1 knew no `lent`
 KEPT = 0.5  # share of each ceiling that the old process keeps for the requests that still come to it
+HOLD = 12.0  # s for which it may spend that: it lives for as long at the most (net/node.py, LEFT)
 CUSTOMER = (
     "rate", "fill", "at", "seen_at", "passed", "own", "own_late", "use", "reading", "heard_at", "asking",
-    "asked_at", "ceiling", "checks", "uncounted",
+    "asked_at", "ceiling", "checks", "uncounted", "lent", "lent_until",
 )  # fmt: skip
 HOST = ("slow", "heard_at", "failures", "retry_at", "breaks", "back_at")
 MOST = 200_000  # customers that are taken: what comes is another process's, and must not fill this one
@@ -31,10 +34,15 @@
     customers = []
     for name, restrictor in gateway.customers.items():
         restrictor.drain(now)
-        row = [getattr(restrictor, field) for field in CUSTOMER]
-        row[CUSTOMER.index("ceiling")] = restrictor.ceiling * (1 - KEPT)
-        restrictor.ceiling *= KEPT
-        restrictor.ceded = True
+        kept = max(0.0, restrictor.ceiling) * KEPT
+        given = {
+            "ceiling": restrictor.ceiling - kept,  # what it owes goes with it
+            "lent": kept + (restrictor.lent if now < restrictor.lent_until else 0.0),
+            "lent_until": now + HOLD,
+        }
+        row = [given.get(field, getattr(restrictor, field)) for field in CUSTOMER]
+        restrictor.lent, restrictor.lent_until = given["lent"] - kept, now + HOLD
+        restrictor.ceiling = restrictor.kept = kept
         customers.append([name, plans[id(restrictor.plan)], restrictor.entries, *row])
     hosts = [
         [name, host.info.started_at, *[getattr(host, field) for field in HOST]]
@@ -61,7 +69,7 @@
     gateway.born = now
     for restrictor in gateway.customers.values():
         restrictor.drain(now)
-        restrictor.ceiling, restrictor.ceded = max(restrictor.ceiling, 0.0), False
+        restrictor.ceiling, restrictor.kept = max(restrictor.ceiling, 0.0), None
 
 
 def take(gateway: Gateway, now: float, state: dict[str, Any]) -> int:
@@ -110,6 +118,7 @@
     restrictor = Restrictor(gateway.settings.plans[plan], int(entries), now, now)
     _set(restrictor, CUSTOMER, [_figure(value, True) for value in row])
     restrictor.rate = max(restrictor.floor, min(restrictor.rate, restrictor.plan.rate))
+    restrictor.lent_until = min(restrictor.lent_until, now + HOLD)
     restrictor.at = min(restrictor.at, now)  # a clock that differs must not leave a store without a rise
     return restrictor
 
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -31,7 +31,10 @@
         # Units that an authoriser was asked about: a store of its own, that denials do not empty.
         self.checks = 0.0
         self.uncounted, self.spent = 0.0, -1  # units let in here and not counted; the window used up
-        self.ceded = False  # another process has all that comes to the ceiling from now on
+        # Of the ceiling's burst: what this process may hold once another has taken over from it, and what
+        # processes before it may hold. Both end at one moment, so that all together never hold more than it.
+        self.kept: float | None = None
+        self.lent, self.lent_until = 0.0, -math.inf
         # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
         self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born))
 
@@ -42,13 +45,25 @@
         self.length = plan.burst / plan.rate if plan.rate else 0.0  # s that the burst is worth
 
     def drain(self, now: float) -> None:
-        elapsed, self.at = max(0.0, now - self.at), max(self.at, now)
+        if now <= self.at:
+            return
+        elapsed = now - self.at
         self.fill = max(0.0, self.fill - self.rate * elapsed)
         self.checks = max(0.0, self.checks - self.rate * elapsed)
-        if (
-            self.plan.ceiling_rate and not self.ceded
-        ):  # a plan without one, named by mistake, leaves the customer's as it was
-            self.ceiling = min(self.plan.ceiling_burst, self.ceiling + self.plan.ceiling_rate * elapsed)
+        # A plan without one, named by mistake, leaves the customer's as it was.
+        if self.plan.ceiling_rate:
+            # What others keep is theirs until that moment; this store grows into it from then on, not before.
+            top = self._top(self.at) if self.kept is None else self._top(now)
+            risen = self.ceiling + self.plan.ceiling_rate * elapsed * (self.kept is None)
+            self.ceiling = min(top, risen)
+        self.at = now
+
+    def _top(self, now: float) -> float:
+        """The most units of the ceiling that this process may hold."""
+        alone = now >= self.lent_until
+        if self.kept is not None:
+            return 0.0 if alone else self.kept
+        return self.plan.ceiling_burst if alone else max(0.0, self.plan.ceiling_burst - self.lent)
 
     def threshold(self, units: float) -> float:
         """Burst scaled with the leak rate, one request at least; more where letting in wrongly costs less."""
@@ -105,7 +120,7 @@
     def refund(self, units: float, filled: float) -> None:
         """Gives back what was charged for a request that was not sent after all."""
         self.fill, self.passed = max(0.0, self.fill - filled), max(0.0, self.passed - units)
-        self.ceiling = min(max(self.ceiling, self.plan.ceiling_burst), self.ceiling + units * self.entries)
+        self.ceiling = min(max(self.ceiling, self._top(self.at)), self.ceiling + units * self.entries)
 
     def heard(self, now: float, usage: float | None) -> None:
         """Takes a reading of the meter."""
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import settings as examples
 from hypothesis import strategies as st
 from net_helpers import LIMIT, Client, Registry, entry, request, run, settings, until
@@ -54,24 +54,49 @@
     return bool(sent)
 
 
+HOLD = handover.HOLD
+FULL = [(0.0, 0, 1), (9.9, 0, 0)]  # a store that stands full when it is handed on
+AT_ONCE = [(0.0, 0, 1), (0.0, 0, 1), (0.0, 1, 1), (0.0, 1, 1), (0.0, 2, 1), (0.0, 2, 1)]
+
+
 @examples(max_examples=200, deadline=None)
+@example([*FULL, (9.0, 0, 0), *AT_ONCE], {1: "give"})
+@example([*FULL, (HOLD - 0.1, 0, 1), (0.2, 1, 1), (0.0, 1, 1), (0.0, 1, 1)], {1: "give"})
+@example([*FULL, (HOLD + 1, 1, 1), (5.0, 1, 0), *AT_ONCE], {1: "give"})
+@example([*FULL, (0.0, 0, 0), (9.0, 0, 0), *AT_ONCE], {1: "give", 2: "give"})
+@example([*FULL, (9.0, 0, 0), *AT_ONCE], {1: "keep"})
+@example([*FULL, (0.0, 0, 1), (0.0, 1, 1), (2.0, 0, 1), (0.0, 1, 1)], {1: "give"})
 @given(
-    st.lists(st.tuples(st.floats(0.0, 0.6), st.booleans(), st.integers(0, 2)), min_size=1, max_size=120),
-    st.integers(0, 100),
+    st.lists(
+        st.tuples(st.floats(0.0, 0.6) | st.floats(0.0, 12.0), st.integers(0, 2), st.integers(0, 2)),
+        min_size=1,
+        max_size=120,
+    ),
+    st.dictionaries(st.integers(0, 100), st.sampled_from(["give", "keep"]), max_size=3),
 )
-def test_two_processes_pass_no_ceiling_together(steps: list[tuple[float, bool, int]], when: int) -> None:
-    """In any window both let in at most the burst and what the rate gives, whichever is asked."""
-    old, new, now = Gateway(SETTINGS, 1), Gateway(SETTINGS, 2), 100.0
-    old.handle(now - 20.0, LIST)
-    new.handle(now, LIST)
+def test_processes_pass_no_ceiling_together(
+    steps: list[tuple[float, int, int]], events: dict[int, str]
+) -> None:
+    """In any window all let in at most the burst and what the rate gives, whichever is asked.
+
+    Steps are (s since the one before, process asked, customer), with four requests each; at the steps in
+    `events` the newest process hands on to the next, or (`keep`) to one that comes to nothing.
+    """
+    now = 100.0
+    alive = [Gateway(SETTINGS, 1)]
+    alive[0].handle(now - 20.0, LIST)
     sent: dict[int, list[float]] = {0: [], 1: [], 2: []}
-    for i, (gap, to_new, customer) in enumerate(steps):
+    for i, (gap, which, customer) in enumerate(steps):
         now += gap
-        if i == when % len(steps):
-            state = json.loads(json.dumps(handover.give(old, now)))
-            handover.take(new, now, state)
-        handed = i >= when % len(steps)
-        gateway = new if handed and to_new else old
+        if event := events.get(i):
+            state = json.loads(json.dumps(handover.give(alive[-1], now)))
+            if event == "keep":
+                handover.keep(alive[-1], now)
+            else:
+                alive.append(Gateway(SETTINGS, 1 + len(alive)))
+                alive[-1].handle(now, LIST)
+                handover.take(alive[-1], now, state)
+        gateway = alive[min(which, len(alive) - 1)]
         for n in range(4):
             if let_in(gateway, now, f"{i}-{n}", customer):
                 sent[customer].append(now)
