Measure the return of a lost counter: 95% of a ceiling again after two windows

The benchmark had two weak figures: use beyond the bound stood as nought, since only more than the slack was an error, and the even split was measured under other requests than the escrow. Both come from the same schedule now: nothing beyond burst + rate x t, and with the counter lost the even split to the third place.

--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -10,11 +10,13 @@
   one      one gateway that sees all
 
 Scenarios: the counter whole, lost (silent), split with a copy or empty and healed every 10 s, swapped for
-an empty one every 5 s, crowded (totals 1.2 s late, four in ten turned away). Virtual time: the figures are
-the same on every machine. Of each way: the share of the rate that is used by a station that asks for twice
-as much; `over`, the most units by which any window of t seconds held more than burst + rate x t, as a share
-of burst; `room`, the share of all requests that were refused while one gateway that sees all would have let
-them in. The last line is one JSON object.
+an empty one every 5 s, crowded (totals 1.2 s late, four in ten turned away), and returned: silent for 12 s,
+then back and empty, where use is counted from two windows (6 s) after its return on. Virtual time: the
+figures are the same on every machine. Of each way: the share of the rate that is used by a station that asks
+for twice as much (of `escrow` beside an even split of the very same requests, `escrow_even`); `over`, the most
+units by which any window of t seconds held more than burst + rate x t, as a share of burst; `room`, the share
+of all requests that were refused while one gateway that sees all would have let them in. The last line is one
+JSON object.
 """
 
 from __future__ import annotations
@@ -49,7 +51,12 @@
     | {float(at): "heal" for at in range(10, 200, 20)},
     "swapped": {float(at): "swap" for at in range(0, 200, 5)},
     "crowded": {0.0: "crowded"},
+    "returned": {8.0: "silent", 19.9: "swap", 20.0: "well"},
 }
+WINDOW = 3.0  # s
+BACK = int(
+    20.0 + 2 * WINDOW
+)  # s after which a counter that is lost and returns should be as one that was not
 
 
 class Way(Protocol):
@@ -171,19 +178,37 @@
         plain = [others(seconds, seed, weights) for seed in range(seeds)]
         ways = {way: mean([figures[way] for figures in plain]) for way in ("even", "today", "one")}
         for scenario, script in SCENARIOS.items():
-            figures, calls = list[Figures](), 0.0
+            figures, even, calls = list[Figures](), list[Figures](), 0.0
             for seed in range(seeds):
                 # An error if the bound is passed by more than what clocks may add: 0.15 s of the rate.
                 played = play(
-                    seed, seconds, GATEWAYS, QUOTA, 0.0, weights, 2.0, dict(script), crashes=False, length=3.0
+                    seed,
+                    seconds,
+                    GATEWAYS,
+                    QUOTA,
+                    0.0,
+                    weights,
+                    2.0,
+                    dict(script),
+                    crashes=False,
+                    length=WINDOW,
                 )
-                late = played.used[WARM : int(seconds)]
-                share = sum(late) / len(late) / QUOTA.rate
-                figures.append(Figures(share, 0.0, played.with_room / played.requests))
+                since = slice(BACK if scenario == "returned" else WARM, int(seconds))
+                spent = (int(seconds) - since.start) * QUOTA.rate
+                over = played.beyond / QUOTA.burst
+                figures.append(
+                    Figures(sum(played.used[since]) / spent, over, played.with_room / played.requests)
+                )
+                even.append(Figures(sum(played.even[since]) / spent))
                 calls += played.calls / played.requests / seeds
-            row = {**ways, "escrow": mean(figures), "calls_a_request": round(calls, 3)}
+            row = {
+                **ways,
+                "escrow": mean(figures),
+                "escrow_even": mean(even),
+                "calls_a_request": round(calls, 3),
+            }
             result[f"{load}, {scenario}"] = row
-            told = ", ".join(f"{w} {row[w]['used']:.3f}" for w in ("even", "today", "escrow", "one"))
+            told = ", ".join(f"{w} {row[w]['used']:.3f}" for w in ("escrow_even", "today", "escrow", "one"))
             room = ", ".join(f"{w} {row[w]['room']:.3f}" for w in ("even", "today", "escrow"))
             print(
                 f"{load:26s} {scenario:8s} used: {told}; refused with room: {room}; calls {calls:.3f}",
@@ -199,7 +224,8 @@
     rows = bench(60.0, 2) if quick else bench(120.0, 8)
     steady = {name: row for name, row in rows.items() if "changes" not in name}
     whole = min(row["escrow"]["used"] for name, row in steady.items() if name.endswith("whole"))
-    lost = min(r["escrow"]["used"] - r["even"]["used"] for n, r in rows.items() if n.endswith("lost"))
+    lost = min(r["escrow"]["used"] - r["escrow_even"]["used"] for n, r in rows.items() if n.endswith("lost"))
+    returned = min(row["escrow"]["used"] for name, row in steady.items() if name.endswith("returned"))
     moving = rows["busiest changes every 7 s, whole"]
     calls = max(row["calls_a_request"] for row in rows.values())
     print(
@@ -211,8 +237,12 @@
                 "whole_worst": whole,
                 "aim_whole": 0.95,
                 "aim_whole_met": whole >= 0.95,
-                "moving_over_even": round(moving["escrow"]["used"] - moving["even"]["used"], 3),
+                "two_windows_after_return_worst": returned,
+                "aim_returned": 0.95,
+                "aim_returned_met": returned >= 0.95,
+                "moving_over_even": round(moving["escrow"]["used"] - moving["escrow_even"]["used"], 3),
                 "lost_over_even_worst": round(lost, 3),
+                "escrow_over_worst": max(row["escrow"]["over"] for row in rows.values()),
                 "today_over_worst": max(row["today"]["over"] for row in rows.values()),
                 "calls_worst": calls,
                 "aim_calls": 0.2,
--- a/tests/allowance/simulation.py
+++ b/tests/allowance/simulation.py
@@ -90,9 +90,16 @@
     requests: int = 0
     with_room: int = 0  # refused while one gateway that saw all would have let them in
     used: list[float] = field(default_factory=list)  # units let in, by second
+    even: list[float] = field(default_factory=list)  # the same by an even split, of the same requests
+    beyond: float = 0.0  # units at most by which any t seconds held more than burst + rate x t
     trust: set[str] = field(default_factory=set)
 
 
+def count(by_second: list[float], now: float) -> None:
+    by_second += [0.0] * (int(now) + 1 - len(by_second))
+    by_second[int(now)] += 1
+
+
 def play(
     seed: int,
     seconds: float = 24.0,
@@ -128,6 +135,8 @@
     back = [0.0] * gateways
     replies: list[tuple[float, int, Escrow, Name, float | None]] = []
     level, level_at = top.burst + SLACK * top.rate, begun
+    strict = top.burst  # the same without the slack
+    parts, parts_at = [ceiling.burst / gateways] * gateways, [begun] * gateways
     script = dict(script or {})
     for step in range(int(seconds / STEP)):
         now = begun + step * STEP
@@ -165,14 +174,20 @@
             for _ in range(int(wanted + lots.random())):
                 result.requests += 1
                 level = min(top.burst + SLACK * top.rate, level + top.rate * (now - level_at))
+                strict = min(top.burst, strict + top.rate * (now - level_at))
                 level_at = now
+                filled = parts[place] + ceiling.rate / gateways * (now - parts_at[place])
+                parts[place], parts_at[place] = min(ceiling.burst / gateways, filled), now
+                if parts[place] >= 1:
+                    parts[place] -= 1
+                    count(result.even, now - begun)
                 if node.admit(now + steps[place], 1.0) > 0:
                     result.with_room += level >= 1.0 + SLACK * top.rate
                 else:
-                    level -= 1.0
+                    level, strict = level - 1.0, strict - 1.0
                     result.admitted += 1
-                    result.used += [0.0] * (int(now - begun) + 1 - len(result.used))
-                    result.used[int(now - begun)] += 1
+                    result.beyond = max(result.beyond, -strict)
+                    count(result.used, now - begun)
                     if level < -1e-6:
                         raise Passed(
                             f"seed {seed}: the ceiling is passed {now - begun:.2f} s in, by {-level:.3f}"
--- a/tests/allowance/test_escrow.py
+++ b/tests/allowance/test_escrow.py
@@ -72,13 +72,21 @@
     assert share(script={0.0: fault}) >= 1 / 3 + 2 * 0.05 * 2.0 - 0.03
 
 
-def test_back_within_two_windows_of_the_counters_return() -> None:
-    played = play(
-        5, 40.0, 3, TEN, faults=0.0, weights=UNEVEN, asked=2.0, script={8.0: "silent", 20.0: "well"},
-        crashes=False, length=3.0,
-    )  # fmt: skip
-    assert sum(played.used[14:20]) / 6 < 6.0  # while it is silent: the even split
-    assert sum(played.used[29:39]) / 10 >= 0.93 * TEN.rate
+@pytest.mark.parametrize("weights", [UNEVEN, [0.6, 0.3, 0.1]])
+def test_back_at_95_percent_within_two_windows_of_the_counters_return(weights: list[float]) -> None:
+    """It comes back empty, at a moment of the window that differs by seed; six seconds later all is as before."""
+    silent, back, after = [], [], []
+    for seed in range(24):
+        played = play(
+            seed, 44.0, 3, TEN, faults=0.0, weights=weights, asked=2.0, crashes=False, length=3.0,
+            script={8.0: "silent", 19.9: "swap", 20.0: "well"},
+        )  # fmt: skip
+        silent.append(sum(played.used[12:20]) / 8 / TEN.rate)
+        back.append(sum(played.used[26:29]) / 3 / TEN.rate)
+        after.append(sum(played.used[26:44]) / 18 / TEN.rate)
+    assert sum(silent) / 24 < 0.9  # the even split: there is something to come back from
+    assert sum(back) / 24 >= 0.93  # the first window after those two; what is asked in one varies
+    assert sum(after) / 24 >= 0.95
 
 
 def escrow(me: int = 0, born: float = 100.0, gateways: int = 3) -> Escrow:
