--- a/coralvale/allowance/escrow.py
+++ b/coralvale/allowance/escrow.py
@@ -2,12 +2,13 @@
 
 Each of the n gateways of a station owns a part: a bucket of burst B/n that fills at rate C/n. What a gateway will
 not need it *gives*, for one window of time, to another that asks. Time is cut into windows of `length` seconds on
-the clock that all machines read.
+the clock that all machines read. What is given is a share g of a part, from 0 to 1, so that it means the same
+under other figures.
 
-  giver    Subtracts the rate g from its own part first, from `guard` before the window until `guard` after it,
-           then adds g to the name GIVE(window, giver, taker). It never takes it back, whatever the reply.
-  taker    Reads that name (adds nought) and fills g faster from `guard` after the window's start until `guard`
-           before its end; g is the highest total it has seen, at most C/n.
+  giver    Subtracts g C/n from its own rate first, from `guard` before the window until `guard` after it, then
+           adds g to the name GIVE(window, giver, taker). It never takes it back, whatever the reply.
+  taker    Reads that name (adds nought) and fills faster by g C/n from `guard` after the window's start until
+           `guard` before its end; g is the highest total it has seen, at most 1.
   restart  A gateway that starts may have given away parts of this window and, if 0.83 of it are over, of the
            next, and forgotten it: it owns nothing until the window after, and its bucket begins empty. What it
            had taken it may read again: the same rate for the same window, not more. What a dead gateway took
@@ -36,8 +37,10 @@
 reads. Over any time at most `SPEND` calls for each request of the station that it has seen, and 2 n + 2 that were
 saved up. Stations make theirs at moments of their own, so that a counter is not called by all at once.
 
-**Another plan.** `settle` takes new figures at once. While gateways differ on them the rates add up to at most
-the larger rate and the buckets to the larger burst: a part is of the one or of the other.
+**Another plan.** `settle` takes new figures at once; the time since the bucket was last filled counts by the
+lower of both. While gateways differ on the figures the rates add up to at most the larger rate and the buckets to
+the larger burst: a part is of the one or of the other. From when no request is let in by the old figures any more
+they add up to the new ones, whatever was given before.
 """
 
 from __future__ import annotations
@@ -71,8 +74,8 @@
 class Window:
     """What is agreed for one window."""
 
-    given: dict[int, float] = field(default_factory=dict)  # to whom, rate
-    taken: dict[int, float] = field(default_factory=dict)  # from whom, rate
+    given: dict[int, float] = field(default_factory=dict)  # to whom, share of a part
+    taken: dict[int, float] = field(default_factory=dict)  # from whom, share of a part
     asked: bool = False
     looked: bool = False
     read: set[int] = field(default_factory=set)
@@ -121,9 +124,11 @@
 
     def settle(self, now: float, ceiling: Ceiling) -> None:
         """Takes other figures for the station, from now on."""
+        part = ceiling.rate / self.gateways
+        # Nobody knows here since when they hold: not before the last request, which was let in by the old ones.
+        self.part = min(self.part, part)
         self._fill(now)
-        self.ceiling = ceiling
-        self.part, self.most = ceiling.rate / self.gateways, ceiling.burst / self.gateways
+        self.ceiling, self.part, self.most = ceiling, part, ceiling.burst / self.gateways
         self.tokens = min(self.tokens, self.most)
 
     def wait(self, now: float, units: float) -> float:
@@ -179,16 +184,17 @@
         if now < self.owns_from:
             own = 0.0
         else:
-            own = self.part - sum(
+            given = sum(
                 sum(w.given.values())
                 for number, w in self.windows.items()
                 if number * self.length - self.guard <= now < (number + 1) * self.length + self.guard
             )
+            own = self.part * (1 - given)
         here = self.window(now)
         taken = 0.0
         inside = here * self.length + self.guard <= now < (here + 1) * self.length - self.guard
         if inside and here in self.windows:
-            taken = sum(self.windows[here].taken.values())
+            taken = self.part * sum(self.windows[here].taken.values())
         return max(0.0, own) + taken
 
     def _fill(self, now: float) -> None:
@@ -338,7 +344,7 @@
             return
         self._fill(now)  # what is past was filled without it
         before = window.taken.get(name.giver, 0.0)
-        window.taken[name.giver] = max(before, min(total, self.part))
+        window.taken[name.giver] = max(before, min(total, 1.0))
 
     def _give(self, now: float, number: int, total: float) -> list[Call]:
         """Gives what is spare to those that ask for it, in the measure of their wishes."""
@@ -363,7 +369,7 @@
         self._fill(now)
         calls = []
         for place, wish in wishes.items():
-            gift = math.floor(min(spare * wish / wanted, wish) * 1000) / 1000
+            gift = math.floor(min(spare * wish / wanted, wish) / self.part * 1e6) / 1e6
             if gift > 0 and self.credit >= 1:
                 window.given[place] = gift  # subtracted before it is told: whatever becomes of the call
                 calls.append(self._call(now, Name(Kind.GIVE, self.station, number, self.me, place), gift))
--- a/coralvale/allowance/shares.py
+++ b/coralvale/allowance/shares.py
@@ -11,7 +11,8 @@
 in the set that a request names owns no part: refused as well, and told once a minute.
 
 Names on the counter are numbers of 63 bits, and no two agree in them unless all agrees that must: the kind, the
-length of windows, giver, taker, window (its last 17 bits: days, where a name lives for a minute at most), pool.
+length of windows, giver, taker, window (its last 16 bits: most of a day, where a name lives for a minute at
+most), pool. One bit more tells them from names under which gateways before version 0.2 gave rates.
 """
 
 from __future__ import annotations
@@ -33,12 +34,12 @@
 
 def number(name: Name, length: int) -> int:
     """The name on the counter; `length` of windows in whole seconds."""
-    value = 1 << 1 | (name.kind is Kind.GIVE)
+    value = 1 << 2 | 1 << 1 | (name.kind is Kind.GIVE)
     for bits, part in (
         (2, length - 1),
         (4, name.giver),
         (4, name.taker),
-        (17, name.window),
+        (16, name.window),
         (34, name.station),
     ):
         value = value << bits | part & (1 << bits) - 1
@@ -89,16 +90,15 @@
         self.seen[pool] = now
         return escrow.wait(now, request.units)
 
-    def charge(self, request: api.Request) -> None:
+    def charge(self, request: api.Request, plan: api.Plan) -> None:
         """The request is sent: it takes its units from what `wait` found room in."""
-        self._take(request, request.units)
+        self._take(request, plan, request.units)
 
-    def refund(self, request: api.Request) -> None:
+    def refund(self, request: api.Request, plan: api.Plan) -> None:
         """What was charged was not used after all."""
-        self._take(request, -request.units)
+        self._take(request, plan, -request.units)
 
-    def _take(self, request: api.Request, units: float) -> None:
-        plan = self.settings.plans[request.plan]
+    def _take(self, request: api.Request, plan: api.Plan, units: float) -> None:
         for quota in (False, True):
             if self._ceiling(request, plan, quota) and (e := self.pools.get(request.customer << 1 | quota)):
                 e.charge(units)
--- a/coralvale/handover.py
+++ b/coralvale/handover.py
@@ -11,8 +11,10 @@
 from __future__ import annotations
 
 import math
+from dataclasses import astuple, replace
 from typing import Any
 
+from coralvale import interface as api
 from coralvale.health import Host
 from coralvale.logic import Gateway
 from coralvale.restrictor import Restrictor
@@ -22,7 +24,8 @@
 HOLD = 12.0  # s for which it may spend that: it lives for as long at the most (net/node.py, LEFT)
 CUSTOMER = (
     "rate", "fill", "at", "seen_at", "passed", "own", "own_late", "use", "reading", "heard_at", "asking",
-    "asked_at", "ceiling", "checks", "uncounted", "lent", "lent_until",
+    "asked_at", "ceiling", "checks", "uncounted", "lent", "lent_until", "left",
+    "left_at",
 )  # fmt: skip
 HOST = ("slow", "heard_at", "failures", "retry_at", "breaks", "back_at")
 MOST = 200_000  # customers that are taken: what comes is another process's, and must not fill this one
@@ -30,11 +33,11 @@
 
 def give(gateway: Gateway, now: float) -> dict[str, Any]:
     """The state for the next process. From now on this gateway spends what it has kept, and no more."""
-    plans = {id(plan): i for i, plan in enumerate(gateway.settings.plans)}
+    plans: dict[int, Any] = {id(plan): i for i, plan in enumerate(gateway.settings.plans)}
     customers = []
     for name, restrictor in gateway.customers.items():
         restrictor.drain(now)
-        kept = max(0.0, restrictor.ceiling) * KEPT
+        kept = max(0.0, restrictor.ceiling) * KEPT if restrictor.plan.ceiling_rate else 0.0
         given = {
             "ceiling": restrictor.ceiling - kept,  # what it owes goes with it
             "lent": kept + (restrictor.lent if now < restrictor.lent_until else 0.0),
@@ -43,7 +46,10 @@
         row = [given.get(field, getattr(restrictor, field)) for field in CUSTOMER]
         restrictor.lent, restrictor.lent_until = given["lent"] - kept, now + HOLD
         restrictor.ceiling = restrictor.kept = kept
-        customers.append([name, plans[id(restrictor.plan)], restrictor.entries, *row])
+        plan = plans.get(
+            id(restrictor.plan), astuple(restrictor.plan)
+        )  # figures, if it is none of the settings'
+        customers.append([name, plan, restrictor.entries, *row])
     hosts = [
         [name, host.info.started_at, *[getattr(host, field) for field in HOST]]
         for name, host in gateway.fleet.hosts.items()
@@ -112,10 +118,20 @@
     return len(customers)
 
 
-def _customer(gateway: Gateway, plan: int, entries: int, row: list[Any], now: float) -> Restrictor:
-    if len(row) != len(CUSTOMER) or not 0 <= plan < len(gateway.settings.plans):
+def _customer(
+    gateway: Gateway, plan: int | list[Any], entries: int, row: list[Any], now: float
+) -> Restrictor:
+    if len(row) != len(CUSTOMER):
         raise ValueError("a customer of another form")
-    restrictor = Restrictor(gateway.settings.plans[plan], int(entries), now, now)
+    if isinstance(plan, list):
+        name, *figures = plan
+        plan = api.Plan(str(name), *map(_figure, figures))
+        replace(gateway.settings, plans=(plan,))  # checks it
+    elif 0 <= plan < len(gateway.settings.plans):
+        plan = gateway.settings.plans[plan]
+    else:
+        raise ValueError(f"plan {plan!r}")
+    restrictor = Restrictor(plan, int(entries), now, now)
     _set(restrictor, CUSTOMER, [_figure(value, True) for value in row])
     restrictor.rate = max(restrictor.floor, min(restrictor.rate, restrictor.plan.rate))
     restrictor.lent_until = min(restrictor.lent_until, now + HOLD)
--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -157,10 +157,11 @@
             if p.ceiling_rate > 0 and p.ceiling_burst <= 0:
                 raise SettingsError(f"plans[{i}].ceiling_burst: a ceiling needs a burst above 0")
 
-    def check(self, request: Request) -> None:
-        """Refuses a request of a class or plan that these settings do not know, by an error that names it."""
-        for kind, value, known in (("class", request.cls, self.classes), ("plan", request.plan, self.plans)):
-            if not 0 <= value < len(known):
+    def check(self, request: Request, terms: Terms | None = None) -> None:
+        """Refuses a request of a class or plan that is not known, by an error that names it."""
+        plans = len(terms.names if terms else self.plans)
+        for kind, value, known in (("class", request.cls, len(self.classes)), ("plan", request.plan, plans)):
+            if not 0 <= value < known:
                 raise ValueError(f"request {request.id}: unknown {kind} {value}")
 
 
@@ -392,10 +393,10 @@
     def wait(self, now: float, request: Request, plan: Plan, quota: bool) -> float | None:
         """Seconds until there is room for the request, 0 if there is; None where the decisions are to know."""
 
-    def charge(self, request: Request) -> None:
+    def charge(self, request: Request, plan: Plan) -> None:
         """The request is sent on, by room that `wait` told of at the same moment."""
 
-    def refund(self, request: Request) -> None:
+    def refund(self, request: Request, plan: Plan) -> None:
         """What was charged for a request was not used: it was not sent after all."""
 
     def due(self, now: float) -> list[Action]:
@@ -403,3 +404,15 @@
 
     def reply(self, now: float, event: CounterReply) -> list[Action]:
         """Takes the reply to one of its calls; returns those that it leads to."""
+
+
+# Plans that change in service
+
+
+class Terms(Protocol):
+    """What is asked of a subsystem that knows which plan is in force for a customer."""
+
+    names: list[str]  # of plans, by the numbers that requests have: the settings' first
+
+    def plan(self, now: float, customer: int, named: int) -> Plan:
+        """What is in force for a customer whose request names a plan. The same figures are the same object."""
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from dataclasses import replace
 from typing import Any
 
 from coralvale import interface as api
@@ -39,8 +40,15 @@
 class Gateway:
     """The decisions of one gateway; `handle` takes an event and returns the actions it calls for."""
 
-    def __init__(self, settings: api.Settings, seed: int, allowance: api.Allowance | None = None) -> None:
-        self.settings, self.random, self.allowance = settings, random.Random(seed), allowance
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        allowance: api.Allowance | None = None,
+        terms: api.Terms | None = None,
+    ) -> None:
+        self.settings, self.random = settings, random.Random(seed)
+        self.allowance, self.terms = allowance, terms
         self.customers, self.fleet = dict[int, Restrictor](), Fleet()
         self.warm, self.cold, self.near = list[Host](), list[Host](), list[Host]()
         self.sort_at = -math.inf  # when a cold server becomes warm
@@ -83,16 +91,9 @@
     # A request comes: the bucket, or the counter where the bucket cannot know
 
     def _arrive(self, now: float, request: api.Request) -> None:
-        self.settings.check(request)
-        plan, restrictor = self.settings.plans[request.plan], self.customers.get(request.customer)
-        if restrictor is None:
-            restrictor = Restrictor(plan, request.entry_gateways, now, self.born)
-            self.customers[request.customer] = restrictor
-        if restrictor.plan is not plan or restrictor.entries != request.entry_gateways:
-            restrictor.drain(now)
-            restrictor.settle(plan, request.entry_gateways)
-            restrictor.rate = max(restrictor.floor, min(restrictor.rate, plan.rate))
-        restrictor.seen_at = now
+        self.settings.check(request, self.terms)
+        restrictor = self._settle(now, request)
+        plan, restrictor.seen_at = restrictor.plan, now
         restrictor.drain(now)
         if now >= request.expires_at:
             return self._refuse(request, "too late", 0.0)
@@ -103,6 +104,41 @@
             self._bucket(now, request, restrictor)
         restrictor.note(now, request.units)
 
+    def _settle(self, now: float, request: api.Request) -> Restrictor:
+        """The customer's restrictor, with the plan that is in force and the set that the request names."""
+        named, customer = request.plan, request.customer
+        plan = self.terms.plan(now, customer, named) if self.terms else self.settings.plans[named]
+        restrictor = self.customers.get(customer)
+        if restrictor is None:
+            restrictor = Restrictor(plan, request.entry_gateways, now, self.born)
+            self.customers[customer] = restrictor
+        if restrictor.plan is not plan or restrictor.entries != request.entry_gateways:
+            restrictor.drain(now)
+            if self.terms:
+                restrictor.change(now, plan)
+            restrictor.settle(plan, request.entry_gateways)
+            restrictor.rate = max(restrictor.floor, min(restrictor.rate, plan.rate))
+        return restrictor
+
+    def _still(self, now: float, request: api.Request, restrictor: Restrictor, plan: api.Plan) -> float:
+        """0 if a request may go on that was charged under `plan`, which may not be in force any more.
+
+        Else the seconds to wait. What comes to its host under a ceiling counts for it, whenever it was let in.
+        """
+        if self.terms is None or plan.ceiling_rate:
+            return 0.0
+        self._settle(now, request)
+        if not restrictor.plan.ceiling_rate or restrictor is not self.customers.get(request.customer):
+            return 0.0
+        restrictor.drain(now)
+        shared = self.allowance.wait(now, request, restrictor.plan, False) if self.allowance else None
+        wait = restrictor.ceiling_wait(request.units) if shared is None else shared
+        if not wait:
+            restrictor.ceiling -= request.units * restrictor.entries
+            if self.allowance:
+                self.allowance.charge(request, replace(restrictor.plan, rate=0.0))
+        return wait
+
     def _bucket(self, now: float, request: api.Request, restrictor: Restrictor) -> None:
         if wait := restrictor.wait(request.units):
             return self._refuse(request, "quota", wait)
@@ -136,6 +172,8 @@
             self.actions += self.allowance.reply(now, event) if self.allowance else []
             return None
         at, request, restrictor, amount = self.asked.pop(event.name)
+        if self.terms:
+            restrictor = self._settle(now, request)
         restrictor.drain(now)
         failed = not event.ok or not math.isfinite(event.total)
         # Late replies tell of a crowded counter before it fails; calls that fail only crowd it more.
@@ -167,11 +205,11 @@
             return self._refuse(request, "no server", STEP)
         filled = restrictor.charge(request.units)
         if self.allowance:
-            self.allowance.charge(request)
+            self.allowance.charge(request, restrictor.plan)
         if request.check:  # its units are kept, or those that wait could pass the quota together
             restrictor.checks += request.units
             restrictor.open += 1
-            self.checking[request.id] = Asked(request, now, restrictor, filled)
+            self.checking[request.id] = Asked(request, now, restrictor, restrictor.plan, filled)
             self.actions.append(api.Check(request.id))
 
     def _serve(self, now: float, request: api.Request, restrictor: Restrictor, arrived: float) -> bool:
@@ -180,7 +218,7 @@
         if (host := self._pick_cold(now) or self._pick(now)) is None:
             return False
         self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
-        self.requests[request.id] = Held(request, arrived, restrictor)
+        self.requests[request.id] = Held(request, arrived, restrictor, restrictor.plan)
         self._send(now, self.requests[request.id], host)
         return True
 
@@ -197,11 +235,14 @@
                 reason = "too late"
             elif pressed := self._pressed(now, request):
                 reason, wait = "pressed", pressed
-            elif self._serve(now, request, restrictor, asked.arrived):
-                del self.checking[request.id]
-                restrictor.open -= 1  # the attempt is out in its place
-                return None
+            elif ceiling := self._still(now, request, restrictor, asked.plan):
+                reason, wait = "ceiling", ceiling
             else:
+                asked.plan = restrictor.plan
+                if self._serve(now, request, restrictor, asked.arrived):
+                    del self.checking[request.id]
+                    restrictor.open -= 1  # the attempt is out in its place
+                    return None
                 reason, wait = "no server", STEP
         self._give_back(asked)
         return self._refuse(request, reason, wait) if reason else self.actions.append(api.Deny(request.id))
@@ -210,9 +251,10 @@
         """A request that was not sent costs its customer nothing; that it was asked about still counts."""
         del self.checking[asked.request.id]
         asked.restrictor.open -= 1
-        asked.restrictor.refund(asked.request.units, asked.filled)
+        ceiling = self.terms is None or asked.plan.ceiling_rate > 0
+        asked.restrictor.refund(asked.request.units, asked.filled, ceiling)
         if self.allowance:
-            self.allowance.refund(asked.request)
+            self.allowance.refund(asked.request, asked.plan)
 
     def _pressed(self, now: float, request: api.Request) -> float:
         """Seconds by which the expected wait (Little's law; one more at the mean delay) is over what may be.
@@ -371,6 +413,11 @@
             held.maybe = attempt
         self._sort(now)
         if self._worth_another(now, held, event.outcome) and (host := self._pick(now, held)):
+            late = self._still(now, held.request, restrictor, held.plan) if held.maybe is None else 0.0
+            if late:
+                self._refuse(held.request, "ceiling", late)
+                return self._close(event.request, held)
+            held.plan = restrictor.plan
             # No connection costs a server nothing; other failures must not double the load.
             self.retries -= event.outcome is not Outcome.CONNECT_FAILED
             return self._send(now, held, host)
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -35,6 +35,7 @@
         # processes before it may hold. Both end at one moment, so that all together never hold more than it.
         self.kept: float | None = None
         self.lent, self.lent_until = 0.0, -math.inf
+        self.left, self.left_at = 0.0, born  # of the ceiling, when it was last on a plan that has one
         # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
         self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born))
 
@@ -44,6 +45,17 @@
         self.floor = plan.rate / self.entries
         self.length = plan.burst / plan.rate if plan.rate else 0.0  # s that the burst is worth
 
+    def change(self, now: float, plan: api.Plan) -> None:
+        """Another plan is in force from now on: the leak rate keeps its share, and no store is refilled."""
+        old = self.plan
+        if plan.ceiling_rate and not old.ceiling_rate:
+            risen = self.left + plan.ceiling_rate * (now - self.left_at)
+            self.ceiling = min(plan.ceiling_burst, risen, math.inf if self.kept is None else self._top(now))
+        elif old.ceiling_rate and not plan.ceiling_rate:
+            self.left, self.left_at = self.ceiling, now
+        if old.rate and plan.rate:
+            self.rate *= plan.rate / old.rate
+
     def drain(self, now: float) -> None:
         if now <= self.at:
             return
@@ -117,10 +129,11 @@
         self.ceiling -= units * self.entries
         return self.fill - before
 
-    def refund(self, units: float, filled: float) -> None:
-        """Gives back what was charged for a request that was not sent after all."""
+    def refund(self, units: float, filled: float, ceiling: bool = True) -> None:
+        """Gives back what was charged for a request that was not sent after all, to the ceiling too or not."""
         self.fill, self.passed = max(0.0, self.fill - filled), max(0.0, self.passed - units)
-        self.ceiling = min(max(self.ceiling, self._top(self.at)), self.ceiling + units * self.entries)
+        if ceiling:
+            self.ceiling = min(max(self.ceiling, self._top(self.at)), self.ceiling + units * self.entries)
 
     def heard(self, now: float, usage: float | None) -> None:
         """Takes a reading of the meter."""
--- a/coralvale/state.py
+++ b/coralvale/state.py
@@ -40,6 +40,7 @@
     request: api.Request
     arrived: float
     restrictor: Any  # the customer's
+    plan: api.Plan  # that it was charged under
     attempts: list[Attempt] = field(default_factory=list)
     maybe: Attempt | None = None  # the first attempt that may have run
     live: bool = True
@@ -52,6 +53,7 @@
     request: api.Request
     arrived: float
     restrictor: Any
+    plan: api.Plan  # that it was charged under
     filled: float  # what its store was filled by
 
 
