--- a/coralvale/handover.py
+++ b/coralvale/handover.py
@@ -38,14 +38,15 @@
     for name, restrictor in gateway.customers.items():
         restrictor.drain(now)
         kept = max(0.0, restrictor.ceiling) * KEPT if restrictor.plan.ceiling_rate else 0.0
+        mine = kept + restrictor.waiting
         given = {
             "ceiling": restrictor.ceiling - kept,  # what it owes goes with it
-            "lent": kept + (restrictor.lent if now < restrictor.lent_until else 0.0),
+            "lent": mine + (restrictor.lent if now < restrictor.lent_until else 0.0),
             "lent_until": now + HOLD,
         }
         row = [given.get(field, getattr(restrictor, field)) for field in CUSTOMER]
-        restrictor.lent, restrictor.lent_until = given["lent"] - kept, now + HOLD
-        restrictor.ceiling = restrictor.kept = kept
+        restrictor.lent, restrictor.lent_until = given["lent"] - mine, now + HOLD
+        restrictor.ceiling, restrictor.kept = kept, mine
         plan = plans.get(
             id(restrictor.plan), astuple(restrictor.plan)
         )  # figures, if it is none of the settings'
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -120,17 +120,16 @@
             restrictor.rate = max(restrictor.floor, min(restrictor.rate, plan.rate))
         return restrictor
 
-    def _still(self, now: float, request: api.Request, restrictor: Restrictor, plan: api.Plan) -> float:
-        """0 if a request may go on that was charged under `plan`, which may not be in force any more.
+    def _still(self, now: float, request: api.Request, restrictor: Restrictor, epoch: int) -> float:
+        """0 if a request may go on that was charged a while ago, when another plan may have been in force.
 
         Else the seconds to wait. What comes to its host under a ceiling counts for it, whenever it was let in.
         """
-        if self.terms is None or plan.ceiling_rate:
-            return 0.0
-        self._settle(now, request)
-        if not restrictor.plan.ceiling_rate or restrictor is not self.customers.get(request.customer):
-            return 0.0
+        if self.terms:
+            self._settle(now, request)
         restrictor.drain(now)
+        if epoch == restrictor.epoch:
+            return 0.0
         shared = self.allowance.wait(now, request, restrictor.plan, False) if self.allowance else None
         wait = restrictor.ceiling_wait(request.units) if shared is None else shared
         if not wait:
@@ -209,7 +208,8 @@
         if request.check:  # its units are kept, or those that wait could pass the quota together
             restrictor.checks += request.units
             restrictor.open += 1
-            self.checking[request.id] = Asked(request, now, restrictor, restrictor.plan, filled)
+            epoch = restrictor.wait_with(request.units)
+            self.checking[request.id] = Asked(request, now, restrictor, restrictor.plan, epoch, filled)
             self.actions.append(api.Check(request.id))
 
     def _serve(self, now: float, request: api.Request, restrictor: Restrictor, arrived: float) -> bool:
@@ -218,7 +218,7 @@
         if (host := self._pick_cold(now) or self._pick(now)) is None:
             return False
         self.retries = min(1 + RETRY_SAVED * self.done.rate(now), self.retries + RETRY_SHARE)
-        self.requests[request.id] = Held(request, arrived, restrictor, restrictor.plan)
+        self.requests[request.id] = Held(request, arrived, restrictor, restrictor.epoch)
         self._send(now, self.requests[request.id], host)
         return True
 
@@ -235,14 +235,16 @@
                 reason = "too late"
             elif pressed := self._pressed(now, request):
                 reason, wait = "pressed", pressed
-            elif ceiling := self._still(now, request, restrictor, asked.plan):
+            elif ceiling := self._still(now, request, restrictor, asked.epoch):
                 reason, wait = "ceiling", ceiling
             else:
-                asked.plan = restrictor.plan
+                restrictor.go(request.units, asked.epoch)
+                asked.plan, asked.epoch = restrictor.plan, restrictor.epoch
                 if self._serve(now, request, restrictor, asked.arrived):
                     del self.checking[request.id]
                     restrictor.open -= 1  # the attempt is out in its place
                     return None
+                restrictor.wait_with(request.units)
                 reason, wait = "no server", STEP
         self._give_back(asked)
         return self._refuse(request, reason, wait) if reason else self.actions.append(api.Deny(request.id))
@@ -251,7 +253,8 @@
         """A request that was not sent costs its customer nothing; that it was asked about still counts."""
         del self.checking[asked.request.id]
         asked.restrictor.open -= 1
-        ceiling = self.terms is None or asked.plan.ceiling_rate > 0
+        ceiling = asked.epoch == asked.restrictor.epoch  # else it was charged to none that still counts
+        asked.restrictor.go(asked.request.units, asked.epoch)
         asked.restrictor.refund(asked.request.units, asked.filled, ceiling)
         if self.allowance:
             self.allowance.refund(asked.request, asked.plan)
@@ -413,11 +416,12 @@
             held.maybe = attempt
         self._sort(now)
         if self._worth_another(now, held, event.outcome) and (host := self._pick(now, held)):
-            late = self._still(now, held.request, restrictor, held.plan) if held.maybe is None else 0.0
-            if late:
-                self._refuse(held.request, "ceiling", late)
-                return self._close(event.request, held)
-            held.plan = restrictor.plan
+            if held.maybe is None:  # it counts for what holds when it comes to a host
+                if late := self._still(now, held.request, restrictor, held.epoch):
+                    self._refuse(held.request, "ceiling", late)
+                    return self._close(event.request, held)
+                restrictor.late(held.request.units)
+                held.epoch = restrictor.epoch
             # No connection costs a server nothing; other failures must not double the load.
             self.retries -= event.outcome is not Outcome.CONNECT_FAILED
             return self._send(now, held, host)
--- a/coralvale/plans/terms.py
+++ b/coralvale/plans/terms.py
@@ -11,9 +11,9 @@
 `GUARD`: clocks differ by less, so no gateway leaves a ceiling while another is still under it.
 
 Out of touch: the service tells every change `lead` seconds ahead. What a gateway has heard is what the book said
-when it asked, so that until `lead - AHEAD - GUARD` after asking it knows of all that holds. Past that, if it is
-`strict`, it holds every station to the floor as well: no plan that it could be missing has a lower ceiling. If it
-is not, it goes on with what it knows.
+at a moment, so that until `lead - AHEAD - GUARD` after it the gateway knows of all that holds. Past that, if it
+is `strict`, it holds every station to the floor as well: no plan that it could be missing has a lower ceiling. If
+it is not, it goes on with what it knows.
 """
 
 from __future__ import annotations
@@ -36,7 +36,9 @@
         self.settings, self.strict, self.own_floor = settings, strict, floor
         self.book = Book()
         self.names = [plan.name for plan in settings.plans]
-        self.numbers = {name: number for number, name in enumerate(self.names)}
+        self.numbers = {
+            name.encode(): number for number, name in enumerate(self.names)
+        }  # as headers name them
         self.heard_at, self.known_until = -math.inf, -math.inf
         # By station and number of the plan that it names: what is in force, and until when.
         self.kept: dict[tuple[int, int], tuple[float, api.Plan]] = {}
@@ -51,20 +53,20 @@
         """The book has other entries than before, or is another one."""
         self.book = book or self.book
         for name in self.book.plans:
-            if name not in self.numbers:
-                self.numbers[name] = len(self.names)
+            if name.encode() not in self.numbers:
+                self.numbers[name.encode()] = len(self.names)
                 self.names.append(name)
         self.kept.clear()
         self.floored.clear()
 
-    def heard(self, asked_at: float) -> None:
-        """The book is all that there was at `asked_at`, on the clock that all machines read."""
-        self.heard_at = max(self.heard_at, asked_at)
-        lead = self.book.lead(asked_at)
+    def heard(self, moment: float) -> None:
+        """The book is all that there was at a moment, on the clock that all machines read."""
+        self.heard_at = max(self.heard_at, moment)
+        lead = self.book.lead(moment)
         rate, burst = self.book.floor()
         if rate < self.own_floor[0] or burst < self.own_floor[1]:
             return  # plans may be below what this gateway would hold to: it must not take itself for in touch
-        self.known_until = max(self.known_until, asked_at + lead - AHEAD - GUARD)
+        self.known_until = max(self.known_until, moment + lead - AHEAD - GUARD)
 
     def in_touch(self, now: float) -> bool:
         return now < self.known_until
@@ -73,7 +75,7 @@
 
     def number(self, name: str) -> int | None:
         """The number of a plan that a request names; None if neither the settings nor the book know it."""
-        return self.numbers.get(name)
+        return self.numbers.get(name.encode())
 
     def plan(self, now: float, customer: int, named: int) -> api.Plan:
         """What is in force for a station whose request names a plan."""
@@ -113,7 +115,7 @@
         name = self.book.on(station, moment) or name
         if (plan := self.book.plan(name, moment)) is not None:
             return plan
-        number = self.numbers[name]
+        number = self.numbers[name.encode()]
         # A plan that the book alone knows, named before it holds: as the first there is of it.
         return (
             self.settings.plans[number]
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -36,6 +36,9 @@
         self.kept: float | None = None
         self.lent, self.lent_until = 0.0, -math.inf
         self.left, self.left_at = 0.0, born  # of the ceiling, when it was last on a plan that has one
+        # Of the ceiling, what was taken for requests that wait for an authoriser: until they come to a host it
+        # keeps its place in the burst. A lower ceiling begins an epoch, before which all taken counts no more.
+        self.waiting, self.epoch = 0.0, 0
         # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
         self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born))
 
@@ -48,6 +51,9 @@
     def change(self, now: float, plan: api.Plan) -> None:
         """Another plan is in force from now on: the leak rate keeps its share, and no store is refilled."""
         old = self.plan
+        lower = plan.ceiling_rate < old.ceiling_rate or plan.ceiling_burst < old.ceiling_burst
+        if plan.ceiling_rate and (lower or not old.ceiling_rate):
+            self.epoch, self.waiting = self.epoch + 1, 0.0
         if plan.ceiling_rate and not old.ceiling_rate:
             risen = self.left + plan.ceiling_rate * (now - self.left_at)
             self.ceiling = min(plan.ceiling_burst, risen, math.inf if self.kept is None else self._top(now))
@@ -57,9 +63,7 @@
             self.rate *= plan.rate / old.rate
 
     def drain(self, now: float) -> None:
-        if now <= self.at:
-            return
-        elapsed = now - self.at
+        elapsed, now = max(0.0, now - self.at), max(now, self.at)
         self.fill = max(0.0, self.fill - self.rate * elapsed)
         self.checks = max(0.0, self.checks - self.rate * elapsed)
         # A plan without one, named by mistake, leaves the customer's as it was.
@@ -74,8 +78,9 @@
         """The most units of the ceiling that this process may hold."""
         alone = now >= self.lent_until
         if self.kept is not None:
-            return 0.0 if alone else self.kept
-        return self.plan.ceiling_burst if alone else max(0.0, self.plan.ceiling_burst - self.lent)
+            return 0.0 if alone else self.kept - self.waiting
+        burst = self.plan.ceiling_burst
+        return (burst if alone else max(0.0, burst - self.lent)) - self.waiting
 
     def threshold(self, units: float) -> float:
         """Burst scaled with the leak rate, one request at least; more where letting in wrongly costs less."""
@@ -129,6 +134,21 @@
         self.ceiling -= units * self.entries
         return self.fill - before
 
+    def wait_with(self, units: float) -> int:
+        """Units that were taken are not on their way yet; returns the epoch, to be given back to `go`."""
+        self.waiting += units * self.entries
+        return self.epoch
+
+    def go(self, units: float, epoch: int) -> None:
+        """They are on their way, or come to nothing."""
+        if epoch == self.epoch:
+            self.waiting = max(0.0, self.waiting - units * self.entries)
+
+    def late(self, units: float) -> None:
+        """Units that were taken a while ago have not come to any host: what has risen meanwhile is too much."""
+        if self.plan.ceiling_rate:
+            self.ceiling = min(self.ceiling, self._top(self.at) - units * self.entries)
+
     def refund(self, units: float, filled: float, ceiling: bool = True) -> None:
         """Gives back what was charged for a request that was not sent after all, to the ceiling too or not."""
         self.fill, self.passed = max(0.0, self.fill - filled), max(0.0, self.passed - units)
--- a/coralvale/state.py
+++ b/coralvale/state.py
@@ -40,7 +40,7 @@
     request: api.Request
     arrived: float
     restrictor: Any  # the customer's
-    plan: api.Plan  # that it was charged under
+    epoch: int  # of the restrictor, when it was charged
     attempts: list[Attempt] = field(default_factory=list)
     maybe: Attempt | None = None  # the first attempt that may have run
     live: bool = True
@@ -54,6 +54,7 @@
     arrived: float
     restrictor: Any
     plan: api.Plan  # that it was charged under
+    epoch: int  # of the restrictor, when it was charged
     filled: float  # what its store was filled by
 
 
