Add the plan service, the gateways' copy of its book, and the command plans

The book is on disk at one service (aiohttp, JSON): commands are durable before they are acknowledged, have names so that they are done once, and are refused with what would fit. Gateways follow it by long polls and keep a copy; an answer says as of which moment it is all that was told, so that a strict gateway knows until when it may rely on it. Ledger, syslog and authorisers are told the plan that is in force, not the one that a request names.

--- a/coralvale/__main__.py
+++ b/coralvale/__main__.py
@@ -25,6 +25,7 @@
     from coralvale.interface import Allowance
     from coralvale.ledger.service import Meter
     from coralvale.operator import Operator
+    from coralvale.plans.follower import Follower
     from coralvale.syslog.service import Sender
 
 log = logging.getLogger(__name__)
@@ -71,7 +72,9 @@
     recorder = record(config, operator, clock) if operator else None
     sender = tell(config, operator, clock) if operator else None
     meter = bill(config, operator, clock) if operator else None
-    node = Node(config, clock, allowance, gate, recorder, own_folder(config), sender, meter)
+    follower = follow(config, operator, clock) if operator else None
+    terms = follower.terms if follower else None
+    node = Node(config, clock, allowance, gate, recorder, own_folder(config), sender, meter, terms)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
 
@@ -84,11 +87,14 @@
 
     loop.add_signal_handler(signal.SIGHUP, again)
     node.start()
+    following = loop.create_task(follower.run()) if follower else None
     # What start-up made lives for good: collecting it again and again would only cost time.
     gc.collect()
     gc.freeze()
     await node.stopped
     node.close()
+    if follower and following:
+        await follower.close(following)
     if sender:
         await sender.finish()
 
@@ -160,6 +166,22 @@
         raise ConfigError(str(error)) from None
 
 
+def follow(config: Config, operator: Operator, clock: Clock) -> Follower | None:
+    """Whoever follows a plan service, if the operator's file names one."""
+    if operator.plans is None:
+        return None
+    from coralvale.operator import OperatorError
+    from coralvale.plans.follower import Follower
+    from coralvale.plans.terms import Terms
+
+    table = operator.plans
+    try:
+        terms = Terms(config.settings, table.strict, (table.floor_rate, table.floor_burst))
+        return Follower(table, config.name, terms, clock)
+    except OperatorError as error:
+        raise ConfigError(f"operator's file: {error}") from None
+
+
 def run(operator: str = "") -> int:
     """The gateway; `operator` names the operator's file, if one is given."""
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", stream=sys.stderr)
--- a/coralvale/authorisation/service.py
+++ b/coralvale/authorisation/service.py
@@ -175,7 +175,7 @@
         done: Callable[[Ruling], None],
     ) -> None:
         checks, cls = line.checks, self.settings.classes[arrival.cls].name
-        plan, station = self.settings.plans[arrival.plan].name, f"{arrival.customer:016x}"
+        plan, station = arrival.plan_name, f"{arrival.customer:016x}"
         try:
             request = check_request(arrival, exchange, station, plan, cls)
             # The time-out is kept here as well: an authoriser's deadline is the gateway's clock, not gRPC's.
--- a/coralvale/cli.py
+++ b/coralvale/cli.py
@@ -10,15 +10,23 @@
 import json
 import os
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
-EXTRAS = {"msgspec": "operator", "h11": "ledger", "grpc": "control", "envoy": "control", "google": "control"}
+EXTRAS = {
+    "msgspec": "operator",
+    "h11": "ledger",
+    "aiohttp": "plans",
+    "grpc": "control",
+    "envoy": "control",
+    "google": "control",
+}
 
-# Commands that only read what gateways wrote: each brings its own words.
+# Commands that bring their own words.
 READERS = {
     "attempts": ("coralvale.attempts.main", "What journals tell of attempts."),
     "ledger": ("coralvale.ledger.main", "What ledgers hold for billing."),
+    "plans": ("coralvale.plans.main", "Plans that change in service, and allowance that is reserved ahead."),
     "answers": ("coralvale.syslog.main", "What files of syslog messages tell of final answers."),
 }
 
@@ -43,6 +51,7 @@
 
     commands.add_parser("attempts", help="what journals tell of attempts that must not run twice")
     commands.add_parser("ledger", help="what ledgers hold for billing, corrections, and the export by hand")
+    commands.add_parser("plans", help="plans that change in service: the service, and commands to it")
     commands.add_parser("answers", help="what files of syslog messages tell of final answers")
 
     demo = commands.add_parser("demo", help="a gateway between stand-ins, on loopback, for some seconds")
@@ -57,10 +66,16 @@
         words = argparse.ArgumentParser(prog=f"coralvale {arguments[0]}", description=told[1])
         reader = importlib.import_module(told[0])
         reader.add(words)
-        return int(reader.run(words.parse_args(arguments[1:])))
-    asked = parser().parse_args(arguments)
+        given = words.parse_args(arguments[1:])
+        given.command = arguments[0]
+        return _guarded(given, reader.run)
+    return _guarded(parser().parse_args(arguments), _run)
+
+
+def _guarded(asked: argparse.Namespace, run: Callable[[argparse.Namespace], int]) -> int:
+    """Runs it; a package that is not installed is told by the extra that brings it."""
     try:
-        return _run(asked)
+        return int(run(asked))
     except ModuleNotFoundError as error:
         extra = EXTRAS.get((error.name or "").partition(".")[0])
         if extra is None:
--- a/coralvale/ledger/service.py
+++ b/coralvale/ledger/service.py
@@ -49,7 +49,6 @@
             )
         self.loop = asyncio.get_running_loop()
         self.classes = [cls.name for cls in settings.classes]
-        self.plans = [plan.name for plan in settings.plans]
         self.account = lru_cache(16_384)(self._account)
         terms = Terms(table.period_s, table.grace_s, table.patience_s, table.gather_s)
         self.folder = own_folder(table.directory)
@@ -73,8 +72,8 @@
         self.thread.start()
         self.timer = self.loop.call_later(TICK, self._tick)
 
-    def _account(self, customer: int, plan: int, cls: int) -> Account:
-        return Account(f"{customer:016x}", self.plans[plan], self.classes[cls])
+    def _account(self, customer: int, plan: str, cls: int) -> Account:
+        return Account(f"{customer:016x}", plan, self.classes[cls])
 
     # The path of a request
 
@@ -84,7 +83,7 @@
 
     def opened(self, arrival: Arrival) -> bool:
         """A try's first attempt is about to be made; whether it may be."""
-        account = self.account(arrival.customer, arrival.plan, arrival.cls)
+        account = self.account(arrival.customer, arrival.plan_name, arrival.cls)
         units = round(arrival.units * MILLION)
         try:
             self.log.write(self.log.book.open(self.clock.now(), arrival.id, account, units))
--- a/coralvale/logic.py
+++ b/coralvale/logic.py
@@ -8,17 +8,15 @@
 
 import math
 import random
-from dataclasses import replace
 from typing import Any
 
 from coralvale import interface as api
 from coralvale.health import LOST, NEWS, SILENCE, Fleet, Host, by_lot
 from coralvale.interface import Outcome, Repeat, Verdict
-from coralvale.restrictor import QUIET, STEP, Restrictor
+from coralvale.restrictor import QUIET, STEP, Customers, Restrictor
 from coralvale.state import Asked, Attempt, Held, Pace, Refusals
 
 TICK = 0.1  # s between looks at what is overdue: well under any delay that a client would notice
-IDLE = 60.0  # s after which an idle customer's restrictor is dropped, once its bucket is empty
 FAIL_PAUSE = 0.5  # s a failing server is passed over, doubled on each failure in a row up to four
 RETRY_SHARE = 0.2  # further attempts for each request: a broad failure must not double the load
 RETRY_SAVED = 0.5  # s of own traffic that further attempts saved up in calm times may match
@@ -47,9 +45,13 @@
         allowance: api.Allowance | None = None,
         terms: api.Terms | None = None,
     ) -> None:
-        self.settings, self.random = settings, random.Random(seed)
-        self.allowance, self.terms = allowance, terms
-        self.customers, self.fleet = dict[int, Restrictor](), Fleet()
+        self.settings, self.random, self.allowance, self.terms = (
+            settings,
+            random.Random(seed),
+            allowance,
+            terms,
+        )
+        self.customers, self.fleet = Customers(settings, allowance, terms), Fleet()
         self.warm, self.cold, self.near = list[Host](), list[Host](), list[Host]()
         self.sort_at = -math.inf  # when a cold server becomes warm
         self.busy: dict[Host, None] = {}  # servers with attempts out
@@ -92,7 +94,7 @@
 
     def _arrive(self, now: float, request: api.Request) -> None:
         self.settings.check(request, self.terms)
-        restrictor = self._settle(now, request)
+        restrictor = self.customers.of(now, request, self.born)
         plan, restrictor.seen_at = restrictor.plan, now
         restrictor.drain(now)
         if now >= request.expires_at:
@@ -104,40 +106,6 @@
             self._bucket(now, request, restrictor)
         restrictor.note(now, request.units)
 
-    def _settle(self, now: float, request: api.Request) -> Restrictor:
-        """The customer's restrictor, with the plan that is in force and the set that the request names."""
-        named, customer = request.plan, request.customer
-        plan = self.terms.plan(now, customer, named) if self.terms else self.settings.plans[named]
-        restrictor = self.customers.get(customer)
-        if restrictor is None:
-            restrictor = Restrictor(plan, request.entry_gateways, now, self.born)
-            self.customers[customer] = restrictor
-        if restrictor.plan is not plan or restrictor.entries != request.entry_gateways:
-            restrictor.drain(now)
-            if self.terms:
-                restrictor.change(now, plan)
-            restrictor.settle(plan, request.entry_gateways)
-            restrictor.rate = max(restrictor.floor, min(restrictor.rate, plan.rate))
-        return restrictor
-
-    def _still(self, now: float, request: api.Request, restrictor: Restrictor, epoch: int) -> float:
-        """0 if a request may go on that was charged a while ago, when another plan may have been in force.
-
-        Else the seconds to wait. What comes to its host under a ceiling counts for it, whenever it was let in.
-        """
-        if self.terms:
-            self._settle(now, request)
-        restrictor.drain(now)
-        if epoch == restrictor.epoch:
-            return 0.0
-        shared = self.allowance.wait(now, request, restrictor.plan, False) if self.allowance else None
-        wait = restrictor.ceiling_wait(request.units) if shared is None else shared
-        if not wait:
-            restrictor.ceiling -= request.units * restrictor.entries
-            if self.allowance:
-                self.allowance.charge(request, replace(restrictor.plan, rate=0.0))
-        return wait
-
     def _bucket(self, now: float, request: api.Request, restrictor: Restrictor) -> None:
         if wait := restrictor.wait(request.units):
             return self._refuse(request, "quota", wait)
@@ -171,8 +139,7 @@
             self.actions += self.allowance.reply(now, event) if self.allowance else []
             return None
         at, request, restrictor, amount = self.asked.pop(event.name)
-        if self.terms:
-            restrictor = self._settle(now, request)
+        restrictor = self.customers.of(now, request, self.born) if self.terms else restrictor
         restrictor.drain(now)
         failed = not event.ok or not math.isfinite(event.total)
         # Late replies tell of a crowded counter before it fails; calls that fail only crowd it more.
@@ -191,8 +158,7 @@
         usual = self.usual[request.cls]
         if restrictor.open_full():
             return self._refuse(request, "open limit", usual)
-        shared = self.allowance.wait(now, request, restrictor.plan, False) if self.allowance else None
-        if wait := restrictor.ceiling_wait(request.units) if shared is None else shared:
+        if wait := self.customers.ceiling_wait(now, request, restrictor):
             return self._refuse(request, "ceiling", wait)
         if request.expires_at - now < usual / 2:  # an answer would hardly come in time
             return self._refuse(request, "too late", usual)
@@ -207,7 +173,6 @@
             self.allowance.charge(request, restrictor.plan)
         if request.check:  # its units are kept, or those that wait could pass the quota together
             restrictor.checks += request.units
-            restrictor.open += 1
             epoch = restrictor.wait_with(request.units)
             self.checking[request.id] = Asked(request, now, restrictor, restrictor.plan, epoch, filled)
             self.actions.append(api.Check(request.id))
@@ -235,30 +200,17 @@
                 reason = "too late"
             elif pressed := self._pressed(now, request):
                 reason, wait = "pressed", pressed
-            elif ceiling := self._still(now, request, restrictor, asked.epoch):
+            elif ceiling := self.customers.still(now, request, restrictor, asked.epoch):
                 reason, wait = "ceiling", ceiling
+            elif self._serve(now, request, restrictor, asked.arrived):
+                del self.checking[request.id]
+                restrictor.go(request.units, asked.epoch)  # the attempt is out in its place
+                return None
             else:
-                restrictor.go(request.units, asked.epoch)
-                asked.plan, asked.epoch = restrictor.plan, restrictor.epoch
-                if self._serve(now, request, restrictor, asked.arrived):
-                    del self.checking[request.id]
-                    restrictor.open -= 1  # the attempt is out in its place
-                    return None
-                restrictor.wait_with(request.units)
                 reason, wait = "no server", STEP
-        self._give_back(asked)
+        self.customers.give_back(self.checking.pop(request.id))
         return self._refuse(request, reason, wait) if reason else self.actions.append(api.Deny(request.id))
 
-    def _give_back(self, asked: Asked) -> None:
-        """A request that was not sent costs its customer nothing; that it was asked about still counts."""
-        del self.checking[asked.request.id]
-        asked.restrictor.open -= 1
-        ceiling = asked.epoch == asked.restrictor.epoch  # else it was charged to none that still counts
-        asked.restrictor.go(asked.request.units, asked.epoch)
-        asked.restrictor.refund(asked.request.units, asked.filled, ceiling)
-        if self.allowance:
-            self.allowance.refund(asked.request, asked.plan)
-
     def _pressed(self, now: float, request: api.Request) -> float:
         """Seconds by which the expected wait (Little's law; one more at the mean delay) is over what may be.
 
@@ -379,8 +331,8 @@
     def _leave(self, now: float, event: api.Abandoned | api.StreamStarted) -> None:
         for name in [n for n, (_, request, *_) in self.asked.items() if request.id == event.request]:
             del self.asked[name]
-        if asked := self.checking.get(event.request):
-            self._give_back(asked)
+        if asked := self.checking.pop(event.request, None):
+            self.customers.give_back(asked)
         if held := self.requests.get(event.request):
             self._close(event.request, held)
 
@@ -417,11 +369,10 @@
         self._sort(now)
         if self._worth_another(now, held, event.outcome) and (host := self._pick(now, held)):
             if held.maybe is None:  # it counts for what holds when it comes to a host
-                if late := self._still(now, held.request, restrictor, held.epoch):
+                if late := self.customers.still(now, held.request, restrictor, held.epoch):
                     self._refuse(held.request, "ceiling", late)
                     return self._close(event.request, held)
-                restrictor.late(held.request.units)
-                held.epoch = restrictor.epoch
+                held.epoch = restrictor.late(held.request.units)
             # No connection costs a server nothing; other failures must not double the load.
             self.retries -= event.outcome is not Outcome.CONNECT_FAILED
             return self._send(now, held, host)
@@ -487,7 +438,4 @@
             if len(self.near) < len(self.warm):  # leaves the worst server for any other
                 self.near.remove(max(self.near, key=lambda h: (h.ill(now, self.mean), h.slowness(now))))
                 self.near += self._draw(1)
-            for name, restrictor in list(self.customers.items()):
-                restrictor.step(now)
-                if now - restrictor.seen_at > IDLE and not (restrictor.open or restrictor.fill):
-                    del self.customers[name]
+            self.customers.step(now)
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -149,6 +149,12 @@
         """Makes durable what is known."""
 
 
+class Terms(api.Terms, Protocol):
+    """Plans that change in service, beside the node."""
+
+    numbers: dict[bytes, int]  # of plans, as headers name them
+
+
 class Held:
     """A request from its last byte until it is answered and no attempt is out."""
 
@@ -197,13 +203,14 @@
         folder: Path | None = None,
         witness: Witness | None = None,
         meter: Meter | None = None,
+        terms: Terms | None = None,
     ) -> None:
-        self.witness, self.meter = witness, meter
+        self.witness, self.meter, self.terms = witness, meter, terms
         self.config, self.settings = config, config.settings
         self.clock = clock or Clock()
         self.loop = asyncio.get_running_loop()
         self.allowance, self.gate, self.recorder = allowance, gate, recorder
-        self.gateway = Gateway(config.settings, config.seed, allowance)
+        self.gateway = Gateway(config.settings, config.seed, allowance, terms)
         self.folder = folder if config.management else None
         self.marks, self.seen = Marks(self.folder), OrderedDict[str, None]()
         self.figures = Figures([c.name for c in config.settings.classes])
@@ -233,6 +240,8 @@
             bool(self.folder),
             int(max(config.memory - OWN_MEMORY, LEAST_BODIES) * 1e6),
         )
+        if terms:
+            self.server.names.plans, self.server.names.plan_names = terms.numbers, terms.names
         self.upstreams = Upstreams(
             self.clock, config.connect_timeout, config.conn_idle, share, config.settings.report_fields
         )
@@ -514,6 +523,8 @@
             self.turned_away(exchange, 503, "too many held" if full else "not to be recorded", arrival)
             return
         now = self.clock.now()
+        if self.terms:
+            self._in_force(now, arrival)
         patience = min(arrival.time_out, self.settings.classes[arrival.cls].give_up)
         expires_at = now + max(0.0, patience - ANSWER_ROOM)
         if self.ends_at is not None:
@@ -526,7 +537,7 @@
             api.Request(
                 id=arrival.id,
                 cls=arrival.cls,
-                plan=arrival.plan,
+                plan=arrival.named,
                 customer=arrival.customer,
                 entry_gateways=arrival.entries,
                 expires_at=expires_at,
@@ -538,6 +549,12 @@
         if not held.answered:  # most requests of a busy day are refused at once and need no timer
             held.timer = self.loop.call_later(max(0.0, expires_at - now), self._expire, held)
 
+    def _in_force(self, now: float, arrival: Arrival) -> None:
+        """The plan that a request falls under, whatever it names."""
+        if self.terms:
+            arrival.plan_name = self.terms.plan(now, arrival.customer, arrival.named).name
+            arrival.plan = self.terms.numbers[arrival.plan_name.encode()]
+
     def client_left(self, exchange: Exchange) -> None:
         held = exchange.held
         if held is not None and held.streaming:
@@ -572,6 +589,8 @@
         number = len(held.attempts)
         held.out += 1
         if endpoint is not None and self.meter and not held.metered:
+            if self.terms:  # what it costs is told by the plan of its first attempt
+                self._in_force(now, held.arrival)
             held.metered = self.meter.opened(held.arrival)
         if endpoint is None or (self.meter and not held.metered):
             done = partial(self._done, held)
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -205,7 +205,18 @@
 class Arrival:
     """The fields of a request that the decisions need."""
 
-    __slots__ = ("cls", "customer", "entries", "first", "id", "plan", "time_out", "units")
+    __slots__ = (
+        "cls",
+        "customer",
+        "entries",
+        "first",
+        "id",
+        "named",
+        "plan",
+        "plan_name",
+        "time_out",
+        "units",
+    )
 
     def __init__(self, settings: Names, exchange: Exchange) -> None:
         fields = exchange.fields
@@ -226,7 +237,9 @@
         plan = settings.plans.get(need(b"plan"))
         if plan is None:
             raise BadRequest("plan: unknown plan")
-        self.plan = plan
+        # What it names, and what is in force: the same unless plans change in service.
+        self.named = self.plan = plan
+        self.plan_name = settings.plan_names[plan]
         if exchange.method != settings.methods[cls]:
             # What is unsafe to repeat must not come by a method that anyone may repeat, or the reverse.
             raise BadRequest("the method does not go with the class")
@@ -272,6 +285,7 @@
     def __init__(self, settings: api.Settings) -> None:
         self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self.plans = {p.name.encode(): i for i, p in enumerate(settings.plans)}
+        self.plan_names = [p.name for p in settings.plans]
         self.methods = [b"GET" if c.repeat is api.Repeat.SAFE else b"POST" for c in settings.classes]
         self.gateways, self.most_units = settings.gateways, settings.most_units
 
--- a/coralvale/operator/model.py
+++ b/coralvale/operator/model.py
@@ -223,6 +223,58 @@
             raise ValueError("ledger.tls: expected certificate and key together")
 
 
+class PlansTls(Table, frozen=True):
+    """`[plans.tls]`, `[plan_service.tls]`: PEM files; `ca` signs the other side's certificates."""
+
+    ca: str = ""
+    certificate: str = ""
+    key: str = ""
+
+
+class Plans(Table, frozen=True):
+    """`[plans]`: plans that change in service, as a plan service tells them."""
+
+    service: Annotated[str, Meta(min_length=1, max_length=256)]  # address:port
+    directory: str = ""  # keeps the copy across restarts; one gateway's alone; empty: none is kept
+    strict: bool = False  # out of touch with the service, every station is held to the floor
+    floor_rate: Annotated[float, Meta(ge=0, le=1e9)] = 0.0  # units a second over all gateways
+    floor_burst: Annotated[float, Meta(ge=0, le=1e9)] = 0.0  # units
+    tls: PlansTls | None = None
+
+    def check(self) -> None:
+        _address("plans.service", self.service)
+        if self.strict and not (self.floor_rate > 0 and self.floor_burst > 0):
+            raise ValueError("plans.strict: needs floor_rate and floor_burst above 0")
+        _pair("plans.tls", self.tls)
+
+
+class PlanService(Table, frozen=True):
+    """`[plan_service]`: the one that has the book (`coralvale plans serve`)."""
+
+    directory: Annotated[str, Meta(min_length=1)]  # on a disk that outlives the process
+    listen: str = "127.0.0.1:18100"
+    lead_s: Annotated[float, Meta(ge=1, le=3600)] = 5.0  # that every change is told ahead
+    floor_rate: Annotated[float, Meta(ge=0, le=1e9)] = 0.0  # no plan's ceiling may be below
+    floor_burst: Annotated[float, Meta(ge=0, le=1e9)] = 0.0
+    gateways: tuple[str, ...] = ()  # names of those that must know of a change; others as long as they ask
+    keep_days: Annotated[float, Meta(gt=0, le=3650)] = 7.0  # for what is over
+    insecure: bool = False  # allows listening off loopback without TLS
+    tls: PlansTls | None = None
+
+    def check(self) -> None:
+        host = _address("plan_service.listen", self.listen)
+        if not (_loopback(host) or self.tls or self.insecure):
+            raise ValueError(
+                f"plan_service.listen: {self.listen} is off loopback; "
+                "expected [plan_service.tls], or insecure = true"
+            )
+        if bool(self.floor_rate) != bool(self.floor_burst):
+            raise ValueError("plan_service.floor_burst: expected floor_rate and floor_burst together")
+        _pair("plan_service.tls", self.tls)
+        if self.tls and not self.tls.certificate:
+            raise ValueError("plan_service.tls: expected certificate and key")
+
+
 class Operator(Table, frozen=True):
     """The whole file. A table that is not there is a subsystem that is off."""
 
@@ -232,6 +284,8 @@
     attempts: Attempts | None = None
     syslog: Syslog | None = None
     ledger: Ledger | None = None
+    plans: Plans | None = None
+    plan_service: PlanService | None = None
 
     def check(self) -> None:
         if self.control:
@@ -240,6 +294,10 @@
             self.syslog.check()
         if self.ledger:
             self.ledger.check()
+        if self.plans:
+            self.plans.check()
+        if self.plan_service:
+            self.plan_service.check()
         names = [authoriser.name for authoriser in self.authorisation]
         for number, authoriser in enumerate(self.authorisation):
             path = f"authorisation[{number}]"
@@ -254,6 +312,11 @@
                 raise ValueError(f"{path}.tls: expected certificate and key together")
 
 
+def _pair(path: str, tls: PlansTls | None) -> None:
+    if tls and bool(tls.certificate) != bool(tls.key):
+        raise ValueError(f"{path}: expected certificate and key together")
+
+
 def _address(path: str, text: str) -> str:
     host, colon, port = text.rpartition(":")
     if not (host and colon and port.isascii() and port.isdecimal() and int(port) < 65536):
--- a/coralvale/plans/book.py
+++ b/coralvale/plans/book.py
@@ -115,6 +115,11 @@
                 lead = max(lead, older.what.lead)
         return lead
 
+    def soonest(self, moment: float) -> float:
+        """When a change may hold, at the soonest, that is told after a moment."""
+        ends = [n.at + o.what.lead for o, n in zip(self.leads, self.leads[1:], strict=False)]
+        return min(told + self.lead(told) for told in (moment, *(end for end in ends if end > moment)))
+
     def floor(self) -> tuple[float, float]:
         """Rate and burst that no ceiling is below; 0, 0 where none was set."""
         return (self.leads[-1].what.floor_rate, self.leads[-1].what.floor_burst) if self.leads else (0.0, 0.0)
@@ -156,7 +161,7 @@
             ],
         )
 
-    def _tables(self) -> tuple[tuple[str, dict[str, list[Change[Any]]]], ...]:
+    def tables(self) -> tuple[tuple[str, dict[str, list[Change[Any]]]], ...]:
         plans, stations, pools = cast(Any, self.plans), cast(Any, self.stations), cast(Any, self.pools)
         return ("plan", plans), ("station", stations), ("pool", pools)
 
@@ -263,7 +268,7 @@
 
     def withdraw(self, now: float, serial: int) -> Record:
         """Takes back a change that is to come, if gateways can still be told in time."""
-        for kind, table in self._tables():
+        for kind, table in self.tables():
             for name, changes in table.items():
                 for place, change in enumerate(changes):
                     if change.serial == serial:
@@ -301,7 +306,7 @@
 
     def trim(self, before: float) -> Record | None:
         """What can be forgotten of the time before a moment; None if nothing can."""
-        worn = (changes for _, table in self._tables() for changes in table.values())
+        worn = (changes for _, table in self.tables() for changes in table.values())
         old = any(len(changes) > 1 and changes[1].at <= before for changes in worn)
         gone = any(c[-1].what == "" and c[-1].at <= before for c in self.stations.values())
         ended = any(b.until <= before for b in self.reserved.values())
@@ -387,7 +392,7 @@
         changes.append(change)
 
     def _withdraw(self, serial: int) -> None:
-        for _, table in self._tables():
+        for _, table in self.tables():
             for name, changes in table.items():
                 if changes[-1].serial == serial:
                     changes.pop()
@@ -404,7 +409,7 @@
             del self.of_station[booked.record.station]
 
     def _trim(self, before: float) -> None:
-        for kind, table in self._tables():
+        for kind, table in self.tables():
             for name, changes in list(table.items()):
                 while len(changes) > 1 and changes[1].at <= before:
                     del changes[0]
--- a/coralvale/plans/terms.py
+++ b/coralvale/plans/terms.py
@@ -62,11 +62,10 @@
     def heard(self, moment: float) -> None:
         """The book is all that there was at a moment, on the clock that all machines read."""
         self.heard_at = max(self.heard_at, moment)
-        lead = self.book.lead(moment)
         rate, burst = self.book.floor()
         if rate < self.own_floor[0] or burst < self.own_floor[1]:
             return  # plans may be below what this gateway would hold to: it must not take itself for in touch
-        self.known_until = max(self.known_until, moment + lead - AHEAD - GUARD)
+        self.known_until = max(self.known_until, self.book.soonest(moment) - AHEAD - GUARD)
 
     def in_touch(self, now: float) -> bool:
         return now < self.known_until
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 from coralvale import interface as api
+from coralvale.state import Asked
 
 SMOOTH = 0.5  # weight of the newest second in own and metered use: two seconds of memory tame one odd reading
 STEP = 1.0  # s between new leak rates, as the design sets it
@@ -14,6 +16,7 @@
 EASE = 0.25  # share of the way back to the floor in each step without readings
 ASKING = 8.0  # s over which a customer's asking here is averaged: its mean gap there is some seconds
 LIGHT, HEAVY = 0.4, 1.0  # times its quota that a customer asks for, by what it asks here: surely under, over
+IDLE = 60.0  # s after which an idle customer's restrictor is dropped, once its bucket is empty
 SPARSE = 2.0  # times that a request is over the part of the burst where the bucket cannot know
 
 
@@ -36,8 +39,8 @@
         self.kept: float | None = None
         self.lent, self.lent_until = 0.0, -math.inf
         self.left, self.left_at = 0.0, born  # of the ceiling, when it was last on a plan that has one
-        # Of the ceiling, what was taken for requests that wait for an authoriser: until they come to a host it
-        # keeps its place in the burst. A lower ceiling begins an epoch, before which all taken counts no more.
+        # Of the ceiling, what was taken for requests that wait for an authoriser: until they come to a host
+        # it keeps its place in the burst. A lower ceiling begins an epoch: what was taken before is void.
         self.waiting, self.epoch = 0.0, 0
         # A restart must not refill the ceiling, so the share is empty at birth and fills from then on.
         self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born))
@@ -135,22 +138,25 @@
         return self.fill - before
 
     def wait_with(self, units: float) -> int:
-        """Units that were taken are not on their way yet; returns the epoch, to be given back to `go`."""
+        """A request whose units were taken waits: it is open; returns the epoch, to be given back to `go`."""
+        self.open += 1
         self.waiting += units * self.entries
         return self.epoch
 
     def go(self, units: float, epoch: int) -> None:
-        """They are on their way, or come to nothing."""
+        """It is on its way, or comes to nothing."""
+        self.open -= 1
         if epoch == self.epoch:
             self.waiting = max(0.0, self.waiting - units * self.entries)
 
-    def late(self, units: float) -> None:
-        """Units that were taken a while ago have not come to any host: what has risen meanwhile is too much."""
+    def late(self, units: float) -> int:
+        """Units that were taken have come to no host: what has risen meanwhile is too much. The epoch."""
         if self.plan.ceiling_rate:
             self.ceiling = min(self.ceiling, self._top(self.at) - units * self.entries)
+        return self.epoch
 
     def refund(self, units: float, filled: float, ceiling: bool = True) -> None:
-        """Gives back what was charged for a request that was not sent after all, to the ceiling too or not."""
+        """Gives back what was charged for a request that was not sent, to the ceiling too or not."""
         self.fill, self.passed = max(0.0, self.fill - filled), max(0.0, self.passed - units)
         if ceiling:
             self.ceiling = min(max(self.ceiling, self._top(self.at)), self.ceiling + units * self.entries)
@@ -173,3 +179,63 @@
         grown = self.rate * (1 + GROWTH)
         wanted = self.own_late / self.use if self.use > 0 else grown
         self.rate += DAMP * (max(self.floor, min(wanted, grown, self.plan.rate)) - self.rate)
+
+
+class Customers(dict[int, Restrictor]):
+    """All customers' restrictors: the plan in force for each, and what requests that wait keep of it."""
+
+    def __init__(
+        self, settings: api.Settings, allowance: api.Allowance | None = None, terms: api.Terms | None = None
+    ) -> None:
+        self.settings, self.allowance, self.terms = settings, allowance, terms
+
+    def of(self, now: float, request: api.Request, born: float) -> Restrictor:
+        """The customer's, with the plan that is in force and the set that the request names."""
+        named, customer, entries = request.plan, request.customer, request.entry_gateways
+        plan = self.terms.plan(now, customer, named) if self.terms else self.settings.plans[named]
+        if (restrictor := self.get(customer)) is None:
+            restrictor = self[customer] = Restrictor(plan, entries, now, born)
+        if restrictor.plan is not plan or restrictor.entries != entries:
+            restrictor.drain(now)
+            if self.terms:
+                restrictor.change(now, plan)
+            restrictor.settle(plan, entries)
+            restrictor.rate = max(restrictor.floor, min(restrictor.rate, plan.rate))
+        return restrictor
+
+    def ceiling_wait(self, now: float, request: api.Request, restrictor: Restrictor) -> float:
+        """Seconds until the ceiling has room, 0 if it has."""
+        shared = self.allowance.wait(now, request, restrictor.plan, False) if self.allowance else None
+        return restrictor.ceiling_wait(request.units) if shared is None else shared
+
+    def still(self, now: float, request: api.Request, restrictor: Restrictor, epoch: int) -> float:
+        """0 if a request may go on that was charged a while ago, when another plan may have been in force.
+
+        Else the seconds to wait. What comes to its host under a ceiling counts for it, whenever let in.
+        """
+        if self.terms and self.get(request.customer) is restrictor:
+            self.of(now, request, now)
+        restrictor.drain(now)
+        if epoch == restrictor.epoch:
+            return 0.0
+        wait = self.ceiling_wait(now, request, restrictor)
+        if not wait:
+            restrictor.ceiling -= request.units * restrictor.entries
+            if self.allowance:
+                self.allowance.charge(request, replace(restrictor.plan, rate=0.0))
+        return wait
+
+    def give_back(self, asked: Asked) -> None:
+        """A request that was not sent costs its customer nothing; that it was asked about still counts."""
+        restrictor, units = asked.restrictor, asked.request.units
+        restrictor.go(units, asked.epoch)
+        restrictor.refund(units, asked.filled, asked.epoch == restrictor.epoch)
+        if self.allowance:
+            self.allowance.refund(asked.request, asked.plan)
+
+    def step(self, now: float) -> None:
+        """Sets the leak rates; forgets who has been idle."""
+        for name, restrictor in list(self.items()):
+            restrictor.step(now)
+            if now - restrictor.seen_at > IDLE and not (restrictor.open or restrictor.fill):
+                del self[name]
--- a/coralvale/syslog/service.py
+++ b/coralvale/syslog/service.py
@@ -84,7 +84,6 @@
         self.loop = asyncio.get_running_loop()
         settings = config.settings
         self.classes = [cls.name for cls in settings.classes]
-        self.plans = [plan.name for plan in settings.plans]
         origin = Origin(
             table.hostname or config.name, "coralvale", str(os.getpid()), table.enterprise, table.facility,
             table.synced,
@@ -125,7 +124,7 @@
             programme = names.programmes.get(target, "")
         if arrival:
             station, request = f"{arrival.customer:016x}", arrival.id
-            plan, cls = self.plans[arrival.plan], self.classes[arrival.cls]
+            plan, cls = arrival.plan_name, self.classes[arrival.cls]
             units, spread = arrival.units, arrival.entries
         else:  # it was turned away: what it said, as far as it said anything
             plan, cls, request, cookie = (
--- a/tests/memory_disk.py
+++ b/tests/memory_disk.py
@@ -42,6 +42,9 @@
             raise OSError(errno.ENOSPC, "No space left on device")
         self.files[name] = data
 
+    def rename(self, name: str, new: str) -> None:
+        self.files[new] = self.files.pop(name)
+
     def remove(self, name: str) -> None:
         self.room += len(self.files.pop(name))
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -19,6 +19,9 @@
     LedgerTls,
     Operator,
     OperatorError,
+    Plans,
+    PlanService,
+    PlansTls,
     Receiver,
     Syslog,
     read_operator,
@@ -38,6 +41,8 @@
     "coralvale.disk",
     "coralvale.ledger",
     "h11",
+    "aiohttp",
+    "coralvale.plans",
     "coralvale.standins",
     "coralvale.syslog",
 )
@@ -66,12 +71,17 @@
         ("receivers", named["syslog"].pop("receivers")[0], Receiver),
         ("tls", named["ledger"].pop("tls"), LedgerTls),
         ("ledger", named["ledger"], Ledger),
+        ("tls", named["plans"].pop("tls"), PlansTls),
+        ("plans", named["plans"], Plans),
+        ("tls", named["plan_service"].pop("tls"), PlansTls),
+        ("plan_service", named["plan_service"], PlanService),
     ):
         fields = {
             f.name: f.default for f in msgspec.structs.fields(kind) if f.name not in ("receivers", "tls")
         }
         assert set(table) == set(fields), name
         for key, default in fields.items():
+            default = list(default) if isinstance(default, tuple) else default
             assert table[key] == default or default is msgspec.NODEFAULT, key
     assert set(named["control"]["tls"]) == {"certificate", "key", "client_ca"}
 
@@ -89,6 +99,10 @@
         ),
         ("[control]\nservice = 'a'\nlisten = 'here'", "control.listen: expected address:port, got 'here'"),
         ("[control]\nservice = 'a'\nlisten = '0.0.0.0:1'", "control.listen: 0.0.0.0:1 is off loopback"),
+        ("[plans]\nservice = 'x'", "plans.service: expected address:port"),
+        ("[plans]\nservice = 'x:1'\nstrict = true", "plans.strict: needs floor_rate and floor_burst"),
+        ("[plan_service]\ndirectory = 'x'\nlisten = '0.0.0.0:1'", "plan_service.listen: 0.0.0.0:1 is off"),
+        ("[plan_service]\ndirectory = 'x'\nfloor_rate = 1", "plan_service.floor_burst: expected floor_rate"),
         ("[control\n", "no TOML"),
         ("[syslog]", "syslog: Object missing required field `receivers`"),
         ("[syslog]\nreceivers = []", "syslog.receivers: expected 1 to 8 tables"),
