--- a/coralvale/plans/main.py
+++ b/coralvale/plans/main.py
@@ -19,7 +19,7 @@
 from coralvale.plans.model import FIGURES, PlansError
 
 TIMEOUT = 10.0  # s for one call
-TRIES = 3  # of a command that got no answer: it has a name, so that it is done once
+PATIENCE = 5.0  # s for which a command that got no answer is said again: it has a name, so it is done once
 LOOK = 0.2  # s between looks at who knows of a change
 
 
@@ -221,16 +221,16 @@
 
 def _said(asked: argparse.Namespace, body: dict[str, Any]) -> dict[str, Any]:
     """A command's answer. One that gets none is said again under its name: it is carried out once."""
-    for left in reversed(range(TRIES)):
+    end = time.monotonic() + PATIENCE
+    while True:
         try:
             return dict(_call(asked, "/commands", body))
         except Failed as error:
-            if error.code != 3 or not left:
-                if error.code == 3:
-                    raise Failed(f"{error}; say it again with --command {body['command']}", 3) from None
+            if error.code != 3:
                 raise
-            time.sleep(LOOK)
-    raise AssertionError
+            if time.monotonic() > end:
+                raise Failed(f"{error}; say it again with --command {body['command']}", 3) from None
+        time.sleep(LOOK)
 
 
 def _awaited(asked: argparse.Namespace, told: dict[str, Any]) -> list[str]:
