--- a/coralvale/plans/book.py
+++ b/coralvale/plans/book.py
@@ -28,7 +28,7 @@
 
 import math
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Generic, TypeVar, cast
 
 from coralvale import interface as api
@@ -77,11 +77,14 @@
 
 @dataclass(slots=True)
 class Booked:
-    """A reservation that was granted; `until` as it stands now."""
+    """A reservation that was granted; one that was cancelled under way has another end."""
 
     record: Reserved
     serial: int
-    until: float
+
+    @property
+    def until(self) -> float:
+        return self.record.until
 
 
 def current(changes: list[Change[T]], moment: float) -> T | None:
@@ -363,13 +366,13 @@
         elif isinstance(record, Reserved):
             if record.id in self.reserved:
                 raise PlansError(f"record {entry.serial}: reservation {record.id} is there already")
-            self.reserved[record.id] = Booked(record, entry.serial, record.until)
+            self.reserved[record.id] = Booked(record, entry.serial)
             self.of_station.setdefault(record.station, []).append(record.id)
         elif isinstance(record, Cancelled):
             booked = self.reserved.get(record.id)
             if booked is None:
                 raise PlansError(f"record {entry.serial}: no reservation {record.id}")
-            booked.until = min(booked.until, record.at)
+            booked.record = replace(booked.record, until=min(booked.until, record.at))
             if booked.until <= booked.record.at:
                 self._drop(record.id)
         elif isinstance(record, Withdrawn):
@@ -424,12 +427,11 @@
         """The state as JSON knows it."""
         return {
             "serial": self.serial,
-            "records": [written(entry) for entry in self._kept()],
-            "untils": {id_: b.until for id_, b in self.reserved.items() if b.until != b.record.until},
+            "records": [written(entry) for entry in self.kept()],
             "recent": [written(entry) for entry in self.recent.values()],
         }
 
-    def _kept(self) -> Iterator[Entry]:
+    def kept(self) -> Iterator[Entry]:
         """Entries that together give what holds and will hold, by serial."""
         rows: list[tuple[int, Record]] = []
         for defined in self.plans.values():
@@ -443,17 +445,20 @@
         for serial, record in sorted(rows, key=lambda row: row[0]):
             yield Entry(serial, "", record)
 
+    def put(self, entry: Entry) -> None:
+        """An entry of `kept`, in their order. Raises PlansError."""
+        if entry.serial <= self.serial:
+            raise PlansError(f"record {entry.serial} after {self.serial}")
+        self.serial = entry.serial - 1  # what was between is over, or withdrawn
+        self.apply(entry)
+
     @classmethod
     def restore(cls, data: Any) -> Book:  # noqa: ANN401
         """The book that gave this snapshot. Raises PlansError."""
         book = cls()
         try:
             for row in data["records"]:
-                entry = entry_of(row)
-                book.serial = entry.serial - 1  # what was between is over, or withdrawn
-                book.apply(entry)
-            for id_, until in data["untils"].items():
-                book.reserved[id_].until = _figure("until", until)
+                book.put(entry_of(row))
             for row in data["recent"]:
                 entry = entry_of(row)
                 book.recent[entry.command] = entry
--- a/coralvale/plans/desk.py
+++ b/coralvale/plans/desk.py
@@ -9,18 +9,27 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from itertools import islice
 from typing import Any
 
 from coralvale.plans.book import Book
 from coralvale.plans.commands import record_for
-from coralvale.plans.model import Entry, Record, written
+from coralvale.plans.model import Entry, Record
 from coralvale.plans.readers import Readers
 
 PAGE = 1000  # entries of one answer
 KEPT = 10_000  # newest entries that are kept for gateways that are behind; one further behind gets the whole book
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """An answer to a gateway: a head, and `entries` of it that come one by one."""
+
+    head: dict[str, Any]
+    entries: list[Entry]
+
+
 class Desk:
     """One plan service's state: `id` names its book, by which a gateway knows another one."""
 
@@ -60,7 +69,7 @@
     def asof(self, now: float) -> float:
         return now if self.doubt is None else min(now, self.doubt)
 
-    def read(self, now: float, reader: str, id_: str, after: int | None) -> dict[str, Any] | None:
+    def read(self, now: float, reader: str, id_: str, after: int | None) -> Told | None:
         """The answer to a gateway that has a book up to a record; None if there is nothing new to tell."""
         known = id_ == self.id and after is not None and after <= self.book.serial
         if known and after is not None:
@@ -69,15 +78,18 @@
                 return None
             first = self.book.serial - len(self.entries) + 1
             if after + 1 >= first:
-                page = islice(self.entries, after + 1 - first, after + 1 - first + PAGE)
-                rows = [written(entry) for entry in page]
+                page = list(islice(self.entries, after + 1 - first, after + 1 - first + PAGE))
                 # A page that is not the last does not hold all that was told.
-                asof = self.asof(now) if after + len(rows) == self.book.serial else None
-                return {"id": self.id, "asof": asof, "entries": rows}
-        return {"id": self.id, "asof": self.asof(now), "book": self.book.snapshot()}
+                asof = self.asof(now) if after + len(page) == self.book.serial else None
+                return self._told(asof, after + len(page), False, page)
+        return self._told(self.asof(now), self.book.serial, True, list(self.book.kept()))
+
+    def nothing_new(self, now: float) -> Told:
+        return self._told(self.asof(now), self.book.serial, False, [])
 
-    def nothing_new(self, now: float) -> dict[str, Any]:
-        return {"id": self.id, "asof": self.asof(now), "entries": []}
+    def _told(self, asof: float | None, serial: int, whole: bool, entries: list[Entry]) -> Told:
+        head = {"id": self.id, "asof": asof, "serial": serial, "whole": whole, "entries": len(entries)}
+        return Told(head, entries)
 
     # Operators
 
--- a/coralvale/plans/follower.py
+++ b/coralvale/plans/follower.py
@@ -11,6 +11,7 @@
 import json
 import logging
 import math
+from collections.abc import AsyncIterable
 from typing import Any
 
 import aiohttp
@@ -19,7 +20,7 @@
 from coralvale.net.clock import Clock
 from coralvale.operator.model import Plans
 from coralvale.plans.book import Book
-from coralvale.plans.model import PlansError, entry_of
+from coralvale.plans.model import Entry, PlansError, entry_of
 from coralvale.plans.service import context
 from coralvale.plans.store import Store
 from coralvale.plans.terms import Terms
@@ -28,7 +29,8 @@
 
 FIRST, LONGEST = 0.1, 1.0  # s between tries while the service does not answer
 ANSWER = 2.0  # s beyond what it waits that an answer may take
-MOST = 256 * 1024 * 1024  # bytes of an answer
+MOST = 1_000_000  # entries of an answer
+AT_ONCE = 50  # entries that are read before requests have their turn
 LOCKED = 1.0  # s between looks at a folder that the process before this one still has
 
 
@@ -44,6 +46,7 @@
         self.store: Store | None = None
         self.well: bool | None = None  # None: not asked yet
         self.told: str = ""
+        self.unwritten = False  # the folder is there, and the book is not in it yet
         if table.directory:
             self._open()
 
@@ -73,7 +76,7 @@
             self.terms.changed(book)
             log.info("plans: record %d from the copy", book.serial)
         elif self.id:
-            self._write_whole()
+            self.unwritten = True
 
     def _lost(self, error: OSError) -> None:
         log.error("plans: no copy is kept: %s", error)
@@ -86,13 +89,6 @@
             self.folder.close()
         self.store = self.folder = None
 
-    def _write_whole(self) -> None:
-        if self.store:
-            try:
-                self.store.begin(self.book, self.id)
-            except OSError as error:
-                self._lost(error)
-
     # The service
 
     async def run(self) -> None:
@@ -104,6 +100,9 @@
                 if self.table.directory and not self.store and self.clock.now() - locked_at > LOCKED:
                     locked_at = self.clock.now()
                     self._open()
+                if self.unwritten:
+                    self.unwritten = False
+                    await self._keep([])
                 try:
                     await self._ask(session)
                     again = FIRST
@@ -123,45 +122,79 @@
         async with session.get(url, params=query, timeout=limit, ssl=self.tls or True) as answer:
             if answer.status != 200:
                 raise ValueError(f"the service answers {answer.status}")
-            body = await answer.content.read(MOST)
-        self.take(json.loads(body))
-
-    def take(self, told: Any) -> None:  # noqa: ANN401
-        """An answer of the service. Raises PlansError, a ValueError, for one that makes no sense."""
-        try:
-            id_, asof = str(told["id"]), told["asof"]
-            if asof is not None and not (isinstance(asof, int | float) and math.isfinite(asof)):
-                raise PlansError(f"asof: {asof!r}")
-            whole = Book.restore(told["book"]) if "book" in told else None
-            entries = [entry_of(row) for row in told.get("entries", ())]
-        except (KeyError, TypeError, AttributeError) as error:
-            raise PlansError(f"no answer of a plan service: {error!r}") from None
-        if whole is not None:
-            if self.id and id_ != self.id:
-                log.warning("plans: the service has another book, %s", id_)
-            elif whole.serial < self.book.serial:
-                log.warning("plans: the service went back to record %d", whole.serial)
-            self.book, self.id = whole, id_
-            self.terms.changed(whole)
-            self._write_whole()
-        elif id_ != self.id:
-            raise PlansError(f"records of another book, {id_}")
+            await self.take(answer.content)
+
+    async def take(self, lines: AsyncIterable[bytes]) -> None:
+        """An answer of the service, line by line. Raises ValueError for one that makes no sense."""
+        coming = aiter(lines)
+        head = self._head(await anext(coming, b""))
+        whole, count = head["whole"], 0
+        if not whole and head["id"] != self.id:
+            raise PlansError(f"records of another book, {head['id']}")
+        book, entries = Book() if whole else self.book, list[Entry]()
+        async for line in coming:
+            entry, count = entry_of(json.loads(line)), count + 1
+            if whole:
+                book.put(entry)
+            else:
+                entries.append(entry)
+            if not count % AT_ONCE:
+                await asyncio.sleep(0)  # requests go on while a large book is read
+        if count != head["entries"]:
+            raise PlansError(f"an answer that ends after {count} of {head['entries']} entries")
+        if whole:
+            await self._another(book, head)
         elif entries:
             for entry in entries:
                 self.book.apply(entry)
             self.terms.changed()
-            if self.store:
-                try:
-                    self.store.append(entries)
-                    if self.store.long:
-                        self.store.begin(self.book, self.id)
-                except OSError as error:
-                    self._lost(error)
-        if asof is not None:
+            await self._keep(entries)
+        if head["asof"] is not None:
             # A service whose clock is ahead must not be believed for the future.
-            self.terms.heard(min(asof, self.clock.now()))
+            self.terms.heard(min(head["asof"], self.clock.now()))
         self._heard()
 
+    @staticmethod
+    def _head(line: bytes) -> dict[str, Any]:
+        head = json.loads(line)
+        try:
+            asof, serial, count = head["asof"], head["serial"], head["entries"]
+            if not isinstance(head["id"], str) or not isinstance(head["whole"], bool):
+                raise PlansError("id, whole")
+            if asof is not None and not (isinstance(asof, int | float) and math.isfinite(asof)):
+                raise PlansError(f"asof: {asof!r}")
+            if not (isinstance(serial, int) and isinstance(count, int) and 0 <= count <= MOST):
+                raise PlansError(f"serial, entries: {serial!r}, {count!r}")
+        except (KeyError, TypeError) as error:
+            raise PlansError(f"no answer of a plan service: {error!r}") from None
+        return dict(head)
+
+    async def _another(self, book: Book, head: dict[str, Any]) -> None:
+        """The whole book came: at first, after a long while, or because it is another one."""
+        if head["serial"] < book.serial:
+            raise PlansError(f"serial: {head['serial']}")
+        book.serial = head["serial"]
+        if self.id and head["id"] != self.id:
+            log.warning("plans: the service has another book, %s", head["id"])
+        elif book.serial < self.book.serial:
+            log.warning("plans: the service went back to record %d", book.serial)
+        self.book, self.id = book, head["id"]
+        self.terms.changed(book)
+        await self._keep([])
+
+    async def _keep(self, entries: list[Entry]) -> None:
+        """Writes entries to the copy, or all of the book; a bit at a time, as requests go on meanwhile."""
+        if self.store is None:
+            return
+        try:
+            if entries:
+                self.store.append(entries)
+            if not entries or self.store.long:
+                for _ in self.store.beginning(self.book, self.id):
+                    await asyncio.sleep(0)
+        except OSError as error:
+            self._lost(error)
+
     # What an operator sees
 
     def _heard(self) -> None:
--- a/coralvale/plans/model.py
+++ b/coralvale/plans/model.py
@@ -109,6 +109,7 @@
     "plan": Defined, "move": Moved, "pool": Pooled, "reserve": Reserved, "cancel": Cancelled,
     "withdraw": Withdrawn, "lead": Led, "trim": Trimmed,
 }  # fmt: skip
+TYPES = {kind: [(f.name, f.type) for f in fields(kind)] for kind in KINDS.values()}
 WORDS = {kind: word for word, kind in KINDS.items()}
 
 
@@ -139,9 +140,8 @@
         if kind is Defined:
             at, figures = values
             values = [at, plan_of(dict(zip(FIGURES, figures, strict=True)))]
-        types = {f.name: f.type for f in fields(kind)}
-        for name, value in zip(types, values, strict=True):
-            _typed(name, value, types[name])
+        for (name, type_), value in zip(TYPES[kind], values, strict=True):
+            _typed(name, value, type_)
         if not isinstance(serial, int) or isinstance(serial, bool) or not isinstance(command, str):
             raise TypeError("serial and command")
         return Entry(serial, command, kind(*values))
--- a/coralvale/plans/service.py
+++ b/coralvale/plans/service.py
@@ -1,6 +1,7 @@
 """The plan service on sockets: HTTP/1.1 and JSON, by aiohttp. What it answers is the desk's to decide.
 
-  GET  /book?reader=NAME&id=ID&after=SERIAL&wait=S    what comes after a record; waits for it up to S seconds
+  GET  /book?reader=NAME&id=ID&after=SERIAL&wait=S    what comes after a record; waits for it up to S seconds:
+                                                      a JSON object (the head), then an entry a line
   POST /commands                                      one command (`commands`)
   GET  /state                                         what holds, what is to come, who knows of it
   GET  /free?pool=NAME&at=S&until=S                   what is left of a pool over a time
@@ -25,6 +26,7 @@
 import sys
 from collections.abc import Callable
 from functools import partial
+from itertools import islice
 from typing import Any
 
 from aiohttp import web
@@ -35,7 +37,7 @@
 from coralvale.plans import calendar
 from coralvale.plans.book import Book
 from coralvale.plans.commands import Reused
-from coralvale.plans.desk import Desk
+from coralvale.plans.desk import Desk, Told
 from coralvale.plans.model import Entry, PlansError, Refused, written
 from coralvale.plans.store import Store
 
@@ -44,6 +46,7 @@
 POLLS = 2000  # gateways that wait at once
 WAIT = 20.0  # s that a gateway may wait at most
 BODY = 64 * 1024  # bytes of a command
+LINES = 500  # entries that are written at once
 EVERY = 1.0  # s between looks at what is over, and at a disk that failed
 NOT_NOW = {"Retry-After": "1"}
 
@@ -191,7 +194,7 @@
         }  # fmt: skip
         return web.json_response(told)
 
-    async def _book(self, request: web.Request) -> web.Response:
+    async def _book(self, request: web.Request) -> web.StreamResponse:
         query = request.query
         try:
             after = int(query["after"]) if "after" in query else None
@@ -212,7 +215,23 @@
             finally:
                 self.polls -= 1
             answer = self.desk.read(self.clock.now(), reader, id_, after)
-        return web.json_response(answer or self.desk.nothing_new(self.clock.now()))
+        return await self._tell(request, answer or self.desk.nothing_new(self.clock.now()))
+
+    @staticmethod
+    async def _tell(request: web.Request, told: Told) -> web.StreamResponse:
+        """JSON, an object a line: the head, then each entry, so that no reader has to take them in at once."""
+        head = json.dumps(told.head).encode() + b"\n"
+        rows = (json.dumps(written(e), separators=(",", ":")).encode() + b"\n" for e in told.entries)
+        if len(told.entries) <= LINES:
+            return web.Response(body=head + b"".join(rows), content_type="application/x-ndjson")
+        response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
+        await response.prepare(request)
+        await response.write(head)
+        while some := b"".join(islice(rows, LINES)):
+            await response.write(some)
+            await asyncio.sleep(0)  # others have their turn while a book is told
+        await response.write_eof()
+        return response
 
     async def _state(self, request: web.Request) -> web.Response:
         return web.json_response(self.desk.state(self.clock.now()))
--- a/coralvale/plans/store.py
+++ b/coralvale/plans/store.py
@@ -1,6 +1,7 @@
 """The book on disk: a snapshot, and records after it. The plan service's is the book; a gateway's is its copy.
 
-  snapshot              one frame: the book's id, and `Book.snapshot`
+  snapshot              frames: a head (the book's id, its serial, how many entries), then entries of `Book.kept`,
+                        then those by whose command a record was made
   log.SERIAL.NUMBER     frames of a JSON list each: entries from SERIAL on; the higher NUMBER, the newer
 
 A record that could not be written whole, or not made durable, was not acknowledged and is not in the book: the
@@ -13,7 +14,9 @@
 import contextlib
 import json
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from itertools import chain, islice
+from typing import Any
 
 from coralvale.disk import Appended, Files, frame, payload_at
 from coralvale.plans.book import Book
@@ -22,9 +25,18 @@
 SNAPSHOT, SPARE = "snapshot", "snapshot.new"
 LOG = re.compile(r"log\.(\d{12})\.(\d{6})")
 MOST = 256 * 1024 * 1024  # bytes of a frame
+ROWS = 100  # entries of a frame of the snapshot
 LONG = 20_000  # records after which the log is worth a new snapshot
 
 
+def frames(data: bytes) -> Iterator[Any]:
+    """What the frames hold, up to the first that is not whole."""
+    at = 0
+    while (found := payload_at(data, at, MOST)) is not None:
+        payload, at = found
+        yield json.loads(payload)
+
+
 class Store:
     """One folder; `sync`: what `append` has written is durable. Raises OSError as the folder does."""
 
@@ -43,15 +55,7 @@
             if logs:
                 raise PlansError(f"{SNAPSHOT}: missing, though there is {logs[0][2]}")
             return None
-        data = self.folder.read(SNAPSHOT)
-        found = payload_at(data, 0, MOST)
-        if found is None:
-            raise PlansError(f"{SNAPSHOT}: damaged")
-        try:
-            told = json.loads(found[0])
-            self.id, book = str(told["id"]), Book.restore(told["book"])
-        except (ValueError, KeyError, TypeError) as error:
-            raise PlansError(f"{SNAPSHOT}: {error}") from None
+        book = self._snapshot()
         entries: dict[int, Entry] = {}
         for _, first, name in logs:
             for later in [serial for serial in entries if serial >= first]:
@@ -65,20 +69,43 @@
         self.length = len(entries)
         return book
 
+    def _snapshot(self) -> Book:
+        rows = list(frames(self.folder.read(SNAPSHOT)))
+        try:
+            head, book = rows[0], Book()
+            self.id, kept, recent = str(head["id"]), int(head["kept"]), int(head["recent"])
+            entries = [entry_of(row) for some in rows[1:] for row in some]
+            if len(entries) != kept + recent:
+                raise PlansError("damaged")
+            for entry in entries[:kept]:
+                book.put(entry)
+            book.recent = {entry.command: entry for entry in entries[kept:]}
+            book.serial = int(head["serial"])
+        except (IndexError, KeyError, TypeError, ValueError) as error:
+            why = "damaged" if isinstance(error, IndexError) else error
+            raise PlansError(f"{SNAPSHOT}: {why}") from None
+        return book
+
     def _entries(self, name: str) -> list[Entry]:
-        data, at, entries = self.folder.read(name), 0, list[Entry]()
-        while (found := payload_at(data, at, MOST)) is not None:
-            payload, at = found
-            entries.append(entry_of(json.loads(payload)))
-        return entries
+        return [entry_of(row) for row in frames(self.folder.read(name))]
 
     def begin(self, book: Book, id_: str) -> None:
         """Writes a book whole; what was there before is of no more use."""
+        for _ in self.beginning(book, id_):
+            pass
+
+    def beginning(self, book: Book, id_: str) -> Iterator[None]:
+        """The same bit by bit; the book may not change meanwhile."""
         old = [name for name in self.folder.names() if LOG.fullmatch(name)]
-        payload = json.dumps({"id": id_, "book": book.snapshot()}, separators=(",", ":")).encode()
+        kept, recent = list(book.kept()), list(book.recent.values())
+        head = {"id": id_, "serial": book.serial, "kept": len(kept), "recent": len(recent)}
         file = self.folder.create(SPARE)
         try:
-            file.write(frame(payload))
+            file.write(frame(json.dumps(head).encode()))
+            rows = chain(kept, recent)
+            while some := [written(entry) for entry in islice(rows, ROWS)]:
+                file.write(frame(json.dumps(some, separators=(",", ":")).encode()))
+                yield
             if self.sync:
                 file.sync()
         finally:
--- a/tests/plans/test_following.py
+++ b/tests/plans/test_following.py
@@ -6,6 +6,7 @@
 import errno
 import json
 import logging
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
@@ -97,6 +98,11 @@
     run(test())
 
 
+async def lined(rows: list[Any]) -> AsyncIterator[bytes]:
+    for row in rows:
+        yield row if isinstance(row, bytes) else json.dumps(row).encode()
+
+
 class Failing(Disk):
     """A folder whose files cannot be made durable while `bad`."""
 
@@ -187,17 +193,19 @@
         task = asyncio.ensure_future(follower.run())
         await until(lambda: follower.book.serial == 1)
         assert "the service has another book" in caplog.text
-        for told in (
-            None, [], {}, {"id": "x"}, {"id": follower.id, "asof": "now", "entries": []},
-            {"id": follower.id, "asof": 1.0, "entries": [[9, "", "trim", 1.0]]},
-            {"id": "x", "asof": 1.0, "entries": []}, {"id": "x", "asof": 1.0, "book": {}},
+        head = {"id": follower.id, "asof": 1.0, "serial": 1, "whole": False, "entries": 0}
+        for lines in (
+            [], [b""], [b"?"], [b"[]"], [b"{}"], [head | {"asof": "now"}], [head | {"id": "x"}],
+            [head | {"entries": 2}, [2, "", "trim", 1.0]], [head | {"entries": 1}, [9, "", "trim", 1.0]],
+            [head | {"whole": True, "entries": 1}, [1, "", "trim"]], [head | {"entries": -1}],
+            [head | {"whole": True, "entries": 2}, [2, "", "trim", 1.0], [2, "", "trim", 1.0]],
         ):  # fmt: skip
             before = follower.book.serial
             with pytest.raises(ValueError):
-                follower.take(told)
+                await follower.take(lined(lines))
             assert follower.book.serial == before
         now = follower.clock.now()
-        follower.take({"id": follower.id, "asof": now + 1e6, "entries": []})  # a clock that is far ahead
+        await follower.take(lined([head | {"asof": now + 1e6}]))  # a clock that is far ahead
         assert not follower.terms.in_touch(now + 2 * LEAD)
         await follower.close(task)
         (tmp_path / "snapshot").write_bytes(b"?")
--- a/tests/plans/test_plan_book.py
+++ b/tests/plans/test_plan_book.py
@@ -292,7 +292,7 @@
             continue
         assert written(entry)[2] == word
     with pytest.raises(PlansError):
-        Book.restore({"records": [value], "untils": {}, "recent": [], "serial": 1})
+        Book.restore({"records": [value], "recent": [], "serial": 1})
     with pytest.raises(PlansError):
         Book.restore(value)
 
--- a/tests/plans/test_plan_store.py
+++ b/tests/plans/test_plan_store.py
@@ -13,7 +13,7 @@
 from coralvale.plans.book import Book
 from coralvale.plans.commands import Reused, record_for
 from coralvale.plans.desk import KEPT, PAGE, Desk
-from coralvale.plans.model import Entry, PlansError, Refused, entry_of
+from coralvale.plans.model import Entry, PlansError, Refused
 from coralvale.plans.readers import MOST, Readers
 from coralvale.plans.store import Store
 
@@ -148,9 +148,12 @@
 
 def test_a_gateway_is_told_what_comes_after_its_record_and_no_more_than_a_page() -> None:
     desk = Desk(opened(), "a1", ("g0",))
-    assert desk.read(NOW, "g0", "", None)["book"]["serial"] == 5  # type: ignore[index]
+    first = desk.read(NOW, "g0", "", None)
+    assert first and first.head["whole"] and first.head["serial"] == 5 and len(first.entries) == 5
     assert desk.read(NOW, "g0", "a1", 5) is None
-    assert desk.nothing_new(NOW) == {"id": "a1", "asof": NOW, "entries": []}
+    assert desk.nothing_new(NOW).head == {
+        "id": "a1", "asof": NOW, "serial": 5, "whole": False, "entries": 0
+    }  # fmt: skip
     for n in range(KEPT + 10):
         plan = api.Plan("team", 1.0 + n, 1.0)
         desk.durable(Entry(desk.book.serial + 1, "", desk.book.define(NOW + 10 * n, plan)))
@@ -159,13 +162,13 @@
             assert trimmed
             desk.durable(Entry(desk.book.serial + 1, "", trimmed))
     told = desk.read(NOW, "g0", "a1", desk.book.serial - PAGE - 1)
-    assert told and len(told["entries"]) == PAGE and told["asof"] is None  # not all yet: nothing to rely on
-    assert entry_of(told["entries"][0]).serial == desk.book.serial - PAGE
+    assert told and len(told.entries) == PAGE and told.head["asof"] is None  # not all yet: nothing to rely on
+    assert told.entries[0].serial == desk.book.serial - PAGE
     last = desk.read(NOW, "g0", "a1", desk.book.serial - 1)
-    assert last and len(last["entries"]) == 1 and last["asof"] == NOW
+    assert last and len(last.entries) == 1 and last.head["asof"] == NOW
     for id_, after in (("a1", 5), ("b2", desk.book.serial), ("a1", desk.book.serial + 1)):
         told = desk.read(NOW, "g0", id_, after)  # too far behind, another book, ahead of it: all of it
-        assert told and "book" in told
+        assert told and told.head["whole"]
     assert desk.state(NOW)["gateways"][0]["name"] == "g0"
 
 
