--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	python benchmarks/attempts.py $(ARGS)
 	python benchmarks/syslog.py $(ARGS)
 	python benchmarks/ledger.py $(ARGS)
+	python benchmarks/plans.py $(ARGS)
 
 $(VENV)/made: requirements.txt requirements-control.txt requirements-dev.txt
 	rm -rf $(VENV)
