Let no answer of a plan service end a gateway's following

A number too large for a float raised what nobody caught, and the gateway would have gone on with an old book without a word. It is refused like any answer that makes no sense, and whatever else may come is told and tried again.

--- a/coralvale/plans/follower.py
+++ b/coralvale/plans/follower.py
@@ -110,6 +110,9 @@
                     self._unheard(str(error) or type(error).__name__)
                     await asyncio.sleep(again)
                     again = min(LONGEST, again * 2)
+                except Exception:  # whatever it is, a gateway must not stop following without a word
+                    log.exception("plans: an answer could not be taken")
+                    await asyncio.sleep(LONGEST)
 
     async def _ask(self, session: aiohttp.ClientSession) -> None:
         # At first, and after it was away, it asks without waiting: what it has may be all there is.
@@ -165,7 +168,7 @@
                 raise PlansError(f"asof: {asof!r}")
             if not (isinstance(serial, int) and isinstance(count, int) and 0 <= count <= MOST):
                 raise PlansError(f"serial, entries: {serial!r}, {count!r}")
-        except (KeyError, TypeError) as error:
+        except (KeyError, TypeError, OverflowError) as error:
             raise PlansError(f"no answer of a plan service: {error!r}") from None
         return dict(head)
 
--- a/coralvale/plans/model.py
+++ b/coralvale/plans/model.py
@@ -145,7 +145,7 @@
         if not isinstance(serial, int) or isinstance(serial, bool) or not isinstance(command, str):
             raise TypeError("serial and command")
         return Entry(serial, command, kind(*values))
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise PlansError(f"no record of a plan book: {error}") from None
 
 
--- a/coralvale/plans/service.py
+++ b/coralvale/plans/service.py
@@ -165,7 +165,7 @@
     async def _command(self, request: web.Request) -> web.Response:
         try:
             data = json.loads(await request.read())
-        except ValueError:
+        except (ValueError, RecursionError):
             return web.json_response({"error": "no JSON"}, status=400)
         # A caller that goes away cancels its call, not the command: from here on it is carried out.
         return await asyncio.shield(self._carry_out(data))
--- a/tests/plans/test_following.py
+++ b/tests/plans/test_following.py
@@ -195,7 +195,8 @@
         assert "the service has another book" in caplog.text
         head = {"id": follower.id, "asof": 1.0, "serial": 1, "whole": False, "entries": 0}
         for lines in (
-            [], [b""], [b"?"], [b"[]"], [b"{}"], [head | {"asof": "now"}], [head | {"id": "x"}],
+            [], [b""], [b"?"], [b"[]"], [b"{}"], [head | {"asof": "now"}], [head | {"asof": 10**400}],
+            [head | {"entries": 1}, [2, "", "trim", 10**400]], [head | {"id": "x"}],
             [head | {"entries": 2}, [2, "", "trim", 1.0]], [head | {"entries": 1}, [9, "", "trim", 1.0]],
             [head | {"whole": True, "entries": 1}, [1, "", "trim"]], [head | {"entries": -1}],
             [head | {"whole": True, "entries": 2}, [2, "", "trim", 1.0], [2, "", "trim", 1.0]],
