--- a/tests/plans/test_following.py
+++ b/tests/plans/test_following.py
@@ -159,7 +159,7 @@
         assert status == 200
         await until(lambda: follower.well is False)
         line.cut = False
-        await until(lambda: follower.book.serial == told["serial"])
+        await until(lambda: follower.book.serial == told["serial"] and (tmp_path / "snapshot").exists())
         await follower.close(task)
         await service.stop()
         alone = following(service.port, str(tmp_path))  # with nobody to ask
@@ -185,7 +185,7 @@
         await define(service)
         follower = following(service.port, str(tmp_path))
         task = asyncio.ensure_future(follower.run())
-        await until(lambda: follower.book.serial == 4)
+        await until(lambda: follower.book.serial == 4 and (tmp_path / "snapshot").exists())
         await follower.close(task)
         other = await serving(Disk())  # its disk was lost: another book
         follower = following(other.port, str(tmp_path))
