Mend what reading the change again found: large books, refunds, scans, dead code

- A follower gave up a book that took over 2 s in all, so one of 200,000 stations would never have arrived: the limit holds for each piece now, 60 s for all of it.
An answer of more entries than its head says is refused.
- A request that an authoriser denied gave its units back to a ceiling shared with [allowance] even if they had been charged to one that holds no more.
- A takeover checked all settings again for each customer on a plan of the book: once for each plan.
- The service went through all stations every second to forget what is over (a minute now), and /state told all changes (the next 1,000).
Changes that are over are bounded (64 of each), names of plans that no book has too.
- A request looks its plan's number up only where the plan is not the one that it names.

--- a/benchmarks/plans.py
+++ b/benchmarks/plans.py
@@ -43,7 +43,7 @@
 from coralvale.operator import Plans, PlanService  # noqa: E402
 from coralvale.plans.book import Book  # noqa: E402
 from coralvale.plans.follower import Follower  # noqa: E402
-from coralvale.plans.model import Entry, Record, Refused, written  # noqa: E402
+from coralvale.plans.model import Entry, Record, Refused, entry_of, written  # noqa: E402
 from coralvale.plans.service import Service  # noqa: E402
 from coralvale.plans.store import Store  # noqa: E402
 from coralvale.plans.terms import Terms  # noqa: E402
@@ -154,7 +154,7 @@
 async def command(quick: bool) -> dict[str, Any]:
     seconds, turns = (0.5, 2) if quick else (2.0, 4)
     rows: dict[str, list[float]] = {"one": [], "eight": [], "sqlite": []}
-    with tempfile.TemporaryDirectory(dir=ROOT) as folder:  # on a disk, not in memory
+    with tempfile.TemporaryDirectory(dir=ROOT, prefix=".bench-") as folder:  # on a disk, not in memory
         service, serial = await serving(folder), 0
 
         async def call(session: ClientSession, end: float) -> int:
@@ -181,7 +181,7 @@
 async def news(quick: bool) -> dict[str, Any]:
     followers, times = (50, 10) if quick else (300, 30)
     rows: dict[str, list[float]] = {"waiting": [], "asking": []}
-    with tempfile.TemporaryDirectory(dir=ROOT) as folder:
+    with tempfile.TemporaryDirectory(dir=ROOT, prefix=".bench-") as folder:
         service, clock, ends = await serving(folder), Clock(), list[float]()
         held = [
             Follower(Plans(service=f"127.0.0.1:{service.port}"), f"g{n}", Terms(SETTINGS, False), clock)
@@ -263,9 +263,9 @@
     made = large(stations)
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    text = json.dumps(made.snapshot(), separators=(",", ":"))
+    text = json.dumps([written(entry) for entry in made.kept()], separators=(",", ":"))
     begun = time.process_time()
-    again = Book.restore(json.loads(text))
+    again = Book.restore(map(entry_of, json.loads(text)), made.serial)
     spent = time.process_time() - begun
     assert again == made
     return {
--- a/coralvale/handover.py
+++ b/coralvale/handover.py
@@ -47,9 +47,8 @@
         row = [given.get(field, getattr(restrictor, field)) for field in CUSTOMER]
         restrictor.lent, restrictor.lent_until = given["lent"] - mine, now + HOLD
         restrictor.ceiling, restrictor.kept = kept, mine
-        plan = plans.get(
-            id(restrictor.plan), astuple(restrictor.plan)
-        )  # figures, if it is none of the settings'
+        if (plan := plans.get(id(restrictor.plan))) is None:  # none of the settings': its figures
+            plan = plans[id(restrictor.plan)] = astuple(restrictor.plan)
         customers.append([name, plan, restrictor.entries, *row])
     hosts = [
         [name, host.info.started_at, *[getattr(host, field) for field in HOST]]
@@ -91,8 +90,9 @@
         usual, calm = ([_figure(value) for value in state[name]] for name in ("usual", "calm"))
         if len(usual) != classes or len(calm) != classes or min(usual + calm) <= 0:
             raise ValueError("usual or calm: not one delay for each class")
+        plans = dict[tuple[Any, ...], api.Plan]()
         customers = {
-            int(name): _customer(gateway, plan, entries, row, now)
+            int(name): _customer(gateway, plans, plan, entries, row, now)
             for name, plan, entries, *row in state["customers"][:MOST]
         }
         hosts = {
@@ -120,18 +120,21 @@
 
 
 def _customer(
-    gateway: Gateway, plan: int | list[Any], entries: int, row: list[Any], now: float
+    gateway: Gateway,
+    plans: dict[tuple[Any, ...], api.Plan],
+    told: int | list[Any],
+    entries: int,
+    row: list[Any],
+    now: float,
 ) -> Restrictor:
     if len(row) != len(CUSTOMER):
         raise ValueError("a customer of another form")
-    if isinstance(plan, list):
-        name, *figures = plan
-        plan = api.Plan(str(name), *map(_figure, figures))
-        replace(gateway.settings, plans=(plan,))  # checks it
-    elif 0 <= plan < len(gateway.settings.plans):
-        plan = gateway.settings.plans[plan]
+    if isinstance(told, list):
+        plan = plans.get(tuple(told)) or plans.setdefault(tuple(told), _plan(gateway, told))
+    elif 0 <= told < len(gateway.settings.plans):
+        plan = gateway.settings.plans[told]
     else:
-        raise ValueError(f"plan {plan!r}")
+        raise ValueError(f"plan {told!r}")
     restrictor = Restrictor(plan, int(entries), now, now)
     _set(restrictor, CUSTOMER, [_figure(value, True) for value in row])
     restrictor.rate = max(restrictor.floor, min(restrictor.rate, restrictor.plan.rate))
@@ -140,6 +143,14 @@
     return restrictor
 
 
+def _plan(gateway: Gateway, told: list[Any]) -> api.Plan:
+    """A plan by its figures, checked as those of the settings are: once for all that are on it."""
+    name, *figures = told
+    plan = api.Plan(str(name), *map(_figure, figures))
+    replace(gateway.settings, plans=(plan,))
+    return plan
+
+
 def _set(owner: Host | Restrictor, fields: tuple[str, ...], row: list[float]) -> None:
     for field, value in zip(fields, row, strict=True):
         setattr(owner, field, value)
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -552,8 +552,9 @@
     def _in_force(self, now: float, arrival: Arrival) -> None:
         """The plan that a request falls under, whatever it names."""
         if self.terms:
-            arrival.plan_name = self.terms.plan(now, arrival.customer, arrival.named).name
-            arrival.plan = self.terms.numbers[arrival.plan_name.encode()]
+            name = self.terms.plan(now, arrival.customer, arrival.named).name
+            if name != arrival.plan_name:
+                arrival.plan_name, arrival.plan = name, self.terms.numbers[name.encode()]
 
     def client_left(self, exchange: Exchange) -> None:
         held = exchange.held
--- a/coralvale/plans/book.py
+++ b/coralvale/plans/book.py
@@ -2,7 +2,7 @@
 
 Commands (`define`, `move`, `reserve`, ...) check what is asked and return the record that it calls for, or raise;
 `apply` is all that changes the state, so that a book read back from its records, at the plan service or at a
-gateway, is the book that made them. `snapshot` and `restore` are the same in one piece.
+gateway, is the book that made them. `kept` and `restore` are the same without what is over.
 
   rule                                                                     why
   -----------------------------------------------------------------------  ---------------------------------------
@@ -27,7 +27,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, replace
 from typing import Any, Generic, TypeVar, cast
 
@@ -48,10 +48,8 @@
     Reserved,
     Trimmed,
     Withdrawn,
-    entry_of,
     named,
     station_of,
-    written,
 )
 
 DAY = 86400.0
@@ -60,6 +58,7 @@
 SEARCH = 90 * DAY  # s ahead that an earliest time is looked for
 MOST_PLANS, MOST_STATIONS, MOST_POOLS, MOST_RESERVED = 256, 200_000, 256, 10_000
 MOST_CHANGES = 16  # to come, of one plan, station or pool
+KNOWN = 64  # of one, those that are over too
 REMEMBERED = 10_000  # commands
 
 
@@ -153,15 +152,11 @@
             yield booked.record.at
             yield booked.until
 
-    def left(self, pool: str, but: str = "") -> calendar.Steps:
+    def left(self, pool: str) -> calendar.Steps:
         """What is free of a pool over time."""
         return calendar.free(
             [(change.at, change.what) for change in self.pools.get(pool, ())],
-            [
-                (b.record.at, b.until, b.record.rate)
-                for id_, b in self.reserved.items()
-                if b.record.pool == pool and id_ != but
-            ],
+            [(b.record.at, b.until, b.record.rate) for b in self.reserved.values() if b.record.pool == pool],
         )
 
     def tables(self) -> tuple[tuple[str, dict[str, list[Change[Any]]]], ...]:
@@ -393,6 +388,7 @@
         if changes and changes[-1].at >= change.at:
             raise PlansError(f"record {change.serial}: {name} is changed at {changes[-1].at:.3f} already")
         changes.append(change)
+        del changes[:-KNOWN]  # at most MOST_CHANGES of them are to come: what goes has been over for long
 
     def _withdraw(self, serial: int) -> None:
         for _, table in self.tables():
@@ -423,14 +419,6 @@
 
     # All of it
 
-    def snapshot(self) -> dict[str, Any]:
-        """The state as JSON knows it."""
-        return {
-            "serial": self.serial,
-            "records": [written(entry) for entry in self.kept()],
-            "recent": [written(entry) for entry in self.recent.values()],
-        }
-
     def kept(self) -> Iterator[Entry]:
         """Entries that together give what holds and will hold, by serial."""
         rows: list[tuple[int, Record]] = []
@@ -453,20 +441,14 @@
         self.apply(entry)
 
     @classmethod
-    def restore(cls, data: Any) -> Book:  # noqa: ANN401
-        """The book that gave this snapshot. Raises PlansError."""
+    def restore(cls, kept: Iterable[Entry], serial: int, recent: Iterable[Entry] = ()) -> Book:
+        """The book whose entries, serial and remembered commands these are. Raises PlansError."""
         book = cls()
-        try:
-            for row in data["records"]:
-                book.put(entry_of(row))
-            for row in data["recent"]:
-                entry = entry_of(row)
-                book.recent[entry.command] = entry
-            if not isinstance(data["serial"], int) or data["serial"] < book.serial:
-                raise PlansError(f"serial: {data['serial']!r}")
-            book.serial = data["serial"]
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise PlansError(f"no snapshot of a plan book: {error}") from None
+        for entry in kept:
+            book.put(entry)
+        if serial < book.serial:
+            raise PlansError(f"serial {serial} after record {book.serial}")
+        book.serial, book.recent = serial, {entry.command: entry for entry in recent}
         return book
 
 
--- a/coralvale/plans/desk.py
+++ b/coralvale/plans/desk.py
@@ -19,6 +19,7 @@
 from coralvale.plans.readers import Readers
 
 PAGE = 1000  # entries of one answer
+ROWS = 1000  # changes, and reservations, that `state` shows: the next ones
 KEPT = 10_000  # newest entries that are kept for gateways that are behind; one further behind gets the whole book
 
 
@@ -96,32 +97,36 @@
     def state(self, now: float) -> dict[str, Any]:
         """What holds, what is to come, and who knows of it; as JSON."""
         book, waited = self.book, self.readers.waited_for(now)
+        known = {name: self.readers.seen[name] for name in waited if name in self.readers.seen}
+
+        def missing(serial: int) -> list[str]:
+            return [name for name in waited if name not in known or known[name].serial < serial]
+
+        changes = sorted(
+            ((change.at, kind, name, change) for kind, table in book.tables() for name, changes in table.items()
+             for change in changes if change.at > now),
+            key=lambda row: row[:3],
+        )  # fmt: skip
+        booked = sorted(book.reserved.values(), key=lambda b: b.record.at)
         to_come = [
             {
-                "serial": change.serial, "at": change.at, "in_s": round(change.at - now, 3), "kind": kind,
-                "name": name, "to": change.what if kind != "plan" else change.what.name,
-                "missing": self.readers.missing(now, change.serial),
+                "serial": change.serial, "at": at, "in_s": round(at - now, 3), "kind": kind, "name": name,
+                "to": change.what if kind != "plan" else change.what.name, "missing": missing(change.serial),
             }
-            for kind, table in book.tables()
-            for name, changes in table.items()
-            for change in changes
-            if change.at > now
+            for at, kind, name, change in changes[:ROWS]
         ]  # fmt: skip
         reserved = [
             {
-                "id": id_, "pool": b.record.pool, "station": b.record.station, "rate": b.record.rate,
-                "burst": b.record.burst, "at": b.record.at, "until": b.until,
-                "missing": self.readers.missing(now, b.serial),
+                "id": b.record.id, "pool": b.record.pool, "station": b.record.station, "rate": b.record.rate,
+                "burst": b.record.burst, "at": b.record.at, "until": b.until, "missing": missing(b.serial),
             }
-            for id_, b in book.reserved.items()
+            for b in booked[:ROWS]
         ]  # fmt: skip
         gateways = [
             {
                 "name": name,
-                "serial": self.readers.seen[name].serial if name in self.readers.seen else None,
-                "heard_s": round(now - self.readers.seen[name].heard_at, 3)
-                if name in self.readers.seen
-                else None,
+                "serial": known[name].serial if name in known else None,
+                "heard_s": round(now - known[name].heard_at, 3) if name in known else None,
             }
             for name in waited
         ]
@@ -136,6 +141,7 @@
             "plans": {name: book.plan(name, now) is not None for name in book.plans},
             "stations": len(book.stations),
             "pools": {name: [[at, rate] for at, rate in book.left(name)] for name in book.pools},
-            "to_come": sorted(to_come, key=lambda row: row["at"]),
-            "reserved": sorted(reserved, key=lambda row: row["at"]),
+            "to_come": to_come,
+            "reserved": reserved,
+            "more": len(changes) + len(booked) - len(to_come) - len(reserved),
         }
--- a/coralvale/plans/follower.py
+++ b/coralvale/plans/follower.py
@@ -29,7 +29,7 @@
 log = logging.getLogger(__name__)
 
 FIRST, LONGEST = 0.1, 1.0  # s between tries while the service does not answer
-ANSWER = 2.0  # s beyond what it waits that an answer may take
+ANSWER, WHOLE = 2.0, 60.0  # s beyond what it waits that a piece of an answer may take, and all of it
 MOST = 1_000_000  # entries of an answer
 AT_ONCE = 50  # entries that are read before requests have their turn
 LOCKED = 1.0  # s between looks at a folder that the process before this one still has
@@ -122,7 +122,8 @@
         if self.id:
             query |= {"id": self.id, "after": str(self.book.serial)}
         url = f"{self.scheme}://{self.table.service}/book"
-        limit = aiohttp.ClientTimeout(total=wait + ANSWER)
+        # A large book takes its time; what must not take long is the next piece of it.
+        limit = aiohttp.ClientTimeout(total=wait + WHOLE, connect=ANSWER, sock_read=wait + ANSWER)
         async with session.get(url, params=query, timeout=limit, ssl=self.tls or True) as answer:
             if answer.status != 200:
                 raise ValueError(f"the service answers {answer.status}")
@@ -154,6 +155,8 @@
         book, entries = Book() if whole else self.book, list[Entry]()
         async for line in coming:
             entry, count = entry_of(json.loads(line)), count + 1
+            if count > head["entries"]:
+                raise PlansError(f"an answer of more than {head['entries']} entries")
             if whole:
                 book.put(entry)
             else:
--- a/coralvale/plans/main.py
+++ b/coralvale/plans/main.py
@@ -13,7 +13,6 @@
 import urllib.parse
 import urllib.request
 from datetime import UTC, datetime
-from pathlib import Path
 from typing import Any
 
 from coralvale.plans.model import FIGURES, PlansError
@@ -266,6 +265,8 @@
             f"  {when(row['at'])} to {when(row['until'])}: {row['id']}: {row['rate']:g} units a second of "
             f"{row['pool']} for {row['station']}{_unknown(row)}"
         )
+    if state["more"]:
+        print(f"  and {state['more']} more")
     return 0
 
 
@@ -284,11 +285,3 @@
     for at, rate in told["left"]:
         print(f"  from {when(at)}: {rate:g}")
     return 0
-
-
-def read_json(path: str) -> Any:  # noqa: ANN401
-    """Raises PlansError with the file's name."""
-    try:
-        return json.loads(Path(path).read_text("utf-8"))
-    except (OSError, ValueError) as error:
-        raise PlansError(f"{path}: {error}") from None
--- a/coralvale/plans/readers.py
+++ b/coralvale/plans/readers.py
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True)
 class Reader:
-    """One gateway: the newest record it has applied, when it was heard, and when it came to each change."""
+    """One gateway: the newest record that it has applied, and when it was heard."""
 
     serial: int
     heard_at: float
--- a/coralvale/plans/service.py
+++ b/coralvale/plans/service.py
@@ -47,7 +47,7 @@
 WAIT = 20.0  # s that a gateway may wait at most
 BODY = 64 * 1024  # bytes of a command
 LINES = 500  # entries that are written at once
-EVERY = 1.0  # s between looks at what is over, and at a disk that failed
+EVERY, TRIM = 1.0, 60.0  # s between looks at a disk that failed, and at what is over
 NOT_NOW = {"Retry-After": "1"}
 
 Write = Callable[[], None]
@@ -144,6 +144,7 @@
 
     async def _keep(self) -> None:
         """Forgets what is over, writes the book anew when the log is long, and a disk that failed again."""
+        trim_at = 0.0
         while True:
             await asyncio.sleep(EVERY)
             async with self.lock:
@@ -155,6 +156,9 @@
                             log.info("the book can be written again")
                         self.well = True
                     now = self.clock.now()
+                    if now < trim_at:  # it goes through all stations
+                        continue
+                    trim_at = now + TRIM
                     if record := self.desk.book.trim(now - self.table.keep_days * 86400):
                         await self._write(self.desk.own(now, record))
                 except OSError:
--- a/coralvale/plans/store.py
+++ b/coralvale/plans/store.py
@@ -72,19 +72,15 @@
     def _snapshot(self) -> Book:
         rows = list(frames(self.folder.read(SNAPSHOT)))
         try:
-            head, book = rows[0], Book()
+            head = rows[0]
             self.id, kept, recent = str(head["id"]), int(head["kept"]), int(head["recent"])
             entries = [entry_of(row) for some in rows[1:] for row in some]
             if len(entries) != kept + recent:
                 raise PlansError("damaged")
-            for entry in entries[:kept]:
-                book.put(entry)
-            book.recent = {entry.command: entry for entry in entries[kept:]}
-            book.serial = int(head["serial"])
+            return Book.restore(entries[:kept], int(head["serial"]), entries[kept:])
         except (IndexError, KeyError, TypeError, ValueError) as error:
             why = "damaged" if isinstance(error, IndexError) else error
             raise PlansError(f"{SNAPSHOT}: {why}") from None
-        return book
 
     def _entries(self, name: str) -> list[Entry]:
         return [entry_of(row) for row in frames(self.folder.read(name))]
--- a/coralvale/plans/terms.py
+++ b/coralvale/plans/terms.py
@@ -26,6 +26,7 @@
 
 AHEAD = 0.35  # s: 0.25 for a connection to come up, and what a write waits for
 GUARD = 0.12  # s: clocks that step by 50 ms, twice over, and some
+NAMES = 1024  # of plans beside the settings' own, four times what a book may have
 MOST = 50_000  # stations whose terms are kept between requests; past that they are read from the book again
 
 
@@ -39,7 +40,7 @@
         self.numbers = {
             name.encode(): number for number, name in enumerate(self.names)
         }  # as headers name them
-        self.heard_at, self.known_until = -math.inf, -math.inf
+        self.known_until = -math.inf
         # By station and number of the plan that it names: what is in force, and until when.
         self.kept: dict[tuple[int, int], tuple[float, api.Plan]] = {}
         self.floored: dict[api.Plan, api.Plan] = {}
@@ -54,14 +55,23 @@
         self.book = book or self.book
         for name in self.book.plans:
             if name.encode() not in self.numbers:
-                self.numbers[name.encode()] = len(self.names)
-                self.names.append(name)
+                self._number(name)
         self.kept.clear()
         self.floored.clear()
 
+    def _number(self, name: str) -> None:
+        """Past `NAMES` a name takes the number of one that no book has had any more for long."""
+        number, own = len(self.names), len(self.settings.plans)
+        if number < own + NAMES:
+            self.names.append(name)
+        else:
+            number = next(n for n in range(own, number) if self.names[n] not in self.book.plans)
+            del self.numbers[self.names[number].encode()]
+            self.names[number] = name
+        self.numbers[name.encode()] = number
+
     def heard(self, moment: float) -> None:
         """The book is all that there was at a moment, on the clock that all machines read."""
-        self.heard_at = max(self.heard_at, moment)
         rate, burst = self.book.floor()
         if rate < self.own_floor[0] or burst < self.own_floor[1]:
             return  # plans may be below what this gateway would hold to: it must not take itself for in touch
@@ -72,10 +82,6 @@
 
     # What is in force
 
-    def number(self, name: str) -> int | None:
-        """The number of a plan that a request names; None if neither the settings nor the book know it."""
-        return self.numbers.get(name.encode())
-
     def plan(self, now: float, customer: int, named: int) -> api.Plan:
         """What is in force for a station whose request names a plan."""
         key = customer, named
--- a/coralvale/restrictor.py
+++ b/coralvale/restrictor.py
@@ -228,10 +228,12 @@
     def give_back(self, asked: Asked) -> None:
         """A request that was not sent costs its customer nothing; that it was asked about still counts."""
         restrictor, units = asked.restrictor, asked.request.units
+        counts = asked.epoch == restrictor.epoch  # else the ceiling that it was charged to holds no more
         restrictor.go(units, asked.epoch)
-        restrictor.refund(units, asked.filled, asked.epoch == restrictor.epoch)
+        restrictor.refund(units, asked.filled, counts)
         if self.allowance:
-            self.allowance.refund(asked.request, asked.plan)
+            plan = asked.plan if counts else replace(asked.plan, ceiling_rate=0.0)
+            self.allowance.refund(asked.request, plan)
 
     def step(self, now: float) -> None:
         """Sets the leak rates; forgets who has been idle."""
--- a/tests/plans/simulation.py
+++ b/tests/plans/simulation.py
@@ -149,7 +149,11 @@
                 node.cut_until = now + lots.uniform(0, 20)
             if lots.random() < 0.03 * STEP:
                 nodes[place], back[place] = None, now + lots.choice([0.1, 2.0])
-                copy = Book.restore(node.terms.book.snapshot()) if lots.random() < 0.5 else None
+                copy = (
+                    Book.restore(node.terms.book.kept(), node.terms.book.serial)
+                    if lots.random() < 0.5
+                    else None
+                )
                 kept[place] = copy
                 continue
             if now >= node.poll_at and now >= node.cut_until:
--- a/tests/plans/test_plan_book.py
+++ b/tests/plans/test_plan_book.py
@@ -11,7 +11,7 @@
 
 from coralvale import interface as api
 from coralvale.plans import calendar
-from coralvale.plans.book import MOST_CHANGES, Book
+from coralvale.plans.book import KNOWN, MOST_CHANGES, Book
 from coralvale.plans.model import (
     Entry,
     PlansError,
@@ -85,7 +85,7 @@
 @given(st.lists(st.tuples(st.integers(0, 6), commands), max_size=40))
 def test_whatever_is_asked_the_rules_hold_and_the_records_are_the_book(asked: list[Any]) -> None:
     book, now, entries = opened(), NOW, list[Entry]()
-    again = Book.restore(book.snapshot())
+    again = Book.restore(book.kept(), book.serial)
     known: dict[
         tuple[str, float], Any
     ] = {}  # what was said to hold at a moment that could not change any more
@@ -117,8 +117,8 @@
             assert [c.at for c in changes] == sorted({c.at for c in changes})
             assert sum(c.at > now for c in changes) <= MOST_CHANGES
     assert again == book
-    data = json.loads(json.dumps(book.snapshot()))
-    assert Book.restore(data) == book and Book.restore(data).snapshot() == book.snapshot()
+    rows = json.loads(json.dumps([written(entry) for entry in book.kept()]))
+    assert Book.restore(map(entry_of, rows), book.serial) == book
 
 
 def refused_was_right(book: Book, now: float, error: Refused, arguments: list[Any]) -> None:
@@ -291,10 +291,6 @@
         except PlansError:
             continue
         assert written(entry)[2] == word
-    with pytest.raises(PlansError):
-        Book.restore({"records": [value], "recent": [], "serial": 1})
-    with pytest.raises(PlansError):
-        Book.restore(value)
 
 
 def test_records_follow_one_another() -> None:
@@ -303,5 +299,12 @@
     with pytest.raises(PlansError, match="record 9 after 5"):
         book.apply(Entry(9, "", row))
     assert book.serial == 5
+    with pytest.raises(PlansError, match="serial 4 after record 5"):
+        Book.restore(book.kept(), 4)
+    with pytest.raises(PlansError, match="record 5 after 5"):
+        Book.restore([*book.kept(), list(book.kept())[-1]], 5)
+    for n in range(200):  # a change after another: what is over for long is not kept
+        do(book, book.move(NOW + 10 * n, STATIONS[0], PLANS[n % 2], NOW + 10 * n + 5))
+    assert len(book.stations[STATIONS[0]]) == KNOWN and book.on(STATIONS[0], NOW + 1994) == PLANS[0]
     with pytest.raises(PlansError, match="above the largest"):
         station_of("0000000200000000")
--- a/tests/plans/test_terms.py
+++ b/tests/plans/test_terms.py
@@ -116,7 +116,7 @@
     cup = replace(PLANS[1], name="cup", ceiling_rate=5.0)
     do(book, book.define(NOW, cup))
     terms.changed(book)
-    assert terms.number("cup") == 3 and terms.number("nobody's") is None
+    assert terms.numbers == {b"team": 0, b"federal": 1, b"small": 2, b"cup": 3}
     assert terms.plan(NOW, STATION, 1).name == "federal"
     assert terms.plan(NOW, STATION, 3).name == "cup"  # named before it holds: as it will
     do(book, book.move(NOW, NAME, "small"))
