--- a/tests/plans/test_following.py
+++ b/tests/plans/test_following.py
@@ -175,6 +175,36 @@
     run(test())
 
 
+def test_a_book_that_takes_longer_than_an_answer_may_arrives_all_the_same(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("coralvale.plans.follower.ANSWER", 0.3)
+    real = asyncio.sleep
+    monkeypatch.setattr(module, "LINES", 2)
+
+    async def slow(seconds: float) -> None:
+        await real(seconds or 0.1)  # between the pieces of a book
+
+    async def test() -> None:
+        service = await serving(Disk())
+        await define(service)
+        for n in range(8):
+            assert (await say(service, command=f"m{n}", do="move", station=f"{n:016x}", plan="team"))[
+                0
+            ] == 200
+        monkeypatch.setattr(module.asyncio, "sleep", slow)
+        follower = following(service.port)
+        task = asyncio.ensure_future(follower.run())
+        begun = service.clock.now()
+        await until(lambda: follower.book.serial == 12)
+        assert service.clock.now() - begun > 0.4
+        monkeypatch.undo()
+        await follower.close(task)
+        await service.stop()
+
+    run(test())
+
+
 def test_another_book_a_damaged_copy_and_answers_that_make_no_sense(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/tests/plans/test_terms.py
+++ b/tests/plans/test_terms.py
@@ -13,8 +13,9 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from plans.simulation import FLOOR, NAME, PLANS, SETTINGS, STATION, Passed, Result, play
+from plans.simulation import FLOOR, HOSTS, NAME, PLANS, SETTINGS, STATION, Passed, Result, play
 
+from coralvale import Gateway
 from coralvale import interface as api
 from coralvale.plans import terms as module
 from coralvale.plans.book import Book
@@ -124,6 +125,77 @@
     assert terms.plan(NOW + 6, STATION, 3).name == "small" and terms.plan(NOW + 6, 8, 3).name == "cup"
 
 
+def test_names_that_no_book_has_any_more_make_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "NAMES", 4)
+    terms = Terms(SETTINGS, strict=False)
+    for n in range(20):
+        book = opened()
+        for name in (f"cup-{n}", f"derby-{n}"):
+            do(book, book.define(NOW, replace(PLANS[1], name=name)))
+        terms.changed(book)
+        assert len(terms.names) == len(terms.numbers) <= len(PLANS) + 4
+        for name in (f"cup-{n}", f"derby-{n}", "team", "federal"):
+            assert terms.plan(NOW + 9, STATION, terms.numbers[name.encode()]).name == name
+
+
+def test_what_was_charged_to_a_ceiling_that_is_lowered_is_not_given_back_to_the_lower_one() -> None:
+    class Shared:
+        """An allowance that lets all in and notes what comes back."""
+
+        def __init__(self) -> None:
+            self.back: list[float] = []
+
+        def wait(self, now: float, request: api.Request, plan: api.Plan, quota: bool) -> float | None:
+            return None if quota else 0.0
+
+        def charge(self, request: api.Request, plan: api.Plan) -> None: ...
+
+        def refund(self, request: api.Request, plan: api.Plan) -> None:
+            self.back.append(plan.ceiling_rate)
+
+        def due(self, now: float) -> list[api.Action]:
+            return []
+
+        def reply(self, now: float, event: api.CounterReply) -> list[api.Action]:
+            return []
+
+    book, terms, shared = opened(), Terms(SETTINGS, strict=False), Shared()
+    do(book, book.move(NOW, NAME, "federal"))
+    do(book, book.move(NOW, NAME, "small", NOW + 20))
+    terms.changed(book)
+    gateway = Gateway(SETTINGS, 1, shared, terms)
+    gateway.handle(NOW, HOSTS)
+    for at, name in ((NOW + 10, "a"), (NOW + 10, "b")):
+        gateway.handle(at, api.Request(name, 0, 0, STATION, 1, NOW + 60, check=True))
+    gateway.handle(NOW + 11, api.Checked("a", api.Verdict.DENIED))
+    gateway.handle(NOW + 21, api.Request("c", 0, 0, STATION, 1, NOW + 60))  # the lower one holds
+    gateway.handle(NOW + 21, api.Checked("b", api.Verdict.DENIED))
+    assert shared.back == [12.0, 0.0]
+
+
+def test_approvals_that_come_together_do_not_pass_the_burst() -> None:
+    book, terms = opened(), Terms(SETTINGS, strict=False)
+    do(book, book.move(NOW, NAME, "small"))  # 4 a second, 6 at once
+    terms.changed(book)
+    gateway = Gateway(SETTINGS, 1, None, terms)
+    gateway.handle(NOW - 100, HOSTS)
+
+    def sent(actions: list[api.Action]) -> int:
+        return sum(isinstance(action, api.Send) for action in actions)
+
+    for n in range(6):
+        gateway.handle(NOW + 10, api.Request(f"a{n}", 0, 0, STATION, 1, NOW + 60, check=True))
+    assert len(gateway.checking) == 6
+    # Meanwhile as much has risen as the burst: it may not be used before those have gone.
+    arrivals = sum(
+        sent(gateway.handle(NOW + 12, api.Request(f"b{n}", 0, 0, STATION, 1, NOW + 60))) for n in range(6)
+    )
+    arrivals += sum(
+        sent(gateway.handle(NOW + 12, api.Checked(f"a{n}", api.Verdict.ALLOWED))) for n in range(6)
+    )
+    assert arrivals == 6
+
+
 def test_a_reservation_raises_the_quota_for_its_time_and_no_ceiling() -> None:
     book, terms = opened(), Terms(SETTINGS, strict=False)
     do(book, book.pool(NOW, "matches", 50.0))
