--- a/tests/allowance/test_escrow.py
+++ b/tests/allowance/test_escrow.py
@@ -99,6 +99,14 @@
         )  # fmt: skip
 
 
+def test_no_schedule_of_counter_faults_leaves_much_less_than_the_even_split() -> None:
+    for seed in range(80):  # of 300 the worst used 0.984 of what evenly split parts let in
+        weights = UNEVEN if seed % 2 else [0.6, 0.3, 0.1]
+        played = play(seed, 40.0, 3, TEN, faults=0.4, weights=weights, asked=2.0, crashes=False, length=3.0)
+        assert sum(played.used) >= 0.97 * sum(played.even), seed
+        assert played.beyond <= 0.15 * TEN.rate, seed
+
+
 def escrow(me: int = 0, born: float = 100.0, gateways: int = 3) -> Escrow:
     return Escrow(Ceiling(9.0, 9.0), 1, gateways, me, born, length=4.0)
 
