A request whose client left before it was written is never sent

Cause: when a client left, its body was thrown away, a request that may not be repeated ran on, and the payload asked for just before the write looked only at `done`: a request that waited for a connection, or behind a frozen process, was sent with an empty body (UNASKED).

Ruled out: a fault of the reading of bodies, and `net/node.py`, which marks the request as answered before its body is forgotten, so that its payload is None; what is being written already holds its bytes in the transport.

Change: a request with no connection when its client leaves is given up whatever its kind; the payload is None for one whose client left. One that is being written keeps its bytes and runs on.

--- a/coralvale/orchard/gates/edge.py
+++ b/coralvale/orchard/gates/edge.py
@@ -104,11 +104,14 @@
         if request is None:
             return
         request.left = True
-        # What may run once runs to its end: its host would be broken off in the middle of it.
-        if request.job.route.repeatable:
+        # What may run once and was written runs to its end: its host would be broken off in the middle of it.
+        # What was not written never is: its body is gone with the client.
+        attempt = request.attempt
+        being_written = attempt is not None and attempt.connection is not None
+        if request.job.route.repeatable or not being_written:
             self._finish(request)
-            if request.attempt and not request.attempt.ended:
-                self.hosts.give_up(request.attempt, Outcome.CANCELLED)
+            if attempt and not attempt.ended:
+                self.hosts.give_up(attempt, Outcome.CANCELLED)
 
     # In
 
@@ -182,7 +185,9 @@
     def _payload(self, request: Request, copy: Copy) -> Outgoing | None:
         """Asked just before the write: the client may have left, or the host begun to leave."""
         now, job, exchange = self.clock.monotonic(), request.job, request.exchange
-        if request.done or now >= job.ends or not self.harvest.copies.register.may_serve(copy.life.id):
+        if request.done or request.left or now >= job.ends:
+            return None
+        if not self.harvest.copies.register.may_serve(copy.life.id):
             return None
         if self.harvest.home.routes and self.harvest.home.refuses(now, job.route_name):
             return None  # what binds it changed while it waited for a connection
--- a/tests/orchard/test_edge.py
+++ b/tests/orchard/test_edge.py
@@ -9,6 +9,8 @@
 from test_plot import WHOLE
 
 from coralvale.net.clock import Clock
+from coralvale.net.transport import Attempt
+from coralvale.net.upstream import Pool
 from coralvale.orchard.census.register import Register, Row
 from coralvale.orchard.gates.edge import Edge, EdgeServer
 from coralvale.orchard.gates.hosts import Hosts
@@ -238,3 +240,69 @@
         assert s.peers[0].connections == 0
 
     play(1, scene)
+
+
+class GatedHosts(Hosts):
+    """New connections come up only once the gate is open."""
+
+    gate: asyncio.Event
+
+    async def _connect(self, pool: Pool, attempt: Attempt) -> None:
+        await self.gate.wait()
+        await super()._connect(pool, attempt)
+
+
+def request_bytes(path: str, id_: str, body: bytes) -> bytes:
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: a.example\r\nX-Myrtlehatch-Request-Id: {id_}\r\n"
+        f"X-Myrtlehatch-Time-Left: 5000\r\nAuthorization: Bearer k1\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+async def until(found: Callable[[], bool]) -> None:
+    async with asyncio.timeout(10.0):
+        while not found():
+            await asyncio.sleep(0.002)
+
+
+def test_a_request_whose_client_left_before_it_was_written_reaches_no_host() -> None:
+    async def scene(s: Scene) -> None:
+        for gate_opens_first in (False, True):
+            s.hosts.close()
+            hosts = s.hosts = s.edge.hosts = GatedHosts(Clock(), 5.0, 8.0, 100)
+            hosts.gate = asyncio.Event()
+            _, writer = await s.connect()
+            writer.write(request_bytes(BOOK, "left", b"slot=9"))
+            await until(lambda: bool(s.edge.open))
+            (request,) = s.edge.open
+            if gate_opens_first:  # its connection comes up before it is known that the attempt is of no use
+                request.left = True
+                hosts.gate.set()
+                await until(lambda: request.attempt is not None and request.attempt.ended)  # noqa: B023
+            writer.transport.abort()
+            await until(lambda: not s.edge.open)
+            hosts.gate.set()
+            stays = asyncio.create_task(s.ask(BOOK, "stays", left=5000, body=b"slot=1"))
+            arrived = await next_of(s)
+            assert arrived.message.headers[b"x-myrtlehatch-request-id"] == b"stays"
+            assert arrived.message.body == b"slot=1"
+            arrived.reply(reply("stays"))
+            assert (await stays).status == 200
+
+    play(1, scene)
+
+
+def test_a_request_that_is_being_written_when_its_client_leaves_keeps_its_bytes() -> None:
+    async def scene(s: Scene) -> None:
+        body = bytes(range(256)) * 3000
+        _, writer = await s.connect()
+        writer.write(request_bytes(BOOK, "r-1", body))
+        await until(lambda: any(r.attempt and r.attempt.connection for r in s.edge.open))
+        writer.transport.abort()
+        arrived = await next_of(s)
+        assert arrived.message.body == body
+        arrived.reply(reply("r-1"))
+        await until(lambda: not s.edge.open)
+
+    play(1, scene)
