--- a/Makefile
+++ b/Makefile
@@ -3,14 +3,14 @@
 ARGS ?=
 export PATH := $(abspath $(VENV))/bin:$(PATH)
 
-# `make orchard` starts five gateways of the whole system, hosts, clients and an operator on loopback.
-.PHONY: demo orchard test bench clean
+# `make cluster` starts five gateways of the whole system, hosts, clients and an operator on loopback.
+.PHONY: demo cluster test bench clean
 
 demo: $(VENV)/made
 	python -m coralvale demo $(ARGS)
 
-orchard: $(VENV)/made
-	python -m coralvale.orchard demo $(ARGS)
+cluster: $(VENV)/made
+	python -m coralvale.cluster demo $(ARGS)
 
 test: $(VENV)/made
 	ruff format --check .
@@ -30,9 +30,9 @@
 	python benchmarks/http2.py $(ARGS)
 	python benchmarks/lab.py $(ARGS)
 	python benchmarks/membership.py $(ARGS)
-	python benchmarks/orchard.py $(ARGS)
+	python benchmarks/cluster.py $(ARGS)
 
-$(VENV)/made: requirements.txt requirements-control.txt requirements-lab.txt requirements-orchard.txt requirements-dev.txt
+$(VENV)/made: requirements.txt requirements-control.txt requirements-lab.txt requirements-cluster.txt requirements-dev.txt
 	rm -rf $(VENV)
 	python3 -m venv $(VENV)
 	$(VENV)/bin/pip -q install -r requirements-dev.txt
--- a/benchmarks/orchard.py
+++ b/benchmarks/cluster.py
@@ -1,4 +1,4 @@
-"""What the orchard's decisions cost, beside the present program's in the same run, and how it grows with
+"""What the cluster's decisions cost, beside the present program's in the same run, and how it grows with
 gateways.
 
   request   CPU of a request's decisions: route, key, bucket, copy, answer. Beside `coralvale.Gateway.handle` for
@@ -29,25 +29,25 @@
 
 from coralvale import Gateway
 from coralvale import interface as api
-from coralvale.orchard.census.register import Register, Row
-from coralvale.orchard.gates.carts import EVERY, Cart
-from coralvale.orchard.gates.there import MANY
-from coralvale.orchard.gates.tidings import (
+from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.gates.carts import EVERY, Cart
+from coralvale.cluster.gates.there import MANY
+from coralvale.cluster.gates.tidings import (
     CARRIED_OUT_BYTES,
     CARRIED_OUT_EVERY,
     OUT_A_SECOND,
     OUT_EVERY,
     OUT_SHARE,
 )
-from coralvale.orchard.gates.words import Word, encode, pack_out, pack_use
-from coralvale.orchard.harvest.copies import Copies, Copy
-from coralvale.orchard.harvest.home import Home
-from coralvale.orchard.harvest.way import Harvest, Job
-from coralvale.orchard.plot.almanac import Almanac, Change, pack
-from coralvale.orchard.plot.model import Plot, survey
-from coralvale.orchard.settings import Bounds
-from coralvale.orchard.weir.sluice import PERIOD, Rule, Weir
-from coralvale.standins.orchard import Orchard, configuration
+from coralvale.cluster.gates.words import Word, encode, pack_out, pack_use
+from coralvale.cluster.harvest.copies import Copies, Copy
+from coralvale.cluster.harvest.home import Home
+from coralvale.cluster.harvest.way import Harvest, Job
+from coralvale.cluster.plot.almanac import Almanac, Change, pack
+from coralvale.cluster.plot.model import Plot, survey
+from coralvale.cluster.settings import Bounds
+from coralvale.cluster.weir.sluice import PERIOD, Rule, Weir
+from coralvale.standins.cluster import LocalCluster, configuration
 
 HOSTS, TENANTS, UDP = 30, 8, 28
 RULE = Rule(5.0, 0.1, 20.0)
@@ -79,7 +79,7 @@
     return best * 1e6
 
 
-def orchard_request(now: list[float], bound: bool = False) -> Callable[[], object]:
+def cluster_request(now: list[float], bound: bool = False) -> Callable[[], object]:
     """`bound`: every route is bound to this gateway's region."""
     register = Register(1.5)
     for n in range(HOSTS):
@@ -253,45 +253,45 @@
 
 
 async def live(gateways: int) -> dict[str, float]:
-    """An orchard on loopback: one change, then a kill of all."""
+    """A cluster on loopback: one change, then a kill of all."""
     net = f"127.{os.getpid() % 200 + 20}.{gateways}"
-    orchard = await Orchard(gateways, 3, net).start()
+    cluster = await LocalCluster(gateways, 3, net).start()
 
     def lines(event: str) -> list[float]:
         """When each gateway's log has it last."""
         found = []
         for number in range(gateways):
-            told = [moment(line) for line in orchard.log(number).splitlines() if event in line]
+            told = [moment(line) for line in cluster.log(number).splitlines() if event in line]
             found.append(told[-1] if told else math.nan)
         return found
 
     async def all_have(event: str) -> None:
-        await orchard.until(lambda: not any(math.isnan(at) for at in lines(event)), 120.0)
+        await cluster.until(lambda: not any(math.isnan(at) for at in lines(event)), 120.0)
 
     async def all_ready() -> None:
         """Asks each, as the platform does: one says that it is ready when it is asked."""
-        await asyncio.gather(*(orchard.until(lambda n=n: orchard.ready(n), 120.0) for n in range(gateways)))  # type: ignore[misc]
+        await asyncio.gather(*(cluster.until(lambda n=n: cluster.ready(n), 120.0) for n in range(gateways)))  # type: ignore[misc]
 
     try:
-        await orchard.host("schedule")
-        first = await orchard.send("config.replace", configuration(1, ["schedule"], 0.0), 0)
+        await cluster.host("schedule")
+        first = await cluster.send("config.replace", configuration(1, ["schedule"], 0.0), 0)
         assert first and first.status == 200
         await all_ready()
         change = {"Ver": 2, "Upsert": {"Tenants": {"second": {"ApiKeys": ["k2"]}}}}
-        found = await orchard.send("config.update", change, 1)
+        found = await cluster.send("config.update", change, 1)
         assert found and found.status == 200
         await all_have("E301 configuration 2 ")
         acknowledged = [at for at in lines("E302 change to version 2 ") if not math.isnan(at)]
         spread = max(lines("E301 configuration 2 ")) - min(acknowledged)
-        await asyncio.gather(*(orchard.kill(number) for number in range(gateways)))
+        await asyncio.gather(*(cluster.kill(number) for number in range(gateways)))
         for number in range(gateways):
-            (orchard.path / f"log-{number}").write_text("")
+            (cluster.path / f"log-{number}").write_text("")
         for number in range(gateways):
-            await orchard.begin(number)
+            await cluster.begin(number)
         await all_ready()
         begun, ready = min(lines("E101 ")), lines("E102 ")
     finally:
-        await orchard.stop()
+        await cluster.stop()
     return {
         "gateways": gateways,
         "spread_ms": round(spread * 1000, 1),
@@ -305,9 +305,9 @@
     arguments.add_argument("--quick", action="store_true", help="fewer rounds")
     quick = arguments.parse_args().quick
     rounds = 400 if quick else 4000
-    ours, present = microseconds(orchard_request([0.0]), rounds), microseconds(present_request([0.0]), rounds)
+    ours, present = microseconds(cluster_request([0.0]), rounds), microseconds(present_request([0.0]), rounds)
     times = ours / present
-    at_home = microseconds(orchard_request([0.0], bound=True), rounds)
+    at_home = microseconds(cluster_request([0.0], bound=True), rounds)
     print(f"bound to a region: {at_home:.1f} us, {at_home / ours:.2f} times")
     print(f"decisions of a request: {ours:.1f} us, the present program's {present:.1f} us, {times:.2f} times")
     rows = [fleet(n, zones, quick) for n, zones in ((12, 3), (68, 4), (96, 3), (500, 4))]
--- a/benchmarks/souring_days.py
+++ b/benchmarks/souring_days.py
@@ -2,7 +2,7 @@
 
   day SITE --seed N       prints a day (TOML) of a site file: its busiest traffic, a tenant that sends many times
                           its usual, and one to three copies at a time that lose or spoil most of their answers
-  read LOG [--alone LOG]  from gateways' logs with every try (ORCHARD_LOG=DEBUG): for each copy that soured,
+  read LOG [--alone LOG]  from gateways' logs with every try (MYRTLEHATCH_LOG=DEBUG): for each copy that soured,
                           seconds from its first ill answer until the last node had moved off it, and what it
                           still got. Beside it the same day, where each node learns alone: the thing to beat.
 
--- a/benchmarks/two_regions.py
+++ b/benchmarks/two_regions.py
@@ -5,7 +5,7 @@
                                                                      else, nodes killed, the core's holder lost
 
 Made when it is wanted, never kept. The bindings are in the system's own file, as the users' operator cannot write
-them into a configuration: `orchard run --regions FILE`.
+them into a configuration: `myrtlehatch run --regions FILE`.
 """
 
 from __future__ import annotations
--- a/coralvale/orchard/__main__.py
+++ b/coralvale/cluster/__main__.py
@@ -1,4 +1,4 @@
-"""Starts one gateway: `python -m coralvale.orchard`. A word after it is a command (`orchard --help`)."""
+"""Starts one gateway: `python -m coralvale.cluster`. A word after it is a command (`myrtlehatch --help`)."""
 
 from __future__ import annotations
 
@@ -8,10 +8,10 @@
 
 def main() -> int:
     if len(sys.argv) > 1:
-        from coralvale.orchard import commands
+        from coralvale.cluster import commands
 
         return commands.main(sys.argv[1:])
-    from coralvale.orchard.start import serve_now
+    from coralvale.cluster.start import serve_now
 
     return serve_now(os.environ.get("MYRTLEHATCH_CONFIG", ""))
 
--- a/coralvale/orchard/cellar/keeper.py
+++ b/coralvale/cluster/cellar/keeper.py
@@ -10,10 +10,10 @@
 
 import msgspec
 
-from coralvale.orchard.cellar.store import NAME, Cellar, CellarError
-from coralvale.orchard.grafting.model import CHANGE, OPENING, READ, SEATS, Member, Saved, Seats, Write
-from coralvale.orchard.grafting.words import unpack_seats
-from coralvale.orchard.plot.almanac import Almanac, Change, Image
+from coralvale.cluster.cellar.store import NAME, Cellar, CellarError
+from coralvale.cluster.grafting.model import CHANGE, OPENING, READ, SEATS, Member, Saved, Seats, Write
+from coralvale.cluster.grafting.words import unpack_seats
+from coralvale.cluster.plot.almanac import Almanac, Change, Image
 
 FORMAT = 1  # of an export
 LATER = 1000  # views by which a restored core is ahead of the one that was lost
--- a/coralvale/orchard/cellar/store.py
+++ b/coralvale/cluster/cellar/store.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from coralvale.orchard.census.register import Row
-from coralvale.orchard.grafting.machine import Record
-from coralvale.orchard.grafting.model import Entry, Saved, Write
+from coralvale.cluster.census.register import Row
+from coralvale.cluster.grafting.machine import Record
+from coralvale.cluster.grafting.model import Entry, Saved, Write
 
 NAME = "orchard.sqlite"
 LAYOUT = 1  # of the tables; a newer program reads older ones, and refuses what is newer than itself
--- a/coralvale/orchard/commands.py
+++ b/coralvale/cluster/commands.py
@@ -30,8 +30,8 @@
     import os
     from importlib.util import find_spec
 
-    from coralvale.orchard.settings import address
-    from coralvale.orchard.start import serve_now
+    from coralvale.cluster.settings import address
+    from coralvale.cluster.start import serve_now
 
     if metrics:
         try:
@@ -39,7 +39,7 @@
         except ValueError as error:
             raise Fault(f"--metrics: {error}") from None
         if find_spec("prometheus_client") is None:
-            raise Fault("--metrics: needs the extra orchard-metrics (pip install '.[orchard-metrics]')")
+            raise Fault("--metrics: needs the extra cluster-metrics (pip install '.[cluster-metrics]')")
     return serve_now(settings or os.environ.get("MYRTLEHATCH_CONFIG", ""), metrics, regions)
 
 
@@ -50,9 +50,9 @@
     :param configuration: it is a configuration (JSON), not a settings file (YAML)
     :param as_json: print one JSON object
     """
-    from coralvale.orchard.errors import Problem
-    from coralvale.orchard.plot.model import Plot, survey
-    from coralvale.orchard.settings import SettingsError, read, remarks
+    from coralvale.cluster.errors import Problem
+    from coralvale.cluster.plot.model import Plot, survey
+    from coralvale.cluster.settings import SettingsError, read, remarks
 
     mistakes: list[str] = []
     remarked: list[str] = []
@@ -84,7 +84,7 @@
 
 
 def _ask(at: str, name: str) -> Any:  # noqa: ANN401
-    from coralvale.orchard.sending import post
+    from coralvale.cluster.sending import post
 
     try:
         status, body = post(at, f"/rpc?call={name}", b"")
@@ -135,7 +135,7 @@
     :param watch: seconds between looks; 0 looks once
     """
     while True:
-        found = _call(at, "orchard.status")
+        found = _call(at, "gateway.status")
         print(json.dumps(found) if as_json else _table(found), flush=True)
         if not watch:
             return 0 if found["ready"] else 1
@@ -156,7 +156,7 @@
     while True:
         copies: dict[str, dict[str, Any]] = {}
         for one in at:
-            found = _call(one, "orchard.status")
+            found = _call(one, "gateway.status")
             for row in found["hosts"]:
                 copy = copies.setdefault(
                     row["id"], {"service": row["service"], "state": row["state"], "at": {}}
@@ -191,7 +191,7 @@
     """
     if not at:
         raise Fault("regions: at least one ip:port")
-    seen = [_call(one, "orchard.status") for one in at]
+    seen = [_call(one, "gateway.status") for one in at]
     zones = {zone: region for found in seen for zone, region in found["zones"].items()}
     services: dict[str, dict[str, Any]] = {}
     for found in seen:
@@ -276,7 +276,7 @@
     :param patience: seconds for which it is sent again
     :param as_json: print one JSON object
     """
-    from coralvale.orchard import sending
+    from coralvale.cluster import sending
 
     if not at:
         raise Fault("config send: at least one ip:port")
@@ -315,7 +315,7 @@
     :param at: the Ctl address of a member of the core, ip:port
     :param as_json: print one JSON list
     """
-    steps = _ask(at, "orchard.history")
+    steps = _ask(at, "gateway.history")
     if as_json:
         print(json.dumps(steps))
         return 0
@@ -340,7 +340,7 @@
     :param after: the same
     :param as_json: print one JSON object
     """
-    from coralvale.orchard.plot.model import differences
+    from coralvale.cluster.plot.model import differences
 
     found = differences(_configuration(before), _configuration(after))
     if as_json:
@@ -370,7 +370,7 @@
 
     :param as_json: print one JSON object
     """
-    from coralvale.orchard.events import Event, catalogue
+    from coralvale.cluster.events import Event, catalogue
 
     if as_json:
         print(json.dumps({e.number: {"level": e.value[1], "text": e.value[2]} for e in Event}))
@@ -380,7 +380,7 @@
 
 
 def _kept(folder: Path) -> dict[str, Any]:
-    from coralvale.orchard.cellar.keeper import KeeperError, look
+    from coralvale.cluster.cellar.keeper import KeeperError, look
 
     try:
         return look(folder)
@@ -422,7 +422,7 @@
 
     :param datadir: the settings' Datadir
     """
-    from coralvale.orchard.cellar import keeper
+    from coralvale.cluster.cellar import keeper
 
     try:
         print(json.dumps(keeper.export(datadir)))
@@ -440,7 +440,7 @@
     :param ip: that machine's Ip
     :param all_others_are_lost: say so: a member of the old core that is there would go on beside the new
     """
-    from coralvale.orchard.cellar import keeper
+    from coralvale.cluster.cellar import keeper
 
     if not all_others_are_lost:
         raise Fault("refused: say --all-others-are-lost, and empty the disks of all other members first")
@@ -464,7 +464,7 @@
 
 
 def explain(request_id: str, *logs: Path, as_json: bool = False) -> int:
-    """Tell a request's way from the logs of all gateways, written with ORCHARD_LOG=DEBUG.
+    """Tell a request's way from the logs of all gateways, written with MYRTLEHATCH_LOG=DEBUG.
 
     :param request_id: its X-Myrtlehatch-Request-Id
     :param logs: files of logs, or folders of them
@@ -504,7 +504,7 @@
     """
     import asyncio
 
-    from coralvale.standins.orchard import demo as play
+    from coralvale.standins.cluster import demo as play
 
     found = asyncio.run(play(seconds, (lambda line: None) if as_json else print))
     print(json.dumps(found))
@@ -531,7 +531,7 @@
             no_negated_flags=True,
         )
     except Fault as fault:
-        print(f"orchard: {fault}", file=sys.stderr)
+        print(f"myrtlehatch: {fault}", file=sys.stderr)
         return 2
     except KeyboardInterrupt:
         return 0
--- a/coralvale/orchard/errors.py
+++ b/coralvale/cluster/errors.py
@@ -1,6 +1,6 @@
 """The closed list of what can go wrong, and the answer that each kind gets.
 
-Nothing in the orchard raises for what others send: what decides returns a `Problem`, a sentinel value that
+Nothing in the cluster raises for what others send: what decides returns a `Problem`, a sentinel value that
 carries its reason, and the gates look up the answer. A status that promises that nothing has run (PROTOCOL:
 429, 503, 408, 421) stands in the table only with kinds that are reported before anything was sent, or after
 all tries are known not to have run.
--- a/coralvale/orchard/events.py
+++ b/coralvale/cluster/events.py
@@ -1,7 +1,7 @@
 """Numbered events of the log. The number and the fields' names stay; the text may be put better.
 
 Numbers by hundreds: 1 the process, 2 members and the core, 3 configuration, 4 hosts, 5 quotas and tries, 6
-the disk. `catalogue` prints the table that stands in docs/operate/orchard-events.md.
+the disk. `catalogue` prints the table that stands in docs/operate/cluster-events.md.
 """
 
 from __future__ import annotations
--- a/coralvale/orchard/foreman/founding.py
+++ b/coralvale/cluster/foreman/founding.py
@@ -9,7 +9,7 @@
   enough to have heard of a core that is there (`OLD`).
 - A disk that was lost (`Bootstrap` false) neither names nor founds; one that knows a core asks it for a seat.
 - Nobody else is named in the place of one that was named and is silent: it may have founded the core behind a
-  cut. The operator begins anew then (docs/operate/orchard.md), nothing was acknowledged yet.
+  cut. The operator begins anew then (docs/operate/cluster.md), nothing was acknowledged yet.
 """
 
 from __future__ import annotations
--- a/coralvale/orchard/gates/arrivals.py
+++ b/coralvale/cluster/gates/arrivals.py
@@ -8,14 +8,14 @@
 
 import msgspec
 
-from coralvale.orchard.census.register import Register, Row
-from coralvale.orchard.events import Event, tell
-from coralvale.orchard.gates.core import Core
-from coralvale.orchard.gates.ground import Ground
-from coralvale.orchard.gates.peers import LIFE
-from coralvale.orchard.gates.there import There
-from coralvale.orchard.gates.words import Pull, Rows, encode
-from coralvale.orchard.weir.sluice import MOST, PERIOD
+from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.events import Event, tell
+from coralvale.cluster.gates.core import Core
+from coralvale.cluster.gates.ground import Ground
+from coralvale.cluster.gates.peers import LIFE
+from coralvale.cluster.gates.there import There
+from coralvale.cluster.gates.words import Pull, Rows, encode
+from coralvale.cluster.weir.sluice import MOST, PERIOD
 
 DRAINED = 0.75  # s that gateways are given to note that a host leaves
 KEEP_HOSTS = 1.0  # s between looks whether the register on disk is old
--- a/coralvale/orchard/gates/changes.py
+++ b/coralvale/cluster/gates/changes.py
@@ -9,18 +9,18 @@
 
 import msgspec
 
+from coralvale.cluster.errors import Problem
+from coralvale.cluster.events import Event, tell
+from coralvale.cluster.gates.core import Core
+from coralvale.cluster.gates.ctl import Answered
+from coralvale.cluster.gates.ground import Ground
+from coralvale.cluster.gates.peers import Frames
+from coralvale.cluster.gates.words import Ask, Call, Reply, Told
+from coralvale.cluster.grafting import model as order
+from coralvale.cluster.harvest.way import Harvest
+from coralvale.cluster.plot.almanac import TAKEN_ALREADY, Change, follow, pack
+from coralvale.cluster.plot.model import Plot
 from coralvale.net.server import Bounds as ClientBounds
-from coralvale.orchard.errors import Problem
-from coralvale.orchard.events import Event, tell
-from coralvale.orchard.gates.core import Core
-from coralvale.orchard.gates.ctl import Answered
-from coralvale.orchard.gates.ground import Ground
-from coralvale.orchard.gates.peers import Frames
-from coralvale.orchard.gates.words import Ask, Call, Reply, Told
-from coralvale.orchard.grafting import model as order
-from coralvale.orchard.harvest.way import Harvest
-from coralvale.orchard.plot.almanac import TAKEN_ALREADY, Change, follow, pack
-from coralvale.orchard.plot.model import Plot
 
 ASK_FOR = 1.0  # s for which a question for news is kept when there is none
 LOST_AFTER = 0.25  # s between looks at whether the one that is asked is cut off itself
--- a/coralvale/orchard/gates/core.py
+++ b/coralvale/cluster/gates/core.py
@@ -7,17 +7,17 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from coralvale.orchard.cellar.store import Cellar, CellarError, Damaged, set_aside
-from coralvale.orchard.census.register import Row
-from coralvale.orchard.events import Event, tell
-from coralvale.orchard.foreman.founding import Founding
-from coralvale.orchard.gates.ground import Ground
-from coralvale.orchard.gates.words import Graft, Nominate, Nominee
-from coralvale.orchard.grafting import model as order
-from coralvale.orchard.grafting.machine import Graft as Machine
-from coralvale.orchard.grafting.machine import Record, Terms
-from coralvale.orchard.plot.almanac import Almanac
-from coralvale.orchard.plot.model import Plot
+from coralvale.cluster.cellar.store import Cellar, CellarError, Damaged, set_aside
+from coralvale.cluster.census.register import Row
+from coralvale.cluster.events import Event, tell
+from coralvale.cluster.foreman.founding import Founding
+from coralvale.cluster.gates.ground import Ground
+from coralvale.cluster.gates.words import Graft, Nominate, Nominee
+from coralvale.cluster.grafting import model as order
+from coralvale.cluster.grafting.machine import Graft as Machine
+from coralvale.cluster.grafting.machine import Record, Terms
+from coralvale.cluster.plot.almanac import Almanac
+from coralvale.cluster.plot.model import Plot
 
 RETRY_DISK = 0.25  # s until a write that failed is tried again
 
--- a/coralvale/orchard/gates/ctl.py
+++ b/coralvale/cluster/gates/ctl.py
@@ -10,13 +10,13 @@
 
 import msgspec
 
+from coralvale.cluster.census.register import Row, State
+from coralvale.cluster.errors import Kind, Problem
+from coralvale.cluster.plot.almanac import Change
+from coralvale.cluster.settings import address
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
 from coralvale.net.server import Bounds, Exchange, Server
-from coralvale.orchard.census.register import Row, State
-from coralvale.orchard.errors import Kind, Problem
-from coralvale.orchard.plot.almanac import Change
-from coralvale.orchard.settings import address
 
 BASE = b"x-myrtlehatch-base-version"
 STATES = {"up": State.UP, "draining": State.DRAINING}
@@ -132,9 +132,9 @@
                 status, body = 400, b"X-Myrtlehatch-Base-Version: expected a whole number"
         elif name == "config.read":
             status, body = await self.desk.read()
-        elif name == "orchard.history":
+        elif name == "gateway.history":
             status, body = self.desk.history()
-        elif name == "orchard.status":
+        elif name == "gateway.status":
             status, body = 200, self.desk.status()
         headers = [(b"Content-Type", b"application/json")] if status == 200 else None
         exchange.reply(status, body, headers)
--- a/coralvale/orchard/gates/edge.py
+++ b/coralvale/cluster/gates/edge.py
@@ -7,16 +7,16 @@
 from functools import partial
 from typing import Any
 
+from coralvale.cluster.errors import Problem
+from coralvale.cluster.events import Event, Told, tell
+from coralvale.cluster.gates.hosts import HostAnswer, HostAttempt, Hosts
+from coralvale.cluster.harvest.copies import Copy
+from coralvale.cluster.harvest.way import Harvest, Job
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
 from coralvale.net.server import NOT_PASSED_ON, Exchange, Server, nominated
 from coralvale.net.transport import Answer, Attempt, Outgoing, Source
-from coralvale.orchard.errors import Problem
-from coralvale.orchard.events import Event, Told, tell
-from coralvale.orchard.gates.hosts import HostAnswer, HostAttempt, Hosts
-from coralvale.orchard.harvest.copies import Copy
-from coralvale.orchard.harvest.way import Harvest, Job
 
 ID, LEFT = b"x-myrtlehatch-request-id", b"x-myrtlehatch-time-left"
 TENANT, WANT, AUTH = b"x-myrtlehatch-tenant", b"x-myrtlehatch-want-instance", b"authorization"
--- a/coralvale/orchard/gates/figures.py
+++ b/coralvale/cluster/gates/figures.py
@@ -13,13 +13,13 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
+from coralvale.cluster.blight.watch import Verdict
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
 from coralvale.net.server import Bounds, Exchange, Server
-from coralvale.orchard.blight.watch import Verdict
 
 if TYPE_CHECKING:
-    from coralvale.orchard.gates.node import Orchard
+    from coralvale.cluster.gates.node import GatewayNode
 
 MOST = 16  # connections
 
@@ -27,13 +27,13 @@
 class Figures:
     """What a gateway knows, as metrics."""
 
-    def __init__(self, orchard: Orchard) -> None:
-        self.orchard = orchard
+    def __init__(self, node: GatewayNode) -> None:
+        self.node = node
         self.registry = CollectorRegistry(auto_describe=False)
         self.registry.register(self)
 
     def collect(self) -> Iterator[Any]:
-        o = self.orchard
+        o = self.node
         now = o.ground.clock.monotonic()
         view, holder, core = o.core.known()
         for name, says, value in (
@@ -51,16 +51,16 @@
                 now - o.core.disk_failed if o.core.disk_failed else 0.0,
             ),
         ):
-            yield GaugeMetricFamily(f"orchard_{name}", says, value=value)
-        answers = CounterMetricFamily("orchard_answers", "answers to clients", labels=["status"])
+            yield GaugeMetricFamily(f"myrtlehatch_{name}", says, value=value)
+        answers = CounterMetricFamily("myrtlehatch_answers", "answers to clients", labels=["status"])
         for status, count in o.edge.answers.items():
             answers.add_metric([str(status)], float(count))
         yield answers
         hosts = GaugeMetricFamily(
-            "orchard_hosts", "lives of hosts that are known", labels=["service", "state"]
+            "myrtlehatch_hosts", "lives of hosts that are known", labels=["service", "state"]
         )
         sour = GaugeMetricFamily(
-            "orchard_copies", "by what is held against them", labels=["service", "verdict"]
+            "myrtlehatch_copies", "by what is held against them", labels=["service", "verdict"]
         )
         for service, lives in o.register.by_service.items():
             states: dict[str, int] = {}
@@ -76,10 +76,10 @@
         yield hosts
         yield sour
         used = GaugeMetricFamily(
-            "orchard_tenant_rate", "requests let through a second", labels=["tenant", "where"]
+            "myrtlehatch_tenant_rate", "requests let through a second", labels=["tenant", "where"]
         )
         leak = GaugeMetricFamily(
-            "orchard_tenant_leak", "of its bucket here, requests a second", labels=["tenant"]
+            "myrtlehatch_tenant_leak", "of its bucket here, requests a second", labels=["tenant"]
         )
         for tenant, metered in o.weir.tenants.items():
             used.add_metric([tenant, "here"], float(metered.mine))
--- a/coralvale/orchard/gates/ground.py
+++ b/coralvale/cluster/gates/ground.py
@@ -9,11 +9,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from coralvale.cluster.events import Event, tell
+from coralvale.cluster.gates.peers import Frames, Peers
+from coralvale.cluster.gates.words import Parcel
+from coralvale.cluster.settings import Settings
 from coralvale.net.clock import Clock
-from coralvale.orchard.events import Event, tell
-from coralvale.orchard.gates.peers import Frames, Peers
-from coralvale.orchard.gates.words import Parcel
-from coralvale.orchard.settings import Settings
 
 TICK = 0.05  # s between looks at what is due
 
--- a/coralvale/orchard/gates/node.py
+++ b/coralvale/cluster/gates/node.py
@@ -8,25 +8,20 @@
 import signal
 from pathlib import Path
 
-from coralvale.members import wire as swim_wire
-from coralvale.members.model import MembersError
-from coralvale.net.clock import Clock
-from coralvale.net.server import Bounds as ClientBounds
-from coralvale.net.server import Server
-from coralvale.orchard.census.register import Register, Row
-from coralvale.orchard.events import Event, tell
-from coralvale.orchard.gates.arrivals import Arrivals
-from coralvale.orchard.gates.changes import Changes
-from coralvale.orchard.gates.core import Core
-from coralvale.orchard.gates.ctl import Answered, Control, ControlServer, Desk
-from coralvale.orchard.gates.edge import Edge, EdgeServer
-from coralvale.orchard.gates.ground import TICK, Ground
-from coralvale.orchard.gates.hosts import Hosts
-from coralvale.orchard.gates.peers import Frames
-from coralvale.orchard.gates.status import status
-from coralvale.orchard.gates.there import There
-from coralvale.orchard.gates.tidings import Tidings
-from coralvale.orchard.gates.words import (
+from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.events import Event, tell
+from coralvale.cluster.gates.arrivals import Arrivals
+from coralvale.cluster.gates.changes import Changes
+from coralvale.cluster.gates.core import Core
+from coralvale.cluster.gates.ctl import Answered, Control, ControlServer, Desk
+from coralvale.cluster.gates.edge import Edge, EdgeServer
+from coralvale.cluster.gates.ground import TICK, Ground
+from coralvale.cluster.gates.hosts import Hosts
+from coralvale.cluster.gates.peers import Frames
+from coralvale.cluster.gates.status import status
+from coralvale.cluster.gates.there import There
+from coralvale.cluster.gates.tidings import Tidings
+from coralvale.cluster.gates.words import (
     Ask,
     Call,
     Gossip,
@@ -38,14 +33,19 @@
     Pull,
     Rows,
 )
-from coralvale.orchard.harvest.copies import Copies
-from coralvale.orchard.harvest.home import Home
-from coralvale.orchard.harvest.way import Harvest
-from coralvale.orchard.plot.almanac import Change
-from coralvale.orchard.regions import Regions
-from coralvale.orchard.regions import read as read_regions
-from coralvale.orchard.settings import Settings, SettingsError, address, read
-from coralvale.orchard.weir.sluice import Rule, Weir
+from coralvale.cluster.harvest.copies import Copies
+from coralvale.cluster.harvest.home import Home
+from coralvale.cluster.harvest.way import Harvest
+from coralvale.cluster.plot.almanac import Change
+from coralvale.cluster.regions import Regions
+from coralvale.cluster.regions import read as read_regions
+from coralvale.cluster.settings import Settings, SettingsError, address, read
+from coralvale.cluster.weir.sluice import Rule, Weir
+from coralvale.members import wire as swim_wire
+from coralvale.members.model import MembersError
+from coralvale.net.clock import Clock
+from coralvale.net.server import Bounds as ClientBounds
+from coralvale.net.server import Server
 
 CONNECT_TIMEOUT = 0.4  # s
 HOST_IDLE = 8.0  # s that a connection to a host is kept idle, unless it says less
@@ -59,7 +59,7 @@
 UNSETTLED = 4.0  # s after which a member of the core that hears no majority serves what its disk has
 
 
-class Orchard(Desk):
+class GatewayNode(Desk):
     def __init__(
         self,
         settings: Settings,
@@ -144,7 +144,7 @@
             if text:
                 self.servers.append(ControlServer(address(text), self.control, self.ground.clock))
         if self.metrics:
-            from coralvale.orchard.gates.figures import Figures, FiguresServer
+            from coralvale.cluster.gates.figures import Figures, FiguresServer
 
             self.servers.append(FiguresServer(address(self.metrics), Figures(self), self.ground.clock))
         await self.ground.peers.start()
@@ -380,4 +380,4 @@
 async def serve(path: str, metrics: str = "", regions: str = "") -> None:
     settings = read(path)
     bound = read_regions(regions, settings.Zones)
-    await Orchard(settings, str(Path(path)), metrics=metrics, regions=bound).run()
+    await GatewayNode(settings, str(Path(path)), metrics=metrics, regions=bound).run()
--- a/coralvale/orchard/gates/status.py
+++ b/coralvale/cluster/gates/status.py
@@ -1,4 +1,4 @@
-"""What a gateway knows of itself and all else, for `orchard status`."""
+"""What a gateway knows of itself and all else, for `myrtlehatch status`."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from coralvale.orchard.gates.node import Orchard
+    from coralvale.cluster.gates.node import GatewayNode
 
 
-def status(o: Orchard) -> bytes:
+def status(o: GatewayNode) -> bytes:
     now, weir = o.ground.clock.monotonic(), o.weir
     view, holder, core = o.core.known()
     sent: dict[str, float] = {}
--- a/coralvale/orchard/gates/there.py
+++ b/coralvale/cluster/gates/there.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
+from coralvale.cluster.events import Event, tell
+from coralvale.cluster.gates.ground import Ground
+from coralvale.cluster.gates.peers import SWIM
+from coralvale.cluster.gates.words import Gossip
+from coralvale.cluster.weir.sluice import MOST, Weir
 from coralvale.members import wire as swim_wire
 from coralvale.members.model import Changed, Stalled
 from coralvale.members.model import Member as Gateway
 from coralvale.members.model import Settings as SwimSettings
 from coralvale.members.model import State as There_
 from coralvale.members.swim import Swim
-from coralvale.orchard.events import Event, tell
-from coralvale.orchard.gates.ground import Ground
-from coralvale.orchard.gates.peers import SWIM
-from coralvale.orchard.gates.words import Gossip
-from coralvale.orchard.weir.sluice import MOST, Weir
 
 SMALL_FLEET = SwimSettings()
 # What many small machines say to each other waits longer on their links: no answer in 0.1 s is no sign.
--- a/coralvale/orchard/gates/tidings.py
+++ b/coralvale/cluster/gates/tidings.py
@@ -9,17 +9,15 @@
 
 import msgspec
 
-from coralvale.members import wire as swim_wire
-from coralvale.members.model import MembersError
-from coralvale.orchard.blight.watch import Change as Verdict
-from coralvale.orchard.events import Event, tell
-from coralvale.orchard.gates import carts
-from coralvale.orchard.gates.arrivals import Arrivals
-from coralvale.orchard.gates.carts import Carriers, Cart
-from coralvale.orchard.gates.changes import Changes
-from coralvale.orchard.gates.core import Core
-from coralvale.orchard.gates.ground import Ground
-from coralvale.orchard.gates.peers import (
+from coralvale.cluster.blight.watch import Change as Verdict
+from coralvale.cluster.events import Event, tell
+from coralvale.cluster.gates import carts
+from coralvale.cluster.gates.arrivals import Arrivals
+from coralvale.cluster.gates.carts import Carriers, Cart
+from coralvale.cluster.gates.changes import Changes
+from coralvale.cluster.gates.core import Core
+from coralvale.cluster.gates.ground import Ground
+from coralvale.cluster.gates.peers import (
     BLIGHT,
     CARRIED,
     CARRY,
@@ -33,8 +31,8 @@
     SWIM,
     WORD,
 )
-from coralvale.orchard.gates.there import LARGE_FLEET, MANY, SMALL_FLEET, There
-from coralvale.orchard.gates.words import (
+from coralvale.cluster.gates.there import LARGE_FLEET, MANY, SMALL_FLEET, There
+from coralvale.cluster.gates.words import (
     Word,
     decode_rows,
     decode_word,
@@ -46,8 +44,10 @@
     unpack_out,
     unpack_use,
 )
-from coralvale.orchard.harvest.copies import SOON, Copies
-from coralvale.orchard.weir.sluice import MOST, PERIOD, Weir
+from coralvale.cluster.harvest.copies import SOON, Copies
+from coralvale.cluster.weir.sluice import MOST, PERIOD, Weir
+from coralvale.members import wire as swim_wire
+from coralvale.members.model import MembersError
 
 OUT_EVERY = 0.04  # s between words of what is out at copies, at the least
 OUT_A_SECOND = 350  # of them that a gateway sends, and gets, at most
--- a/coralvale/orchard/gates/words.py
+++ b/coralvale/cluster/gates/words.py
@@ -12,11 +12,11 @@
 
 import msgspec
 
-from coralvale.orchard.blight.watch import Row as Row_
-from coralvale.orchard.census.register import Row
-from coralvale.orchard.grafting.model import Member, Message
-from coralvale.orchard.plot.almanac import Change, News
-from coralvale.orchard.weir.sluice import Use
+from coralvale.cluster.blight.watch import Row as Row_
+from coralvale.cluster.census.register import Row
+from coralvale.cluster.grafting.model import Member, Message
+from coralvale.cluster.plot.almanac import Change, News
+from coralvale.cluster.weir.sluice import Use
 
 FRAME = struct.Struct("!I")
 MOST = 96 * 1024 * 1024  # bytes of a frame
--- a/coralvale/orchard/harvest/copies.py
+++ b/coralvale/cluster/harvest/copies.py
@@ -12,10 +12,10 @@
 from collections.abc import Iterable
 
 from coralvale import interface as api
+from coralvale.cluster.blight.watch import Change, Watch
+from coralvale.cluster.census.register import Life, Register, State
+from coralvale.cluster.harvest.home import Home
 from coralvale.health import Host
-from coralvale.orchard.blight.watch import Change, Watch
-from coralvale.orchard.census.register import Life, Register, State
-from coralvale.orchard.harvest.home import Home
 
 DRAWN = (
     8  # copies that are drawn and compared: the newest word of a load is old, and all would go to the least
--- a/coralvale/orchard/harvest/home.py
+++ b/coralvale/cluster/harvest/home.py
@@ -18,8 +18,8 @@
 from collections.abc import Mapping
 from fnmatch import fnmatchcase
 
-from coralvale.orchard.errors import Kind, Problem
-from coralvale.orchard.plot.model import Plot, Route
+from coralvale.cluster.errors import Kind, Problem
+from coralvale.cluster.plot.model import Plot, Route
 
 LEASE = 10.0  # s without a word of the core, after which nothing bound is begun
 AGAIN = 0.5  # s after which a client may come back to one that has lost touch with the core
--- a/coralvale/orchard/harvest/way.py
+++ b/coralvale/cluster/harvest/way.py
@@ -13,13 +13,13 @@
 
 from attrs import define, field
 
+from coralvale.cluster.errors import Kind, Problem
+from coralvale.cluster.harvest.budget import Budget
+from coralvale.cluster.harvest.copies import Copies, Copy
+from coralvale.cluster.plot.model import Plot, Route
+from coralvale.cluster.settings import Bounds
+from coralvale.cluster.weir.sluice import Weir
 from coralvale.interface import Outcome
-from coralvale.orchard.errors import Kind, Problem
-from coralvale.orchard.harvest.budget import Budget
-from coralvale.orchard.harvest.copies import Copies, Copy
-from coralvale.orchard.plot.model import Plot, Route
-from coralvale.orchard.settings import Bounds
-from coralvale.orchard.weir.sluice import Weir
 
 NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 ROOM = 0.025  # s before the client's time is up, for the answer to reach it
--- a/coralvale/orchard/plot/almanac.py
+++ b/coralvale/cluster/plot/almanac.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-from coralvale.orchard.errors import Kind, Problem
-from coralvale.orchard.plot.model import Plot, amend, differences, survey
+from coralvale.cluster.errors import Kind, Problem
+from coralvale.cluster.plot.model import Plot, amend, differences, survey
 
 TAKEN = 256  # changes that are remembered, to know one that is sent again
 NEWS = 64  # of them, that are handed on one by one
--- a/coralvale/orchard/plot/model.py
+++ b/coralvale/cluster/plot/model.py
@@ -12,7 +12,7 @@
 import cattrs
 from attrs import define, field, frozen
 
-from coralvale.orchard.errors import Kind, Problem
+from coralvale.cluster.errors import Kind, Problem
 
 MOST_TIMEOUT = 600_000  # ms
 AIM_OVER = 60_000  # ms that an aim may lie over its route's time-out, less one
--- a/coralvale/orchard/regions.py
+++ b/coralvale/cluster/regions.py
@@ -15,8 +15,8 @@
 import yaml
 from attrs import field, frozen
 
-from coralvale.orchard.harvest.home import LEASE
-from coralvale.orchard.settings import Loader, SettingsError
+from coralvale.cluster.harvest.home import LEASE
+from coralvale.cluster.settings import Loader, SettingsError
 
 
 @frozen
--- a/coralvale/lab/abroad.py
+++ b/coralvale/lab/abroad.py
@@ -19,13 +19,13 @@
 import cattrs
 from attrs import evolve, frozen
 
+from coralvale.cluster.harvest.copies import Copy
+from coralvale.cluster.harvest.home import LEASE, Home
+from coralvale.cluster.plot.model import Plot, survey
 from coralvale.interface import Outcome
 from coralvale.lab import souring
 from coralvale.lab.model import LabError
 from coralvale.lab.souring import Broken, Gateway, Kind, Request, Service, World
-from coralvale.orchard.harvest.copies import Copy
-from coralvale.orchard.harvest.home import LEASE, Home
-from coralvale.orchard.plot.model import Plot, survey
 
 WHAT = ("kill", "back", "lose_zone", "cut", "mend", "bind", "busy")
 TRIES = 3  # of a client, at a gateway by lot each
--- a/coralvale/lab/main.py
+++ b/coralvale/lab/main.py
@@ -102,7 +102,7 @@
     explore.add_argument("--requests", type=int, default=2, metavar="N", help="that clients ask (2)")
     explore.add_argument("--states", type=int, default=200_000, metavar="N", help="looked at at most")
     explore.add_argument("--policy", metavar="NAME", default="ours", help="ours, or one broken on purpose")
-    text = "plays a day of the orchard on which copies sour, with shared health and each node alone"
+    text = "plays a day of the cluster on which copies sour, with shared health and each node alone"
     sour = words.add_parser("souring", help=text, description=text)
     text = "plays a day of services that are bound to a home region, and the same with nothing bound"
     home = words.add_parser("home", help=text, description=text)
@@ -481,18 +481,18 @@
     return 0
 
 
-def _orchard(asked: argparse.Namespace) -> int:
-    """Days on the orchard's own machines."""
+def _cluster_days(asked: argparse.Namespace) -> int:
+    """Days on the cluster's own machines."""
     try:
         from coralvale.lab import abroad, souring
     except ModuleNotFoundError as error:
-        raise LabError(f"{asked.word} needs the extra orchard as well: {error.name} is missing") from None
+        raise LabError(f"{asked.word} needs the extra cluster as well: {error.name} is missing") from None
     return abroad.run(asked) if asked.word == "home" else souring.run(asked)
 
 
 WORDS = {
     "run": _run, "sweep": _run, "compare": _compare, "replay": _again, "loopback": _loopback, "shrink": _shrink,
     "report": _report,
-    "check": _check, "explore": _explore, "show": _show, "souring": _orchard,
-    "home": _orchard,
+    "check": _check, "explore": _explore, "show": _show, "souring": _cluster_days,
+    "home": _cluster_days,
 }  # fmt: skip
--- a/coralvale/lab/souring.py
+++ b/coralvale/lab/souring.py
@@ -1,4 +1,4 @@
-"""Days on which copies sour, on the orchard's own machines and a virtual clock.
+"""Days on which copies sour, on the cluster's own machines and a virtual clock.
 
 Each gateway is the real `Harvest` with `Copies`, `Register` and `Watch`; words between gateways are packed and
 unpacked as on the wire, come late, and are lost now and then. Hosts, clients and the way between are the
@@ -23,18 +23,18 @@
 import cattrs
 from attrs import define, field, frozen
 
+from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.errors import Problem
+from coralvale.cluster.gates.words import pack_blight, pack_out, unpack_blight, unpack_out
+from coralvale.cluster.harvest.copies import Copies, Copy
+from coralvale.cluster.harvest.home import Home
+from coralvale.cluster.harvest.way import Harvest, Job
+from coralvale.cluster.plot.model import Plot, survey
+from coralvale.cluster.settings import Bounds
+from coralvale.cluster.weir.sluice import PERIOD, Rule, Weir
 from coralvale.interface import Outcome
 from coralvale.lab.model import LabError
 from coralvale.lab.world.engine import Engine
-from coralvale.orchard.census.register import Register, Row
-from coralvale.orchard.errors import Problem
-from coralvale.orchard.gates.words import pack_blight, pack_out, unpack_blight, unpack_out
-from coralvale.orchard.harvest.copies import Copies, Copy
-from coralvale.orchard.harvest.home import Home
-from coralvale.orchard.harvest.way import Harvest, Job
-from coralvale.orchard.plot.model import Plot, survey
-from coralvale.orchard.settings import Bounds
-from coralvale.orchard.weir.sluice import PERIOD, Rule, Weir
 
 WORD_LOST = 0.01
 OUT_EVERY = 0.1  # s between words of what is out
@@ -207,7 +207,7 @@
 
 
 class Gateway:
-    """The orchard's own way of a request, between the model's clients and hosts."""
+    """The cluster's own way of a request, between the model's clients and hosts."""
 
     def __init__(self, world: World, number: int, plot: Plot) -> None:
         self.world, self.number, self.zone = world, number, world.zone(number)
--- a/coralvale/orchard/__init__.py
+++ /dev/null
@@ -1,2 +0,0 @@
-"""The orchard: the whole gateway, with its own knowledge of hosts, nodes and configuration
-(docs/design/orchard.md)."""
--- a/coralvale/orchard/hedge/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Who is there: SWIM under the system's own wire."""
--- a/coralvale/standins/orchard.py
+++ b/coralvale/standins/cluster.py
@@ -1,4 +1,4 @@
-"""A small orchard on loopback: gateways as processes, with stand-in hosts, clients and an operator.
+"""A small cluster on loopback: gateways as processes, with stand-in hosts, clients and an operator.
 
 Each gateway has an address of its own in 127.0.0.0/8 and the same ports, as machines of the users have. Used
 by the demo and by tests; it imports nothing of the program but starts it.
@@ -179,7 +179,7 @@
         self.server.close()
 
 
-class Orchard:
+class LocalCluster:
     """Gateways as processes. `start` makes the first start of all of them."""
 
     def __init__(
@@ -192,7 +192,7 @@
         regions: tuple[str, str] = ("home", "home"),
     ) -> None:
         self.level, self.metrics, self.regions = level, metrics, regions
-        self.folder = tempfile.TemporaryDirectory(prefix="orchard-")
+        self.folder = tempfile.TemporaryDirectory(prefix="cluster-")
         self.path = Path(self.folder.name)
         self.ips = [f"{net}.{n + 1}" for n in range(gateways)]
         self.disks = disks
@@ -206,15 +206,15 @@
         self.processes[number] = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "coralvale.orchard",
+            "coralvale.cluster",
             *(("run", "--metrics", f"{self.ips[number]}:{METRICS}") if self.metrics else ()),
-            env={**os.environ, "MYRTLEHATCH_CONFIG": str(file), "ORCHARD_LOG": self.level},
+            env={**os.environ, "MYRTLEHATCH_CONFIG": str(file), "MYRTLEHATCH_LOG": self.level},
             stdout=log,
             stderr=log,
         )
         log.close()
 
-    async def start(self) -> Orchard:
+    async def start(self) -> LocalCluster:
         for number in range(len(self.ips)):
             await self.begin(number, bootstrap=True)
         return self
@@ -293,47 +293,47 @@
 
 async def demo(seconds: float, tell: Callable[[str], object]) -> dict[str, Any]:
     """Three gateways with disks and two without, traffic, a change taken, a gateway killed. The summary."""
-    orchard = await Orchard().start()
+    cluster = await LocalCluster().start()
     answers: Counter[str] = Counter()
     running = True
 
     async def client(number: int) -> None:
-        at = number % len(orchard.ips)
+        at = number % len(cluster.ips)
         while running:
-            found = await orchard.request(at, "/schedule/read/1" if number % 3 else "/schedule/book/1", "GET")
+            found = await cluster.request(at, "/schedule/read/1" if number % 3 else "/schedule/book/1", "GET")
             answers[str(found.status) if found else "none"] += 1
             if found is None:  # it is gone: the platform would pass this client on to another
-                at = (at + 1) % len(orchard.ips)
+                at = (at + 1) % len(cluster.ips)
             await asyncio.sleep(0.1)
 
     try:
         for _ in range(4):
-            await orchard.host("schedule")
-        first = await orchard.send("config.replace", configuration(1, ["schedule"], 120.0), 0)
+            await cluster.host("schedule")
+        first = await cluster.send("config.replace", configuration(1, ["schedule"], 120.0), 0)
         tell(f"the first configuration is taken: {first.status if first else 'no answer'}")
-        for number in range(len(orchard.ips)):
-            await orchard.until(lambda number=number: orchard.ready(number))  # type: ignore[misc]
-        tell(f"{len(orchard.ips)} gateways are ready, {orchard.disks} of them with disks")
+        for number in range(len(cluster.ips)):
+            await cluster.until(lambda number=number: cluster.ready(number))  # type: ignore[misc]
+        tell(f"{len(cluster.ips)} gateways are ready, {cluster.disks} of them with disks")
         clients = [asyncio.create_task(client(n)) for n in range(8)]
         await asyncio.sleep(seconds / 3)
         tell(f"answers so far: {dict(answers)}")
         upsert = {"Routes": configuration(2, ["schedule"])["Routes"]}
         upsert["Routes"]["schedule-read"]["TimeoutMs"] = 1200
-        changed = await orchard.send("config.update", {"Ver": 2, "Upsert": upsert}, 1)
+        changed = await cluster.send("config.update", {"Ver": 2, "Upsert": upsert}, 1)
         tell(f"a change under traffic is taken: {changed.status if changed else 'no answer'}")
         await asyncio.sleep(seconds / 3)
-        await orchard.kill(0)
+        await cluster.kill(0)
         tell("gateway-0, which founded the core, is killed")
         await asyncio.sleep(seconds / 3)
-        third = await orchard.send("config.update", {"Ver": 3, "Upsert": upsert}, 2)
+        third = await cluster.send("config.update", {"Ver": 3, "Upsert": upsert}, 2)
         tell(f"a change without it is taken: {third.status if third else 'no answer'}")
-        await orchard.begin(0)
-        await orchard.until(lambda: orchard.ready(0))
+        await cluster.begin(0)
+        await cluster.until(lambda: cluster.ready(0))
         tell("gateway-0 is back, and ready")
         running = False
         await asyncio.gather(*clients)
-        version = (await orchard.read())["Ver"]
-        twice = sum(n > 1 for host in orchard.hosts for n in host.ran.values())
+        version = (await cluster.read())["Ver"]
+        twice = sum(n > 1 for host in cluster.hosts for n in host.ran.values())
         served = answers["200"] / max(1, sum(answers.values()))
         return {
             "answers": dict(answers),
@@ -344,4 +344,4 @@
         }
     finally:
         running = False
-        await orchard.stop()
+        await cluster.stop()
--- a/tests/orchard/test_blight.py
+++ b/tests/cluster/test_blight.py
@@ -4,10 +4,10 @@
 
 import random
 
-from coralvale.orchard.blight.watch import HOLD, Verdict, Watch, lower_bound
-from coralvale.orchard.blight.watch import Row as Told
-from coralvale.orchard.census.register import Register, Row
-from coralvale.orchard.harvest.copies import Copies, mark
+from coralvale.cluster.blight.watch import HOLD, Verdict, Watch, lower_bound
+from coralvale.cluster.blight.watch import Row as Told
+from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.harvest.copies import Copies, mark
 
 LIVES = {"s": set(range(10)), "t": set(range(10, 14))}
 
--- a/tests/orchard/test_carts.py
+++ b/tests/cluster/test_carts.py
@@ -9,20 +9,20 @@
 from pathlib import Path
 from typing import Any
 
+from coralvale.cluster.census.register import PARTS, Register, Row, part
+from coralvale.cluster.gates import carts
+from coralvale.cluster.gates.arrivals import DIFFERS
+from coralvale.cluster.gates.carts import Carriers, Cart, unpack
+from coralvale.cluster.gates.node import GatewayNode
+from coralvale.cluster.gates.peers import CARRY, LOAD, OUT, WORD
+from coralvale.cluster.gates.tidings import NEAR_ONLY
+from coralvale.cluster.gates.words import Word, encode, pack_out
+from coralvale.cluster.plot.model import Plot, survey
+from coralvale.cluster.settings import parse
+from coralvale.cluster.weir.sluice import PERIOD
 from coralvale.members.model import Member, State, Update
 from coralvale.members.swim import Known
-from coralvale.orchard.census.register import PARTS, Register, Row, part
-from coralvale.orchard.gates import carts
-from coralvale.orchard.gates.arrivals import DIFFERS
-from coralvale.orchard.gates.carts import Carriers, Cart, unpack
-from coralvale.orchard.gates.node import Orchard
-from coralvale.orchard.gates.peers import CARRY, LOAD, OUT, WORD
-from coralvale.orchard.gates.tidings import NEAR_ONLY
-from coralvale.orchard.gates.words import Word, encode, pack_out
-from coralvale.orchard.plot.model import Plot, survey
-from coralvale.orchard.settings import parse
-from coralvale.orchard.weir.sluice import PERIOD
-from coralvale.standins.orchard import configuration, settings
+from coralvale.standins.cluster import configuration, settings
 
 MANY = 60
 
@@ -42,8 +42,8 @@
             for ip in self.carriers:
                 one.tidings.carriers.hear(self.now, ip, True)
 
-    def _made(self, number: int) -> Orchard:
-        one = Orchard(parse(settings(number, self.ips, 3, Path("/nowhere"), False)), "")
+    def _made(self, number: int) -> GatewayNode:
+        one = GatewayNode(parse(settings(number, self.ips, 3, Path("/nowhere"), False)), "")
         fake: Any = one
         fake.ground.clock = self
         one.there.begin()
--- a/tests/orchard/test_cellar.py
+++ b/tests/cluster/test_cellar.py
@@ -11,13 +11,13 @@
 import pytest
 from test_plot import WHOLE, body
 
-from coralvale.orchard import commands
-from coralvale.orchard.cellar.keeper import KeeperError, export, look, restore
-from coralvale.orchard.cellar.store import NAME, Cellar, CellarError
-from coralvale.orchard.census.register import Row
-from coralvale.orchard.grafting import model as m
-from coralvale.orchard.grafting.words import pack_seats
-from coralvale.orchard.plot.almanac import Change, pack
+from coralvale.cluster import commands
+from coralvale.cluster.cellar.keeper import KeeperError, export, look, restore
+from coralvale.cluster.cellar.store import NAME, Cellar, CellarError
+from coralvale.cluster.census.register import Row
+from coralvale.cluster.grafting import model as m
+from coralvale.cluster.grafting.words import pack_seats
+from coralvale.cluster.plot.almanac import Change, pack
 
 SEATS = m.Seats((m.Member("a", "gateway-a", "10.0.0.1"),))
 
@@ -148,7 +148,7 @@
     assert commands.main(["check", str(settings)]) == 1
     told = capsys.readouterr().out
     assert "PortRange" in told and "Listen.Edge" in told and "Seeds[0]" in told
-    example = Path(__file__).parents[2] / "deploy/orchard.example.yaml"
+    example = Path(__file__).parents[2] / "deploy/cluster.example.yaml"
     assert commands.main(["check", str(example), "--as-json"]) == 0
     assert not json.loads(capsys.readouterr().out)["remarks"]
     settings.write_text(
@@ -179,7 +179,7 @@
     assert commands.main([*words, "--all-others-are-lost"]) == 0
     capsys.readouterr()
     assert commands.main(["events"]) == 0
-    page = Path(__file__).parents[2] / "docs" / "operate" / "orchard-events.md"
+    page = Path(__file__).parents[2] / "docs" / "operate" / "cluster-events.md"
     assert capsys.readouterr().out in page.read_text(), (
-        "docs/operate/orchard-events.md: make it anew from `events`"
+        "docs/operate/cluster-events.md: make it anew from `events`"
     )
--- a/tests/orchard/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -8,17 +8,17 @@
 
 from test_plot import WHOLE
 
+from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.gates.edge import Edge, EdgeServer
+from coralvale.cluster.gates.hosts import Hosts
+from coralvale.cluster.harvest.copies import Copies
+from coralvale.cluster.harvest.way import Harvest
+from coralvale.cluster.plot.model import Plot, survey
+from coralvale.cluster.settings import Bounds
+from coralvale.cluster.weir.sluice import Rule, Weir
 from coralvale.net.clock import Clock
 from coralvale.net.transport import Attempt
 from coralvale.net.upstream import Pool
-from coralvale.orchard.census.register import Register, Row
-from coralvale.orchard.gates.edge import Edge, EdgeServer
-from coralvale.orchard.gates.hosts import Hosts
-from coralvale.orchard.harvest.copies import Copies
-from coralvale.orchard.harvest.way import Harvest
-from coralvale.orchard.plot.model import Plot, survey
-from coralvale.orchard.settings import Bounds
-from coralvale.orchard.weir.sluice import Rule, Weir
 from coralvale.standins.peer import Arrived, Peer
 from coralvale.standins.wire import Message, answer, read_message
 
--- a/tests/orchard/test_explore.py
+++ b/tests/cluster/test_explore.py
@@ -13,11 +13,11 @@
 from typing import Any
 
 import pytest
-from orchard_world import TERMS, Broken, Disk
+from consensus_world import TERMS, Broken, Disk
 from test_grafting import SEATS, A, B, C, CountsBeforeDisk, VotesForAny
 
-from coralvale.orchard.grafting import model as m
-from coralvale.orchard.grafting.machine import Graft, Record
+from coralvale.cluster.grafting import model as m
+from coralvale.cluster.grafting.machine import Graft, Record
 
 STATES = 9000
 
--- a/tests/orchard/test_grafting.py
+++ b/tests/cluster/test_grafting.py
@@ -7,11 +7,11 @@
 from typing import Any
 
 import pytest
-from orchard_world import TERMS, Broken, World
+from consensus_world import TERMS, Broken, World
 
-from coralvale.orchard.grafting import model as m
-from coralvale.orchard.grafting.machine import Graft, Record
-from coralvale.orchard.grafting.words import pack_seats
+from coralvale.cluster.grafting import model as m
+from coralvale.cluster.grafting.machine import Graft, Record
+from coralvale.cluster.grafting.words import pack_seats
 
 SEEDS = 40
 
--- a/tests/orchard/test_grown.py
+++ b/tests/cluster/test_grown.py
@@ -8,10 +8,10 @@
 
 from test_edge import BOOK, READ, Scene, next_of, play, reply
 
-from coralvale.orchard.census.register import Register, Row
-from coralvale.orchard.gates.words import MOST_BLIGHT, MOST_OUT, Word, encode, pack_blight, pack_out, pack_use
-from coralvale.orchard.harvest.copies import Copies
-from coralvale.orchard.weir.sluice import Rule, Weir
+from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.gates.words import MOST_BLIGHT, MOST_OUT, Word, encode, pack_blight, pack_out, pack_use
+from coralvale.cluster.harvest.copies import Copies
+from coralvale.cluster.weir.sluice import Rule, Weir
 from coralvale.standins.wire import answer
 
 DATAGRAM = 1472  # bytes that go through in one piece
--- a/tests/orchard/test_harvest.py
+++ b/tests/cluster/test_harvest.py
@@ -7,15 +7,15 @@
 
 from test_plot import changed
 
+from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.errors import ANSWERS, Kind, Problem, Promise
+from coralvale.cluster.harvest.budget import Budget
+from coralvale.cluster.harvest.copies import Copies, Copy
+from coralvale.cluster.harvest.way import Harvest, Job
+from coralvale.cluster.plot.model import Plot, survey
+from coralvale.cluster.settings import Bounds
+from coralvale.cluster.weir.sluice import Rule, Weir
 from coralvale.interface import Outcome
-from coralvale.orchard.census.register import Register, Row
-from coralvale.orchard.errors import ANSWERS, Kind, Problem, Promise
-from coralvale.orchard.harvest.budget import Budget
-from coralvale.orchard.harvest.copies import Copies, Copy
-from coralvale.orchard.harvest.way import Harvest, Job
-from coralvale.orchard.plot.model import Plot, survey
-from coralvale.orchard.settings import Bounds
-from coralvale.orchard.weir.sluice import Rule, Weir
 
 BOUNDS = Bounds(RetryExtra=64)
 
--- a/tests/orchard/test_home.py
+++ b/tests/cluster/test_home.py
@@ -17,16 +17,16 @@
 import pytest
 from test_plot import ROUTE, changed
 
-from coralvale.orchard import commands
-from coralvale.orchard.census.register import Register, Row
-from coralvale.orchard.errors import ANSWERS, Kind, Problem, Promise
-from coralvale.orchard.harvest.copies import Copies
-from coralvale.orchard.harvest.home import Home
-from coralvale.orchard.harvest.way import Harvest, Job
-from coralvale.orchard.plot.model import Plot, survey
-from coralvale.orchard.regions import parse
-from coralvale.orchard.settings import Bounds, SettingsError
-from coralvale.orchard.weir.sluice import Rule, Weir
+from coralvale.cluster import commands
+from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.errors import ANSWERS, Kind, Problem, Promise
+from coralvale.cluster.harvest.copies import Copies
+from coralvale.cluster.harvest.home import Home
+from coralvale.cluster.harvest.way import Harvest, Job
+from coralvale.cluster.plot.model import Plot, survey
+from coralvale.cluster.regions import parse
+from coralvale.cluster.settings import Bounds, SettingsError
+from coralvale.cluster.weir.sluice import Rule, Weir
 
 REGIONS = ("coast", "delta", "hills")
 ZONES = {f"{region}-{n}": region for region in REGIONS for n in (1, 2)}
--- a/tests/orchard/test_news.py
+++ b/tests/cluster/test_news.py
@@ -9,22 +9,22 @@
 
 import pytest
 
-from coralvale.orchard.gates.node import Orchard
-from coralvale.orchard.gates.words import Ask, Parcel, Told
-from coralvale.orchard.plot.almanac import Almanac, Change, pack
-from coralvale.orchard.settings import parse
-from coralvale.standins.orchard import configuration, settings
+from coralvale.cluster.gates.node import GatewayNode
+from coralvale.cluster.gates.words import Ask, Parcel, Told
+from coralvale.cluster.plot.almanac import Almanac, Change, pack
+from coralvale.cluster.settings import parse
+from coralvale.standins.cluster import configuration, settings
 
 IPS = [f"10.0.0.{n}" for n in range(1, 6)]
 
 
-def first_news(sure: bool) -> tuple[Orchard, list[str]]:
+def first_news(sure: bool) -> tuple[GatewayNode, list[str]]:
     """One without a disk that knows nobody but its seeds, after its first answer."""
     almanac = Almanac()
     assert almanac.deliver(pack(Change(0, True, json.dumps(configuration(3, ["s"])).encode())))
 
-    async def whole() -> tuple[Orchard, list[str]]:
-        orchard = Orchard(parse(settings(4, IPS, 3, Path("/nowhere"), False)), "")
+    async def whole() -> tuple[GatewayNode, list[str]]:
+        node = GatewayNode(parse(settings(4, IPS, 3, Path("/nowhere"), False)), "")
         asked: list[str] = []
 
         class Link:
@@ -34,18 +34,18 @@
             async def request(self, number: int, parcel: Parcel, patience: float) -> Told:
                 asked.append(self.ip)
                 assert isinstance(parcel, Ask)
-                if orchard.changes.plot.version:
+                if node.changes.plot.version:
                     await asyncio.Event().wait()  # nothing newer: the question is kept
                 return Told(number, almanac.since(parcel.version), False, sure)
 
-        fake: Any = orchard
+        fake: Any = node
         fake.front = Any
         fake.ground.peers.link = Link
-        task = asyncio.create_task(orchard.changes.follow())
+        task = asyncio.create_task(node.changes.follow())
         while len(asked) < 2:
             await asyncio.sleep(0)
         task.cancel()
-        return orchard, asked
+        return node, asked
 
     return asyncio.run(asyncio.wait_for(whole(), 20.0))
 
@@ -54,7 +54,7 @@
 def test_seeds_are_asked_at_once_and_what_an_unsettled_one_has_is_not_taken_for_what_is_bound(
     sure: bool,
 ) -> None:
-    orchard, asked = first_news(sure)
-    assert set(asked) <= set(IPS[:3]) and orchard.changes.plot.version == 3  # it serves by it
-    now = orchard.ground.clock.monotonic()
-    assert orchard.home.fresh(now) is sure  # but nothing that is bound until it hears one that is settled
+    node, asked = first_news(sure)
+    assert set(asked) <= set(IPS[:3]) and node.changes.plot.version == 3  # it serves by it
+    now = node.ground.clock.monotonic()
+    assert node.home.fresh(now) is sure  # but nothing that is bound until it hears one that is settled
--- a/tests/orchard/test_peers.py
+++ b/tests/cluster/test_peers.py
@@ -7,9 +7,9 @@
 import socket
 from collections.abc import Awaitable, Callable
 
-from coralvale.orchard.gates import peers
-from coralvale.orchard.gates.peers import Frames, Peers
-from coralvale.orchard.gates.words import Ask, Gossip, Noted, Parcel, Pull, Told
+from coralvale.cluster.gates import peers
+from coralvale.cluster.gates.peers import Frames, Peers
+from coralvale.cluster.gates.words import Ask, Gossip, Noted, Parcel, Pull, Told
 
 LONG = 20.0  # s, far past all that is waited for
 
--- a/tests/orchard/test_plot.py
+++ b/tests/cluster/test_plot.py
@@ -9,9 +9,9 @@
 import msgspec
 import pytest
 
-from coralvale.orchard.errors import Kind, Problem
-from coralvale.orchard.plot.almanac import NAMED, TAKEN_ALREADY, Almanac, Change, follow, pack
-from coralvale.orchard.plot.model import Plot, survey
+from coralvale.cluster.errors import Kind, Problem
+from coralvale.cluster.plot.almanac import NAMED, TAKEN_ALREADY, Almanac, Change, follow, pack
+from coralvale.cluster.plot.model import Plot, survey
 
 ROUTE = {
     "Vhost": "a.example", "PathPrefix": "/x/", "Kind": "idempotent", "TimeoutMs": 2500, "TargetMs": 400,
--- a/tests/orchard/test_power.py
+++ b/tests/cluster/test_power.py
@@ -19,11 +19,11 @@
 import apsw
 import pytest
 
-from coralvale.orchard.cellar.store import NAME, Cellar
-from coralvale.orchard.census.register import Row
-from coralvale.orchard.grafting import model as m
-from coralvale.orchard.grafting.machine import Record
-from coralvale.orchard.grafting.words import pack_seats
+from coralvale.cluster.cellar.store import NAME, Cellar
+from coralvale.cluster.census.register import Row
+from coralvale.cluster.grafting import model as m
+from coralvale.cluster.grafting.machine import Record
+from coralvale.cluster.grafting.words import pack_seats
 
 Operation = tuple[str, str, int, bytes]  # what, file, where, bytes
 recorders: list[Recorder] = []
--- a/tests/orchard/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from coralvale.orchard import commands
-from coralvale.standins.orchard import CTL, EDGE, METRICS, Orchard, call, configuration
+from coralvale.cluster import commands
+from coralvale.standins.cluster import CTL, EDGE, METRICS, LocalCluster, call, configuration
 
 
 def net() -> str:
@@ -23,76 +23,76 @@
     return f"127.{lot >> 8}.{lot & 255}"
 
 
-def play(scene: Callable[[Orchard], Awaitable[None]], gateways: int = 4, **more: Any) -> None:
+def play(scene: Callable[[LocalCluster], Awaitable[None]], gateways: int = 4, **more: Any) -> None:
     async def whole() -> None:
-        orchard = await Orchard(gateways, 3, net(), "DEBUG", **more).start()
+        cluster = await LocalCluster(gateways, 3, net(), "DEBUG", **more).start()
         try:
-            await orchard.host("schedule")
-            await orchard.host("schedule")
-            first = await orchard.send("config.replace", configuration(1, ["schedule"], 0.0), 0)
+            await cluster.host("schedule")
+            await cluster.host("schedule")
+            first = await cluster.send("config.replace", configuration(1, ["schedule"], 0.0), 0)
             assert first and first.status == 200
             for number in range(gateways):
-                await orchard.until(lambda number=number: orchard.ready(number))  # type: ignore[misc]
-            founded = [n for n in range(gateways) if "E202" in orchard.log(n)]
+                await cluster.until(lambda number=number: cluster.ready(number))  # type: ignore[misc]
+            founded = [n for n in range(gateways) if "E202" in cluster.log(n)]
             assert len(founded) == 1  # whoever came up first, one core comes to be
-            await scene(orchard)
-            assert sum(orchard.log(n).count("E202") for n in range(gateways)) == 1  # and none later
+            await scene(cluster)
+            assert sum(cluster.log(n).count("E202") for n in range(gateways)) == 1  # and none later
         except BaseException:
             for number in range(gateways):
-                print(f"--- gateway-{number}\n{orchard.log(number)[-3000:]}")
+                print(f"--- gateway-{number}\n{cluster.log(number)[-3000:]}")
             raise
         finally:
-            await orchard.stop()
+            await cluster.stop()
 
     asyncio.run(whole())
 
 
 def test_a_change_stands_whoever_is_killed_and_a_lost_disk_is_seated_anew() -> None:
-    async def scene(orchard: Orchard) -> None:
+    async def scene(cluster: LocalCluster) -> None:
         upsert = {"Tenants": {"second": {"ApiKeys": ["k2"], "RatePerS": 0, "Burst": 0}}}
         change = {"Ver": 5, "Upsert": upsert}
-        found = await orchard.send("config.update", change, 1)
+        found = await cluster.send("config.update", change, 1)
         assert found and found.status == 200
-        await orchard.kill(0)  # it founded the core
-        again = await orchard.send("config.update", change, 1)  # the same, as if no answer had come
+        await cluster.kill(0)  # it founded the core
+        again = await cluster.send("config.update", change, 1)  # the same, as if no answer had come
         assert again and again.status == 200
-        other = await orchard.send("config.update", {"Ver": 5, "Remove": {"Tenants": ["second"]}}, 1)
+        other = await cluster.send("config.update", {"Ver": 5, "Remove": {"Tenants": ["second"]}}, 1)
         assert other and other.status in (400, 412)
-        for file in (orchard.path / "data-0").iterdir():
+        for file in (cluster.path / "data-0").iterdir():
             file.unlink()  # its disk is lost: it comes back empty
-        await orchard.begin(0)
+        await cluster.begin(0)
 
         async def seated() -> bool:
-            found = await call(orchard.ips[0], CTL, "POST", "/rpc?call=orchard.status")
+            found = await call(cluster.ips[0], CTL, "POST", "/rpc?call=gateway.status")
             return found is not None and json.loads(found.body)["seat"] == "seated"
 
-        await orchard.until(seated)
-        await orchard.kill(1)
-        last = await orchard.send("config.update", {"Ver": 6, "Upsert": upsert}, 5)
+        await cluster.until(seated)
+        await cluster.kill(1)
+        last = await cluster.send("config.update", {"Ver": 6, "Upsert": upsert}, 5)
         assert last and last.status == 200
-        assert (await orchard.read())["Ver"] == 6
-        found = await orchard.request(3, "/schedule/read/1", key="k2")
+        assert (await cluster.read())["Ver"] == 6
+        found = await cluster.request(3, "/schedule/read/1", key="k2")
         assert found and found.status == 200
 
     play(scene)
 
 
 def test_a_host_that_leaves_gets_nothing_from_any_gateway_once_it_was_acknowledged() -> None:
-    async def scene(orchard: Orchard) -> None:
-        leaving, staying = orchard.hosts
+    async def scene(cluster: LocalCluster) -> None:
+        leaving, staying = cluster.hosts
         leaving.state = "draining"
-        await orchard.until(leaving.beat)  # it says so until it is acknowledged
+        await cluster.until(leaving.beat)  # it says so until it is acknowledged
 
         async def known(n: int) -> bool:
-            found = await call(orchard.ips[n], CTL, "POST", "/rpc?call=orchard.status")
+            found = await call(cluster.ips[n], CTL, "POST", "/rpc?call=gateway.status")
             hosts = json.loads(found.body)["hosts"] if found else []
             return any(host["id"] == leaving.id and host["state"] == "draining" for host in hosts)
 
         for n in range(4):  # all within DrainMs; how soon is the bench's to say, not a busy machine's
-            await orchard.until(lambda n=n: known(n))  # type: ignore[misc]
+            await cluster.until(lambda n=n: known(n))  # type: ignore[misc]
         before, served = sum(leaving.ran.values()), 0
         for n in range(200):
-            found = await orchard.request(n % 4, "/schedule/book/1", "POST")
+            found = await cluster.request(n % 4, "/schedule/book/1", "POST")
             if found and found.status == 200:  # on a busy machine one may be late
                 assert found.body == staying.id.encode()
                 served += 1
@@ -104,16 +104,16 @@
 
 
 def test_told_to_end_it_finishes_what_it_has_and_goes_in_time() -> None:
-    async def scene(orchard: Orchard) -> None:
-        for host in orchard.hosts:
+    async def scene(cluster: LocalCluster) -> None:
+        for host in cluster.hosts:
             host.work = 1.0
-        at_work = [asyncio.create_task(orchard.request(3, "/schedule/book/1", "POST")) for _ in range(4)]
-        await orchard.until(lambda: sum(host.running for host in orchard.hosts) == 4)
+        at_work = [asyncio.create_task(cluster.request(3, "/schedule/book/1", "POST")) for _ in range(4)]
+        await cluster.until(lambda: sum(host.running for host in cluster.hosts) == 4)
         begun = time.monotonic()
-        ended = asyncio.create_task(orchard.kill(3, signal.SIGTERM))
-        await orchard.until(lambda: "E103" in orchard.log(3))
-        assert not await orchard.ready(3)
-        late = await orchard.request(3, "/schedule/book/1", "POST")
+        ended = asyncio.create_task(cluster.kill(3, signal.SIGTERM))
+        await cluster.until(lambda: "E103" in cluster.log(3))
+        assert not await cluster.ready(3)
+        late = await cluster.request(3, "/schedule/book/1", "POST")
         # Still taken: the platform asks twice before it passes on no more.
         assert late and late.status == 200 and late.headers[b"connection"] == b"close"
         answers = await asyncio.gather(*at_work)
@@ -124,25 +124,25 @@
 
 
 def test_a_settings_file_that_changes_is_taken_up_and_a_bad_one_changes_nothing() -> None:
-    async def scene(orchard: Orchard) -> None:
-        file = orchard.path / "settings-3.yaml"
+    async def scene(cluster: LocalCluster) -> None:
+        file = cluster.path / "settings-3.yaml"
         good = file.read_text()
         file.write_text("Hostname: [")
-        await orchard.until(lambda: "E106" in orchard.log(3))  # seen without a signal
-        file.write_text(good.replace(f"{orchard.ips[0]}:{CTL}", f"{orchard.ips[1]}:{CTL}"))
-        orchard.processes[3].send_signal(signal.SIGHUP)
-        await orchard.until(lambda: "E105" in orchard.log(3))
-        found = await orchard.request(3, "/schedule/read/1")
-        assert found and found.status == 200 and await orchard.ready(3)
+        await cluster.until(lambda: "E106" in cluster.log(3))  # seen without a signal
+        file.write_text(good.replace(f"{cluster.ips[0]}:{CTL}", f"{cluster.ips[1]}:{CTL}"))
+        cluster.processes[3].send_signal(signal.SIGHUP)
+        await cluster.until(lambda: "E105" in cluster.log(3))
+        found = await cluster.request(3, "/schedule/read/1")
+        assert found and found.status == 200 and await cluster.ready(3)
 
     play(scene)
 
 
 def test_what_is_wrong_is_refused_by_any_gateway_and_leaves_no_trace() -> None:
-    async def scene(orchard: Orchard) -> None:
+    async def scene(cluster: LocalCluster) -> None:
         bad = configuration(9, ["schedule"])
         bad["Routes"]["schedule-read"]["Svc"] = "nobody"
-        for ip in orchard.ips:
+        for ip in cluster.ips:
             body = json.dumps(bad).encode()
             replace = "/rpc?call=config.replace"
             found = await call(ip, CTL, "POST", replace, body, X_Myrtlehatch_Base_Version="1")
@@ -151,16 +151,16 @@
             assert cut and cut.status == 400
             for path in ("/rpc?call=nothing", "/other", "/rpc"):
                 assert (await call(ip, CTL, "POST", path)).status == 404  # type: ignore[union-attr]
-        assert (await orchard.read())["Ver"] == 1
+        assert (await cluster.read())["Ver"] == 1
         tries = (("/schedule/read/1", "no"), ("/nowhere/", "demo-key"), ("/schedule/read", "demo-key"))
-        found = [await orchard.request(0, path, key=key) for path, key in tries]
+        found = [await cluster.request(0, path, key=key) for path, key in tries]
         assert [f.status for f in found if f] == [401, 404, 404]
-        ran = [id_ for host in orchard.hosts for id_ in host.ran]
+        ran = [id_ for host in cluster.hosts for id_ in host.ran]
         for n in range(4):
-            await orchard.request(n, "/schedule/read/1")
-        name = next(id_ for host in orchard.hosts for id_ in host.ran if id_ not in ran)
-        await orchard.until(lambda: "answered 200" in "".join(orchard.log(n) for n in range(4)))
-        logs = [str(orchard.path / f"log-{n}") for n in range(4)]
+            await cluster.request(n, "/schedule/read/1")
+        name = next(id_ for host in cluster.hosts for id_ in host.ran if id_ not in ran)
+        await cluster.until(lambda: "answered 200" in "".join(cluster.log(n) for n in range(4)))
+        logs = [str(cluster.path / f"log-{n}") for n in range(4)]
         assert commands.main(["explain", name, *logs, "--as-json"]) == 0
         assert commands.main(["explain", "0" * 16, *logs]) == 1
 
@@ -176,12 +176,12 @@
         told = capsys.readouterr()
         return code, json.loads(told.out) if told.out else told.err
 
-    async def scene(orchard: Orchard) -> None:
-        at = [f"{ip}:{CTL}" for ip in orchard.ips]
-        file = orchard.path / "before.json"
-        file.write_text(json.dumps(await orchard.read()))
+    async def scene(cluster: LocalCluster) -> None:
+        at = [f"{ip}:{CTL}" for ip in cluster.ips]
+        file = cluster.path / "before.json"
+        file.write_text(json.dumps(await cluster.read()))
         change = {"Ver": 4, "Upsert": {"Tenants": {"second": {"ApiKeys": ["k2"]}}}}
-        found = await orchard.send("config.update", change, 1)
+        found = await cluster.send("config.update", change, 1)
         assert found and found.status == 200
         assert await say("config", "diff", str(file), at[3], "--as-json") == (
             1,
@@ -193,36 +193,36 @@
             code, steps = await say("config", "history", at[1], "--as-json")
             return code == 0 and bool(steps) and steps[-1]["version"] == 4
 
-        await orchard.until(known)
+        await cluster.until(known)
         code, steps = await say("config", "history", at[1], "--as-json")
         assert [(s["version"], s["base"], s["whole"]) for s in steps] == [(1, 0, True), (4, 1, False)]
         assert steps[1]["did"] == {"Tenants": {"added": [1, ["second"]]}}
         code, why = await say("config", "history", at[3], "--as-json")  # it has no disk
         assert code == 2 and "ask a member of the core" in why
 
-        ill, well = orchard.hosts
+        ill, well = cluster.hosts
         ill.status = 500
         seen: list[Any] = []
 
         async def found_ill() -> bool:
             for n in range(20):
-                await orchard.request(n % 4, "/schedule/book/1", "POST")
+                await cluster.request(n % 4, "/schedule/book/1", "POST")
             seen[:] = await say("health", *at, "--as-json")
             return seen[0] == 1
 
-        await orchard.until(found_ill, 60.0)
+        await cluster.until(found_ill, 60.0)
         code, copies = seen
         assert code == 1 and copies[ill.id]["at"].keys() == {f"gateway-{n}" for n in range(4)}
         assert any(told["health"] != "well" and told["by"] for told in copies[ill.id]["at"].values())
         assert {told["health"] for told in copies[well.id]["at"].values()} == {"well"}
 
-        page = await call(orchard.ips[2], METRICS, "GET", "/metrics")
+        page = await call(cluster.ips[2], METRICS, "GET", "/metrics")
         assert page and page.status == 200
         text = page.body.decode()
-        assert "orchard_configuration_version 4.0" in text and "orchard_core_members 3.0" in text
-        assert 'orchard_hosts{service="schedule",state="up"} 2.0' in text
+        assert "myrtlehatch_configuration_version 4.0" in text and "myrtlehatch_core_members 3.0" in text
+        assert 'myrtlehatch_hosts{service="schedule",state="up"} 2.0' in text
         assert "k2" not in text and ill.id not in text  # no keys, and no series that come and go
-        other = await call(orchard.ips[2], METRICS, "POST", "/metrics")
+        other = await call(cluster.ips[2], METRICS, "POST", "/metrics")
         assert other and other.status == 404
 
     play(scene, metrics=True)
@@ -240,50 +240,50 @@
         writer.close()
         return found
 
-    async def scene(orchard: Orchard) -> None:
+    async def scene(cluster: LocalCluster) -> None:
         coast, delta = (0, 2), (1, 3)
-        await orchard.host("schedule", "zone-1")
+        await cluster.host("schedule", "zone-1")
 
         async def bound_to(region: str, version: int) -> None:
             service = {"HealthPath": "/healthz", "Region": region}
             change = {"Ver": version, "Upsert": {"Svcs": {"schedule": service}}}
-            found = await orchard.send("config.update", change, (await orchard.read())["Ver"])
+            found = await cluster.send("config.update", change, (await cluster.read())["Ver"])
             assert found and found.status == 200
 
             async def in_force(n: int) -> bool:
-                found = await call(orchard.ips[n], CTL, "POST", "/rpc?call=orchard.status")
+                found = await call(cluster.ips[n], CTL, "POST", "/rpc?call=gateway.status")
                 return found is not None and json.loads(found.body)["version"] == version
 
             for n in range(4):
-                await orchard.until(lambda n=n: in_force(n))  # type: ignore[misc]
+                await cluster.until(lambda n=n: in_force(n))  # type: ignore[misc]
 
         for version, region, home, abroad in ((4, "coast", coast, delta), (9, "delta", delta, coast)):
             await bound_to(region, version)
-            ran = {host.id: sum(host.ran.values()) for host in orchard.hosts}
+            ran = {host.id: sum(host.ran.values()) for host in cluster.hosts}
             for n in home:
-                found = await orchard.request(n, "/schedule/book/secret", "POST")
+                found = await cluster.request(n, "/schedule/book/secret", "POST")
                 assert found and found.status == 200
             for n in abroad:
                 for path in ("/schedule/read/secret", "/schedule/book/secret"):
-                    found = await orchard.request(n, path)
+                    found = await cluster.request(n, path)
                     assert found and found.status == 421
-                assert (await head(orchard.ips[n], "/schedule/book/secret")).startswith(b"HTTP/1.1 421 ")
+                assert (await head(cluster.ips[n], "/schedule/book/secret")).startswith(b"HTTP/1.1 421 ")
             zone = "zone-0" if region == "coast" else "zone-1"
-            used = {host.zone for host in orchard.hosts if sum(host.ran.values()) > ran[host.id]}
+            used = {host.zone for host in cluster.hosts if sum(host.ran.values()) > ran[host.id]}
             assert used == {zone}
-        logs = [str(orchard.path / f"log-{n}") for n in range(4)]
+        logs = [str(cluster.path / f"log-{n}") for n in range(4)]
         capsys.readouterr()
-        at = [f"{ip}:{CTL}" for ip in orchard.ips]
+        at = [f"{ip}:{CTL}" for ip in cluster.ips]
         assert await asyncio.to_thread(commands.main, ["regions", "show", *at, "--as-json"]) == 0
         told = json.loads(capsys.readouterr().out)
         assert told["services"]["schedule"]["gateways"] == ["gateway-1", "gateway-3"]
         assert told["services"]["schedule"]["hosts"] == {"coast": 2, "delta": 1}
         assert told["refused_abroad"]["gateway-0"]["refused"] == {"delta": 3}
-        await orchard.until(lambda: "E522 refused 3 requests that are bound to delta" in orchard.log(2))
+        await cluster.until(lambda: "E522 refused 3 requests that are bound to delta" in cluster.log(2))
         assert await asyncio.to_thread(commands.main, ["regions", "audit", *logs, "--as-json"]) == 0
         told = json.loads(capsys.readouterr().out)
         assert told["answers"] == {"schedule": {"coast": 2, "delta": 2}} and not told["outside"]
-        everything = "".join(orchard.log(n) for n in range(4))
+        everything = "".join(cluster.log(n) for n in range(4))
         assert "secret" not in everything
 
     play(scene, regions=("coast", "delta"))
--- a/tests/orchard/test_readers.py
+++ b/tests/cluster/test_readers.py
@@ -13,11 +13,11 @@
 from hypothesis import strategies as st
 from test_plot import WHOLE
 
-from coralvale.orchard.census.register import Row
-from coralvale.orchard.errors import Problem
-from coralvale.orchard.gates.ctl import read_beat
-from coralvale.orchard.gates.peers import Frames, Peers
-from coralvale.orchard.gates.words import (
+from coralvale.cluster.census.register import Row
+from coralvale.cluster.errors import Problem
+from coralvale.cluster.gates.ctl import read_beat
+from coralvale.cluster.gates.peers import Frames, Peers
+from coralvale.cluster.gates.words import (
     FRAME,
     MOST,
     Noted,
@@ -33,10 +33,10 @@
     unpack_out,
     unpack_use,
 )
-from coralvale.orchard.plot.almanac import Almanac, Change
-from coralvale.orchard.plot.model import Plot, survey
-from coralvale.orchard.settings import Settings, SettingsError, parse
-from coralvale.standins.orchard import settings as settings_text
+from coralvale.cluster.plot.almanac import Almanac, Change
+from coralvale.cluster.plot.model import Plot, survey
+from coralvale.cluster.settings import Settings, SettingsError, parse
+from coralvale.standins.cluster import settings as settings_text
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
--- a/tests/orchard/test_sending.py
+++ b/tests/cluster/test_sending.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from coralvale.orchard import commands, sending
-from coralvale.orchard.sending import Sent
+from coralvale.cluster import commands, sending
+from coralvale.cluster.sending import Sent
 
 CHANGE = {"Ver": 7, "Upsert": {"Tenants": {}}}
 
--- a/tests/orchard/test_spread.py
+++ b/tests/cluster/test_spread.py
@@ -9,16 +9,16 @@
 
 import pytest
 
+from coralvale.cluster.census.register import Row
+from coralvale.cluster.gates import tidings
+from coralvale.cluster.gates.node import GatewayNode
+from coralvale.cluster.gates.peers import LIFE
+from coralvale.cluster.gates.there import TALKS
+from coralvale.cluster.gates.words import Noted, Word
+from coralvale.cluster.settings import parse
 from coralvale.members.model import Member, State, Update
 from coralvale.members.swim import Known
-from coralvale.orchard.census.register import Row
-from coralvale.orchard.gates import tidings
-from coralvale.orchard.gates.node import Orchard
-from coralvale.orchard.gates.peers import LIFE
-from coralvale.orchard.gates.there import TALKS
-from coralvale.orchard.gates.words import Noted, Word
-from coralvale.orchard.settings import parse
-from coralvale.standins.orchard import settings
+from coralvale.standins.cluster import settings
 
 IPS = [f"10.0.0.{n}" for n in range(1, 6)]
 
@@ -42,26 +42,26 @@
 
     async def whole() -> tuple[bool, Counter[str], list[bytes], int]:
         text = settings(0, IPS, 3, Path("/nowhere"), False)
-        orchard = Orchard(parse(text), "")
+        node = GatewayNode(parse(text), "")
         there = {ip: asyncio.Event() for ip in IPS}
         asked: Counter[str] = Counter()
         cast: list[bytes] = []
         links = {ip: Link(asked, ip, there[ip]) for ip in IPS}
         for ip in set(IPS) - silent:
             there[ip].set()
-        fake: Any = orchard
+        fake: Any = node
         fake.ground.peers.link = links.__getitem__
         fake.ground.peers.cast_all = lambda near, far, kind, data: cast.append(kind)
         fake.there.others = lambda: [Member(ip, (ip, 1), 0) for ip in IPS[1:]]
         fake.there.zones = lambda: (IPS[1:], [])
-        orchard.core.heard = (1, IPS[0], tuple(IPS[:core]))
+        node.core.heard = (1, IPS[0], tuple(IPS[:core]))
         row = Row("i-1", "s", "10.0.1.1", 80, "z", "v", 4, 1, 0.0, 7)
-        well = await orchard.arrivals.spread(row)
+        well = await node.arrivals.spread(row)
         before = Counter(asked)
         for event in there.values():
             event.set()
-        while orchard.ground.tasks:
-            await asyncio.wait(set(orchard.ground.tasks))
+        while node.ground.tasks:
+            await asyncio.wait(set(node.ground.tasks))
         told_later = sum((asked - before).values())
         return well, asked, cast, told_later
 
@@ -83,22 +83,22 @@
 
 def test_one_that_membership_calls_dead_is_told_all_as_long_as_its_words_come() -> None:
     async def whole() -> None:
-        orchard = Orchard(parse(settings(0, IPS, 3, Path("/nowhere"), False)), "")
-        orchard.there.begin()
-        now = orchard.ground.clock.monotonic()
+        node = GatewayNode(parse(settings(0, IPS, 3, Path("/nowhere"), False)), "")
+        node.there.begin()
+        now = node.ground.clock.monotonic()
         for n, state in enumerate((State.ALIVE, State.DEAD, State.DEAD, State.LEFT), 1):
             member = Member(f"gateway-{n}", (IPS[n], 1), 0)
-            orchard.there.swim.known[member.name] = Known(Update(state, member, 1), now)
-        orchard.there.swim.others = None
+            node.there.swim.known[member.name] = Known(Update(state, member, 1), now)
+        node.there.swim.others = None
         word = Word(1, 0)
         for n in (2, 4):
-            orchard.tidings.word(now, IPS[n], word)
-        assert {m.address[0] for m in orchard.there.others()} == {
+            node.tidings.word(now, IPS[n], word)
+        assert {m.address[0] for m in node.there.others()} == {
             IPS[1],
             IPS[2],
         }  # not the silent, nor who left
-        orchard.there.talks[IPS[2]] = now - TALKS - 0.1
-        assert {m.address[0] for m in orchard.there.others()} == {IPS[1]}
+        node.there.talks[IPS[2]] = now - TALKS - 0.1
+        assert {m.address[0] for m in node.there.others()} == {IPS[1]}
 
     asyncio.run(whole())
 
@@ -110,21 +110,21 @@
         told: list[dict[str, Any]] = []
         monkeypatch.setattr(tidings, "tell", lambda event, **fields: told.append({"event": event, **fields}))
         regions = ("home", "abroad")  # of zone-0 and zone-1
-        orchard = Orchard(parse(settings(0, IPS, 3, Path("/nowhere"), False, regions)), "")
-        orchard.there.begin()
-        now = orchard.ground.clock.monotonic()
+        node = GatewayNode(parse(settings(0, IPS, 3, Path("/nowhere"), False, regions)), "")
+        node.there.begin()
+        now = node.ground.clock.monotonic()
         for n in (1, 2):
             member = Member(f"gateway-{n}", (IPS[n], 1), n % 2)
-            orchard.there.swim.known[member.name] = Known(Update(State.ALIVE, member, 1), now)
-        orchard.there.swim.others = None
+            node.there.swim.known[member.name] = Known(Update(State.ALIVE, member, 1), now)
+        node.there.swim.others = None
         for _ in range(3):
-            orchard.tidings.word(now, IPS[1], Word(1, 0, region="home"))  # it stands in zone-1
-            orchard.tidings.word(now, IPS[2], Word(1, 0, region="home"))
-            orchard.tidings.word(now, IPS[1], Word(1, 0))  # a word that is not whole says nothing of it
+            node.tidings.word(now, IPS[1], Word(1, 0, region="home"))  # it stands in zone-1
+            node.tidings.word(now, IPS[2], Word(1, 0, region="home"))
+            node.tidings.word(now, IPS[1], Word(1, 0))  # a word that is not whole says nothing of it
         assert [(row["name"], row["zone"], row["region"], row["by_zone"]) for row in told] == [
             ("gateway-1", "zone-1", "home", "abroad")
         ]
-        orchard.tidings.word(now, IPS[1], Word(1, 0, region="abroad"))
+        node.tidings.word(now, IPS[1], Word(1, 0, region="abroad"))
         assert len(told) == 1
 
     asyncio.run(whole())
--- a/tests/orchard/test_weir.py
+++ b/tests/cluster/test_weir.py
@@ -7,7 +7,7 @@
 
 import simpy
 
-from coralvale.orchard.weir.sluice import MOST, MOST_BEFORE, PERIOD, Rule, Use, Weir
+from coralvale.cluster.weir.sluice import MOST, MOST_BEFORE, PERIOD, Rule, Use, Weir
 
 RULE = Rule(window=5.0, excess=0.1, slack=20.0)
 
--- a/tests/lab/test_abroad.py
+++ b/tests/lab/test_abroad.py
@@ -8,11 +8,11 @@
 import pytest
 
 from coralvale.cli import main as command
+from coralvale.cluster.errors import Problem
+from coralvale.cluster.harvest.home import Home
 from coralvale.lab import abroad
 from coralvale.lab.model import LabError
 from coralvale.lab.souring import Broken
-from coralvale.orchard.errors import Problem
-from coralvale.orchard.harvest.home import Home
 
 DAY = """
 seconds = 14.0
--- a/tests/lab/test_souring.py
+++ b/tests/lab/test_souring.py
@@ -10,10 +10,10 @@
 import pytest
 
 from coralvale.cli import main as command
+from coralvale.cluster.errors import Problem
+from coralvale.cluster.harvest import way
 from coralvale.lab import souring
 from coralvale.lab.model import LabError
-from coralvale.orchard.errors import Problem
-from coralvale.orchard.harvest import way
 
 DAY = """
 seconds = 14.0
