A reset right behind an answer without a length is no end of that answer

Ruled out: the reading of headers, and answers that are passed on as they come (they end through the same place).

Change: `eof_received` looks at the socket's pending error first. The program in service uses the same code.

--- a/coralvale/lab/virtual/network.py
+++ b/coralvale/lab/virtual/network.py
@@ -57,6 +57,10 @@
     def setsockopt(self, *told: Any) -> None:  # noqa: ANN401
         pass
 
+    def getsockopt(self, *asked: Any) -> int:  # noqa: ANN401
+        """No error is ever pending: this network tells a reset apart from an end by itself."""
+        return 0
+
     def close(self) -> None:
         self.end.abort()
 
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -11,6 +11,7 @@
 import logging
 import math
 import re
+import socket
 from collections import deque
 from typing import Any
 
@@ -192,13 +193,24 @@
         return streaming and not self.paused and now - self.heard_at > STALL
 
     def eof_received(self) -> bool:
-        """An answer with neither a length nor chunks ends here (RFC 9112, section 6.3), if in order."""
-        if self.attempt and self.in_body and self.to_the_end and not self.complete:
+        """An answer with neither a length nor chunks ends here (RFC 9112, section 6.3), if in order.
+
+        The event loop also reports an end where a reset came right behind the last bytes; only the socket's
+        pending error tells the two apart.
+        """
+        unframed = self.attempt is not None and self.in_body and self.to_the_end and not self.complete
+        if unframed and not self._was_reset():
             self.complete, self.keep_alive = True, False
             self.status = self.parser.get_status_code()
             self._answered()
         return False
 
+    def _was_reset(self) -> bool:
+        """Whether the peer broke the connection off, rather than ending it in order."""
+        assert self.transport is not None
+        sock = self.transport.get_extra_info("socket")
+        return bool(sock and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
     def on_message_begin(self) -> None:
         if self.complete:  # one request was sent, so a second answer is nobody's
             self.keep_alive = False
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,6 +6,7 @@
 import contextlib
 import math
 import socket
+import struct
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -108,6 +109,26 @@
     run(test())
 
 
+@pytest.mark.parametrize("reset", [False, True])
+def test_an_answer_without_a_length_ends_with_its_connection_only_if_that_ends_in_order(reset: bool) -> None:
+    async def test() -> None:
+        async with bench() as b:
+            loop = asyncio.get_running_loop()
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                listener.setblocking(False)
+                b.send(address=listener.getsockname())
+                accepted, _ = await soon(loop.sock_accept(listener))
+                assert await soon(loop.sock_recv(accepted, 4096)) == PAYLOAD
+            # Both are in the kernel before the gateway's loop looks: it sees the last bytes and the end at once.
+            accepted.send(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+            if reset:
+                accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            accepted.close()
+            assert await b.outcome() is (Outcome.RESET if reset else Outcome.OK)
+
+    run(test())
+
+
 def test_a_refused_connection_could_not_connect() -> None:
     async def test() -> None:
         async with bench() as b:
