--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -30,6 +30,8 @@
 from coralvale import Gateway
 from coralvale import interface as api
 from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.configuration.history import Change, ChangeHistory, pack
+from coralvale.cluster.configuration.model import Configuration, survey
 from coralvale.cluster.gates.carts import EVERY, Cart
 from coralvale.cluster.gates.there import MANY
 from coralvale.cluster.gates.tidings import (
@@ -43,8 +45,6 @@
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.home import Home
 from coralvale.cluster.harvest.way import Harvest, Job
-from coralvale.cluster.plot.almanac import Almanac, Change, pack
-from coralvale.cluster.plot.model import Plot, survey
 from coralvale.cluster.settings import Bounds
 from coralvale.cluster.weir.sluice import PERIOD, Rule, Weir
 from coralvale.standins.cluster import LocalCluster, configuration
@@ -92,9 +92,9 @@
     text = config(12)
     if bound:
         text["Svcs"]["s"]["Region"] = "home"
-    plot = survey(text, Plot())
-    assert isinstance(plot, Plot)
-    harvest.take_plot(plot)
+    configuration = survey(text, Configuration())
+    assert isinstance(configuration, Configuration)
+    harvest.take_configuration(configuration)
 
     def request() -> None:
         now[0] += 0.02
@@ -224,25 +224,27 @@
 
 
 def change(quick: bool) -> dict[str, float]:
-    almanac = Almanac()
+    history = ChangeHistory()
     body = json.dumps(config(5000)).encode()
     begun = time.process_time()
-    assert almanac.consider(Change(0, True, body)) is None and almanac.deliver(pack(Change(0, True, body)))
+    assert history.consider(Change(0, True, body)) is None and history.deliver(pack(Change(0, True, body)))
     first = time.process_time() - begun
 
     def by_name() -> None:
-        version = almanac.plot.version
+        version = history.configuration.version
         row = {**config(1)["Routes"]["r0"], "TimeoutMs": 1000 + version}
         one = Change(
             version, False, json.dumps({"Ver": version + 1, "Upsert": {"Routes": {"r7": row}}}).encode()
         )
-        assert almanac.consider(one) is None and almanac.deliver(pack(one))
+        assert history.consider(one) is None and history.deliver(pack(one))
 
     return {
         "routes": 5000,
         "first_ms": round(first * 1e3, 1),
         "by_name_ms": round(microseconds(by_name, 2 if quick else 10) / 1e3, 2),
-        "route_us": round(microseconds(lambda: almanac.plot.route("a.example", "/p4999/a/b/c"), 2000), 2),
+        "route_us": round(
+            microseconds(lambda: history.configuration.route("a.example", "/p4999/a/b/c"), 2000), 2
+        ),
     }
 
 
--- a/coralvale/cluster/commands.py
+++ b/coralvale/cluster/commands.py
@@ -50,15 +50,15 @@
     :param configuration: it is a configuration (JSON), not a settings file (YAML)
     :param as_json: print one JSON object
     """
+    from coralvale.cluster.configuration.model import Configuration, survey
     from coralvale.cluster.errors import Problem
-    from coralvale.cluster.plot.model import Plot, survey
     from coralvale.cluster.settings import SettingsError, read, remarks
 
     mistakes: list[str] = []
     remarked: list[str] = []
     if configuration:
         try:
-            found = survey(json.loads(file.read_bytes()), Plot())
+            found = survey(json.loads(file.read_bytes()), Configuration())
             if isinstance(found, Problem):
                 mistakes = found.reason.split("; ")
         except OSError as error:
@@ -340,7 +340,7 @@
     :param after: the same
     :param as_json: print one JSON object
     """
-    from coralvale.cluster.plot.model import differences
+    from coralvale.cluster.configuration.model import differences
 
     found = differences(_configuration(before), _configuration(after))
     if as_json:
@@ -380,7 +380,7 @@
 
 
 def _kept(folder: Path) -> dict[str, Any]:
-    from coralvale.cluster.cellar.keeper import KeeperError, look
+    from coralvale.cluster.storage.keeper import KeeperError, look
 
     try:
         return look(folder)
@@ -422,7 +422,7 @@
 
     :param datadir: the settings' Datadir
     """
-    from coralvale.cluster.cellar import keeper
+    from coralvale.cluster.storage import keeper
 
     try:
         print(json.dumps(keeper.export(datadir)))
@@ -440,7 +440,7 @@
     :param ip: that machine's Ip
     :param all_others_are_lost: say so: a member of the old core that is there would go on beside the new
     """
-    from coralvale.cluster.cellar import keeper
+    from coralvale.cluster.storage import keeper
 
     if not all_others_are_lost:
         raise Fault("refused: say --all-others-are-lost, and empty the disks of all other members first")
--- a/coralvale/cluster/plot/almanac.py
+++ b/coralvale/cluster/configuration/history.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
+from coralvale.cluster.configuration.model import Configuration, amend, differences, survey
 from coralvale.cluster.errors import Kind, Problem
-from coralvale.cluster.plot.model import Plot, amend, differences, survey
 
 TAKEN = 256  # changes that are remembered, to know one that is sent again
 NEWS = 64  # of them, that are handed on one by one
@@ -78,7 +78,7 @@
         return Problem(Kind.INVALID, f"cannot be read whole: {error}")
 
 
-def plan(change: Change, before: Plot) -> Plot | Problem:
+def plan(change: Change, before: Configuration) -> Configuration | Problem:
     """The configuration that a change leads to."""
     sent = _decoded(change.body)
     if isinstance(sent, Problem):
@@ -87,22 +87,22 @@
     return raw if isinstance(raw, Problem) else survey(raw, before)
 
 
-class Almanac:
+class ChangeHistory:
     def __init__(self) -> None:
-        self.plot = Plot()
+        self.configuration = Configuration()
         self.taken: OrderedDict[int, bytes] = OrderedDict()  # version: digest of the change that led to it
         self.news: deque[tuple[int, int, Change]] = deque(maxlen=NEWS)  # from, to, change
         self.steps: deque[Step] = deque(maxlen=STEPS)
-        self.planned: tuple[bytes, Plot] | None = None  # what the newest consideration led to
+        self.planned: tuple[bytes, Configuration] | None = None  # what the newest consideration led to
 
     def consider(self, change: Change) -> Problem | Taken | None:
         """Why a change is not to be ordered; None if it is."""
         digest = change.digest()
         if digest in self.taken.values():
             return TAKEN_ALREADY
-        if change.base != self.plot.version:
-            return Problem(Kind.OTHER_VERSION, f"version {self.plot.version} is current")
-        planned = plan(change, self.plot)
+        if change.base != self.configuration.version:
+            return Problem(Kind.OTHER_VERSION, f"version {self.configuration.version} is current")
+        planned = plan(change, self.configuration)
         if isinstance(planned, Problem):
             return planned
         self.planned = (digest, planned)
@@ -112,30 +112,30 @@
         """Takes a change; whether it is in force now."""
         change = _change(body)
         digest = change.digest()
-        if change.base != self.plot.version:
+        if change.base != self.configuration.version:
             return False
         known = self.planned if self.planned and self.planned[0] == digest else None
-        planned = known[1] if known else plan(change, self.plot)
+        planned = known[1] if known else plan(change, self.configuration)
         self.planned = None
         if isinstance(planned, Problem):
             return False
-        self.news.append((self.plot.version, planned.version, change))
+        self.news.append((self.configuration.version, planned.version, change))
         self._remember(change, planned)
-        self.plot = planned
+        self.configuration = planned
         self.taken[planned.version] = digest
         while len(self.taken) > TAKEN:
             self.taken.popitem(last=False)
         return True
 
-    def _remember(self, change: Change, planned: Plot) -> None:
+    def _remember(self, change: Change, planned: Configuration) -> None:
         did = {
             section: {what: (len(names), names[:NAMED]) for what, names in rows.items()}
-            for section, rows in differences(self.plot.raw, planned.raw).items()
+            for section, rows in differences(self.configuration.raw, planned.raw).items()
         }
         self.steps.append(Step(planned.version, change.base, change.whole, len(change.body), did))
 
     def config(self) -> bytes:
-        return msgspec.json.encode(self.plot.raw)
+        return msgspec.json.encode(self.configuration.raw)
 
     def image(self) -> bytes:
         return msgspec.msgpack.encode(Image(self.config(), tuple(self.taken.items()), tuple(self.steps)))
@@ -146,18 +146,18 @@
             return
         image = _image(body)
         raw = _json(image.config)
-        plot = survey(raw, Plot()) if raw else Plot()
+        configuration = survey(raw, Configuration()) if raw else Configuration()
         if isinstance(
-            plot, Problem
+            configuration, Problem
         ):  # it was checked before it was taken: only another program's checks differ
-            raise ValueError(f"the configuration kept cannot be used: {plot.reason}")
-        self.plot, self.taken = plot, OrderedDict(image.taken)
+            raise ValueError(f"the configuration kept cannot be used: {configuration.reason}")
+        self.configuration, self.taken = configuration, OrderedDict(image.taken)
         self.steps = deque(image.steps, maxlen=STEPS)
         self.news.clear()
 
     def since(self, version: int) -> News | None:
         """What is newer than a version; None if nothing is."""
-        if version >= self.plot.version:
+        if version >= self.configuration.version:
             return None
         changes: list[Change] = []
         for start, _, change in self.news:
@@ -166,14 +166,14 @@
         return News(tuple(changes)) if changes else News(whole=self.config())
 
 
-def follow(plot: Plot, news: News) -> Plot | Problem:
+def follow(configuration: Configuration, news: News) -> Configuration | Problem:
     """What a gateway makes of news."""
     if news.whole:
         raw = _decoded(news.whole)
-        return raw if isinstance(raw, Problem) else survey(raw, plot)
+        return raw if isinstance(raw, Problem) else survey(raw, configuration)
     for change in news.changes:
-        planned = plan(change, plot)
+        planned = plan(change, configuration)
         if isinstance(planned, Problem):
             return planned
-        plot = planned
-    return plot
+        configuration = planned
+    return configuration
--- a/coralvale/cluster/plot/model.py
+++ b/coralvale/cluster/configuration/model.py
@@ -1,7 +1,7 @@
 """The operator's configuration as types, its checks, and what a gateway looks up in it.
 
-`Plot` is immutable: a gateway swaps the whole of it, and only for one with a higher version. A name that did
-not change between two versions keeps its object, so reading a version costs what it changes.
+`Configuration` is immutable: a gateway swaps the whole of it, and only for one with a higher version. A name
+that did not change between two versions keeps its object, so reading a version costs what it changes.
 """
 
 from __future__ import annotations
@@ -81,7 +81,7 @@
 
 
 @define
-class Plot:
+class Configuration:
     """One version, ready to be looked up in. Not changed after it was made."""
 
     version: int = 0
@@ -161,7 +161,7 @@
     return found
 
 
-def survey(raw: Any, before: Plot) -> Plot | Problem:  # noqa: ANN401
+def survey(raw: Any, before: Configuration) -> Configuration | Problem:  # noqa: ANN401
     """Reads and checks a whole configuration; `before` is the one in force, whose objects are kept."""
     if (
         not isinstance(raw, dict)
@@ -172,7 +172,7 @@
     wrong: list[str] = []
     if version <= before.version:
         wrong.append(f"Ver: {version} is not above {before.version}, which is current")
-    plot = Plot(version, raw)
+    configuration = Configuration(version, raw)
     for section in SECTIONS:
         table = raw.get(section) or {}
         if not isinstance(table, dict):
@@ -188,33 +188,33 @@
                     continue
                 kept = (value, read)
             new[name] = kept
-        plot.items[section] = new
+        configuration.items[section] = new
     try:
-        plot.limits = _converter.structure(raw.get("Limits") or {}, ClientLimits)
+        configuration.limits = _converter.structure(raw.get("Limits") or {}, ClientLimits)
     except (cattrs.BaseValidationError, ValueError, TypeError, AttributeError):
         wrong.append("Limits: cannot be read")
     services = raw.get("Svcs") or {}
-    bound = {n: s.Region for n, (_, s) in plot.items.get("Svcs", {}).items() if s.Region}
+    bound = {n: s.Region for n, (_, s) in configuration.items.get("Svcs", {}).items() if s.Region}
     same = set(services) == set(before.services()) and bound == {
         n: s.Region for n, (_, s) in before.services().items() if s.Region
     }
     checked = before.items.get("Routes", {}) if same else {}
-    for name, item in plot.items.get("Routes", {}).items():
+    for name, item in configuration.items.get("Routes", {}).items():
         route = item[1]
         if checked.get(name) is not item:  # one that was checked against the same services stays right
             wrong += _wrong_route(name, route, services, bound)
-        plot.narrowed = plot.narrowed or bool(route.Region)
+        configuration.narrowed = configuration.narrowed or bool(route.Region)
         host = route.Vhost.lower()
-        plot.prefixes.setdefault(host, {})[route.PathPrefix] = (name, route)
-        plot.depth[host] = max(plot.depth.get(host, 0), route.PathPrefix.count("/"))
-    for name, (_, tenant) in plot.items.get("Tenants", {}).items():
+        configuration.prefixes.setdefault(host, {})[route.PathPrefix] = (name, route)
+        configuration.depth[host] = max(configuration.depth.get(host, 0), route.PathPrefix.count("/"))
+    for name, (_, tenant) in configuration.items.get("Tenants", {}).items():
         for key in tenant.ApiKeys:
-            if plot.keys.setdefault(key, name) != name:
-                wrong.append(f"Tenants.{name}.ApiKeys: a key that {plot.keys[key]} has as well")
+            if configuration.keys.setdefault(key, name) != name:
+                wrong.append(f"Tenants.{name}.ApiKeys: a key that {configuration.keys[key]} has as well")
     if wrong:
         more = f", and {len(wrong) - MISTAKES} more" if len(wrong) > MISTAKES else ""
         return Problem(Kind.INVALID, "; ".join(wrong[:MISTAKES]) + more)
-    return plot
+    return configuration
 
 
 def differences(before: Mapping[str, Any], after: Mapping[str, Any]) -> dict[str, dict[str, list[str]]]:
--- a/coralvale/cluster/grafting/machine.py
+++ b/coralvale/cluster/consensus/replica.py
@@ -28,7 +28,7 @@
 
 from attrs import define, field, frozen
 
-from coralvale.cluster.grafting.model import (
+from coralvale.cluster.consensus.messages import (
     CHANGE,
     OPENING,
     READ,
@@ -52,7 +52,7 @@
     Successor,
     Write,
 )
-from coralvale.cluster.grafting.words import pack_seats, unpack_seats
+from coralvale.cluster.consensus.voters import pack_seats, unpack_seats
 
 KEPT = 64  # entries that are kept one by one behind what is delivered; a member further back gets a copy
 BATCH = 16  # entries in one message
--- a/coralvale/cluster/grafting/words.py
+++ b/coralvale/cluster/consensus/voters.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from coralvale.cluster.grafting.model import Seats
+from coralvale.cluster.consensus.messages import Seats
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Seats).decode
--- a/coralvale/cluster/gates/arrivals.py
+++ b/coralvale/cluster/gates/arrivals.py
@@ -170,10 +170,10 @@
         """Puts the register on disk when it has changed."""
         while True:
             await asyncio.sleep(KEEP_HOSTS)
-            if self.core.cellar and self.register.version != self.hosts_put and not self.core.disk_failed:
+            if self.core.store and self.register.version != self.hosts_put and not self.core.disk_failed:
                 version, rows = self.register.version, self.register.rows(self.ground.clock.monotonic())
                 try:
-                    await self.ground.loop.run_in_executor(self.core.disk, self.core.cellar.put_hosts, rows)
+                    await self.ground.loop.run_in_executor(self.core.disk, self.core.store.put_hosts, rows)
                 except (sqlite3.Error, OSError):
                     continue  # a help alone: what must be on disk tells of a disk in trouble
                 self.hosts_put = version
--- a/coralvale/cluster/gates/changes.py
+++ b/coralvale/cluster/gates/changes.py
@@ -9,6 +9,9 @@
 
 import msgspec
 
+from coralvale.cluster.configuration.history import TAKEN_ALREADY, Change, follow, pack
+from coralvale.cluster.configuration.model import Configuration
+from coralvale.cluster.consensus import messages as order
 from coralvale.cluster.errors import Problem
 from coralvale.cluster.events import Event, tell
 from coralvale.cluster.gates.core import Core
@@ -16,10 +19,7 @@
 from coralvale.cluster.gates.ground import Ground
 from coralvale.cluster.gates.peers import Frames
 from coralvale.cluster.gates.words import Ask, Call, Reply, Told
-from coralvale.cluster.grafting import model as order
 from coralvale.cluster.harvest.way import Harvest
-from coralvale.cluster.plot.almanac import TAKEN_ALREADY, Change, follow, pack
-from coralvale.cluster.plot.model import Plot
 from coralvale.net.server import Bounds as ClientBounds
 
 ASK_FOR = 1.0  # s for which a question for news is kept when there is none
@@ -37,18 +37,18 @@
         self.ground, self.harvest, self.bound_clients = ground, harvest, bound_clients
         self.home = harvest.home
         self.core: Core
-        self.plot = Plot()
+        self.configuration = Configuration()
         self.tenants: dict[int, str] = {}  # by what stands for them in words
         self.waiters: set[asyncio.Future[None]] = set()
         self.desk_lock = asyncio.Lock()
 
-    def in_force(self, plot: Plot) -> None:
+    def in_force(self, configuration: Configuration) -> None:
         """Swapped whole; one that is not newer is passed over."""
-        if not self.harvest.take_plot(plot):
+        if not self.harvest.take_configuration(configuration):
             return
-        self.plot = plot
-        self.tenants = {crc32(name.encode()): name for name in plot.tenants()}
-        limits = plot.limits
+        self.configuration = configuration
+        self.tenants = {crc32(name.encode()): name for name in configuration.tenants()}
+        limits = configuration.limits
         self.bound_clients(
             ClientBounds(
                 limits.HeaderBytes, limits.BodyBytes, limits.HdrReadMs / 1000, limits.IdleMs / 1000, 431
@@ -56,10 +56,10 @@
         )
         tell(
             Event.VERSION,
-            version=plot.version,
-            routes=len(plot.items.get("Routes", {})),
-            services=len(plot.services()),
-            tenants=len(plot.tenants()),
+            version=configuration.version,
+            routes=len(configuration.items.get("Routes", {})),
+            services=len(configuration.services()),
+            tenants=len(configuration.tenants()),
         )
         waiters, self.waiters = self.waiters, set()
         for waiter in waiters:
@@ -85,9 +85,13 @@
                     continue
             if at not in core:
                 at = self.ground.chance.choice(core)
-            number, link, known = self.ground.peers.next(), self.ground.peers.link(at), self.plot.version
+            number, link, known = (
+                self.ground.peers.next(),
+                self.ground.peers.link(at),
+                self.configuration.version,
+            )
             answer = await link.request(number, Ask(number, known), ASK_FOR + LATE)
-            if self.core.delivers() or self.plot.version != known:
+            if self.core.delivers() or self.configuration.version != known:
                 continue  # it came to know more by another way
             if not isinstance(answer, Told) or answer.lost:
                 if not isinstance(answer, Told):
@@ -98,16 +102,16 @@
             elif answer.sure:
                 self.home.heard = self.ground.clock.monotonic()
             if isinstance(answer, Told) and not answer.lost and answer.news:
-                plot = follow(self.plot, answer.news)
-                if isinstance(plot, Problem):
-                    tell(Event.NEWS_BAD, reason=plot.reason)
+                configuration = follow(self.configuration, answer.news)
+                if isinstance(configuration, Problem):
+                    tell(Event.NEWS_BAD, reason=configuration.reason)
                     await asyncio.sleep(0.2)
                 else:
-                    self.in_force(plot)
+                    self.in_force(configuration)
 
     async def asked(self, frames: Frames, ask: Ask) -> None:
         ends = self.ground.clock.monotonic() + ASK_FOR
-        while (news := self.core.almanac.since(ask.version)) is None:
+        while (news := self.core.history.since(ask.version)) is None:
             left = ends - self.ground.clock.monotonic()
             if left <= 0:
                 break
@@ -132,7 +136,7 @@
         return await self._call(None)
 
     async def _call(self, change: Change | None) -> Answered:
-        size = len(change.body) if change else len(self.plot.raw) * 1000
+        size = len(change.body) if change else len(self.configuration.raw) * 1000
         patience = PASSED_ON + LARGE * size / 1e7
         if self.core.graft and self.core.graft.holding:
             try:
@@ -159,9 +163,9 @@
             if change is None:
                 if not await self.core.propose(order.READ, b"", PASSED_ON):
                     return 503, b"no majority answers"
-                return 200, self.core.almanac.config()
+                return 200, self.core.history.config()
             begun = self.ground.clock.monotonic()
-            found = self.core.almanac.consider(change)
+            found = self.core.history.consider(change)
             if found is TAKEN_ALREADY:
                 return 200, b"{}"
             if isinstance(found, Problem):
@@ -169,11 +173,11 @@
                 return found.status, found.reason.encode()
             if not await self.core.propose(order.CHANGE, pack(change), 8.0):
                 return 503, b"no majority answers"
-            if change.digest() not in self.core.almanac.taken.values():
+            if change.digest() not in self.core.history.taken.values():
                 return 503, b"another came first"
             tell(
                 Event.CHANGE_TAKEN,
-                version=self.core.almanac.plot.version,
+                version=self.core.history.configuration.version,
                 ms=(self.ground.clock.monotonic() - begun) * 1000,
             )
             return 200, b"{}"
@@ -190,4 +194,4 @@
         if not self.core.delivers():
             at = ", ".join(self.core.known()[2])
             return 503, f"this gateway holds no state; ask a member of the core: {at}".encode()
-        return 200, msgspec.json.encode([msgspec.structs.asdict(step) for step in self.core.almanac.steps])
+        return 200, msgspec.json.encode([msgspec.structs.asdict(step) for step in self.core.history.steps])
--- a/coralvale/cluster/gates/core.py
+++ b/coralvale/cluster/gates/core.py
@@ -7,31 +7,34 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-from coralvale.cluster.cellar.store import Cellar, CellarError, Damaged, set_aside
+from coralvale.cluster.bootstrap.founding import Founding
 from coralvale.cluster.census.register import Row
+from coralvale.cluster.configuration.history import ChangeHistory
+from coralvale.cluster.configuration.model import Configuration
+from coralvale.cluster.consensus import messages as order
+from coralvale.cluster.consensus.replica import Graft as Machine
+from coralvale.cluster.consensus.replica import Record, Terms
 from coralvale.cluster.events import Event, tell
-from coralvale.cluster.foreman.founding import Founding
 from coralvale.cluster.gates.ground import Ground
 from coralvale.cluster.gates.words import Graft, Nominate, Nominee
-from coralvale.cluster.grafting import model as order
-from coralvale.cluster.grafting.machine import Graft as Machine
-from coralvale.cluster.grafting.machine import Record, Terms
-from coralvale.cluster.plot.almanac import Almanac
-from coralvale.cluster.plot.model import Plot
+from coralvale.cluster.storage.store import Damaged, Store, StoreError, set_aside
 
 RETRY_DISK = 0.25  # s until a write that failed is tried again
 
 
 class Core:
     def __init__(
-        self, ground: Ground, take_plot: Callable[[Plot], None], remember: Callable[[list[Row]], None]
+        self,
+        ground: Ground,
+        take_configuration: Callable[[Configuration], None],
+        remember: Callable[[list[Row]], None],
     ) -> None:
-        """`take_plot`: a configuration that was delivered; `remember`: hosts that the disk has."""
-        self.ground, self.take_plot, self.remember = ground, take_plot, remember
+        """`take_configuration`: a configuration that was delivered; `remember`: hosts that the disk has."""
+        self.ground, self.take_configuration, self.remember = ground, take_configuration, remember
         settings = ground.settings
         self.graft: Machine | None = None
-        self.cellar: Cellar | None = None
-        self.almanac = Almanac()
+        self.store: Store | None = None
+        self.history = ChangeHistory()
         self.disk = ThreadPoolExecutor(1)
         self.writes: list[order.Write] = []
         self.writing = False
@@ -74,8 +77,8 @@
             elif isinstance(action, order.Deliver):
                 self._deliver(action.entry)
             elif isinstance(action, order.Restore):
-                self.almanac.restore(action.saved.body)
-                self.take_plot(self.almanac.plot)
+                self.history.restore(action.saved.body)
+                self.take_configuration(self.history.configuration)
             elif (future := self.tokens.get(action.token)) and not future.done():
                 future.set_result(action.well)
         if self.writes and not self.writing:
@@ -84,12 +87,12 @@
 
     async def _write(self) -> None:
         """What is to be on disk goes there in order; a disk in trouble is tried until it takes it."""
-        assert self.cellar and self.graft
+        assert self.store and self.graft
         try:
             while self.writes:
                 batch = list(self.writes)
                 try:
-                    await self.ground.loop.run_in_executor(self.disk, self.cellar.write, batch)
+                    await self.ground.loop.run_in_executor(self.disk, self.store.write, batch)
                 except (sqlite3.Error, OSError) as error:
                     if not self.disk_failed:
                         self.disk_failed = self.ground.clock.monotonic()
@@ -106,8 +109,8 @@
 
     def _deliver(self, entry: order.Entry) -> None:
         assert self.graft
-        if entry.kind == order.CHANGE and self.almanac.deliver(entry.body):
-            self.take_plot(self.almanac.plot)
+        if entry.kind == order.CHANGE and self.history.deliver(entry.body):
+            self.take_configuration(self.history.configuration)
 
     def tell_view(self) -> None:
         graft = self.graft
@@ -121,13 +124,13 @@
             names = ", ".join(m.name for m in graft.seats.new)
             tell(Event.SEATS, members=names + (" (changing)" if graft.seats.old else ""))
         if graft.delivered - graft.base.seq > 128 and graft.delivered == graft.commit:
-            self.act(graft.save(self.almanac.image()))
+            self.act(graft.save(self.history.image()))
 
     async def open(self) -> None:
         s = self.ground.settings
         try:
-            self.cellar = await self.ground.loop.run_in_executor(self.disk, Cellar, s.Datadir)
-            record = await self.ground.loop.run_in_executor(self.disk, self.cellar.load)
+            self.store = await self.ground.loop.run_in_executor(self.disk, Store, s.Datadir)
+            record = await self.ground.loop.run_in_executor(self.disk, self.store.load)
         except Damaged as error:
             # As good as lost: it begins anew, and is seated when it holds all that the others have.
             tell(Event.DISK_FOREIGN, reason=str(error))
@@ -136,11 +139,11 @@
             tell(Event.DISK_ASIDE, name=aside)
             self.ground.spawn(self._open_again())
             return
-        except (CellarError, sqlite3.Error, OSError) as error:
+        except (StoreError, sqlite3.Error, OSError) as error:
             tell(Event.DISK_FOREIGN, reason=str(error))
             self.ground.spawn(self._open_again())
             return
-        self.remember(await self.ground.loop.run_in_executor(self.disk, self.cellar.hosts))
+        self.remember(await self.ground.loop.run_in_executor(self.disk, self.store.hosts))
         self._begin_order(record)
 
     async def _open_again(self) -> None:
@@ -151,8 +154,8 @@
 
     def _begin_order(self, record: Record) -> None:
         s = self.ground.settings
-        assert self.cellar
-        me = order.Member(self.cellar.id, s.Hostname, s.Ip)
+        assert self.store
+        me = order.Member(self.store.id, s.Hostname, s.Ip)
         self.founding.me = me.id
         terms = Terms(least=2 * s.FaultBudget.Nodes + 1)
         self.graft = Machine(me, record, terms, self.ground.chance, self.ground.clock.monotonic())
--- a/coralvale/cluster/gates/ctl.py
+++ b/coralvale/cluster/gates/ctl.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from coralvale.cluster.census.register import Row, State
+from coralvale.cluster.configuration.history import Change
 from coralvale.cluster.errors import Kind, Problem
-from coralvale.cluster.plot.almanac import Change
 from coralvale.cluster.settings import address
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
--- a/coralvale/cluster/gates/figures.py
+++ b/coralvale/cluster/gates/figures.py
@@ -38,7 +38,11 @@
         view, holder, core = o.core.known()
         for name, says, value in (
             ("ready", "1 while the platform may send new connections", float(o.is_ready())),
-            ("configuration_version", "of the configuration in force", float(o.changes.plot.version)),
+            (
+                "configuration_version",
+                "of the configuration in force",
+                float(o.changes.configuration.version),
+            ),
             ("view", "of the core, the newest that is known of", float(view)),
             ("core_members", "machines that hold the state", float(len(core))),
             ("core_holder_known", "1 while the holder of the view is known", float(bool(holder))),
--- a/coralvale/cluster/gates/node.py
+++ b/coralvale/cluster/gates/node.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.configuration.history import Change
 from coralvale.cluster.events import Event, tell
 from coralvale.cluster.gates.arrivals import Arrivals
 from coralvale.cluster.gates.changes import Changes
@@ -36,7 +37,6 @@
 from coralvale.cluster.harvest.copies import Copies
 from coralvale.cluster.harvest.home import Home
 from coralvale.cluster.harvest.way import Harvest
-from coralvale.cluster.plot.almanac import Change
 from coralvale.cluster.regions import Regions
 from coralvale.cluster.regions import read as read_regions
 from coralvale.cluster.settings import Settings, SettingsError, address, read
@@ -171,8 +171,8 @@
             server.close()
         self.hosts.close()
         self.ground.peers.close()
-        if self.core.cellar:
-            self.core.cellar.close()
+        if self.core.store:
+            self.core.store.close()
 
     def stop(self) -> None:
         if not self.ground.stopping:
@@ -233,7 +233,7 @@
     # Readiness
 
     def is_ready(self) -> bool:
-        if self.ground.stopping or not self.changes.plot.version:
+        if self.ground.stopping or not self.changes.configuration.version:
             return False
         now = self.ground.clock.monotonic()
         age = now - self.ground.born
@@ -251,7 +251,7 @@
             tell(
                 Event.READY,
                 seconds=age,
-                version=self.changes.plot.version,
+                version=self.changes.configuration.version,
                 hosts=len(self.register.lives),
                 gateways=self.gateways(),
             )
--- a/coralvale/cluster/gates/status.py
+++ b/coralvale/cluster/gates/status.py
@@ -61,7 +61,7 @@
         "refused_abroad": o.home.refused,
         "refused_for": now - o.home.first_refused if o.home.refused else 0.0,
         "zones": o.home.zones,
-        "version": o.changes.plot.version,
+        "version": o.changes.configuration.version,
         "open": len(o.edge.open),
         "view": view,
         "holder": holder,
--- a/coralvale/cluster/gates/tidings.py
+++ b/coralvale/cluster/gates/tidings.py
@@ -94,7 +94,7 @@
             carries = self.carries(now)
             self.carriers.hear(now, self.ground.settings.Ip, carries)
             word = Word(
-                self.changes.plot.version,
+                self.changes.configuration.version,
                 self.register.digest,
                 view,
                 holder,
--- a/coralvale/cluster/gates/words.py
+++ b/coralvale/cluster/gates/words.py
@@ -14,8 +14,8 @@
 
 from coralvale.cluster.blight.watch import Row as Row_
 from coralvale.cluster.census.register import Row
-from coralvale.cluster.grafting.model import Member, Message
-from coralvale.cluster.plot.almanac import Change, News
+from coralvale.cluster.configuration.history import Change, News
+from coralvale.cluster.consensus.messages import Member, Message
 from coralvale.cluster.weir.sluice import Use
 
 FRAME = struct.Struct("!I")
--- a/coralvale/cluster/harvest/home.py
+++ b/coralvale/cluster/harvest/home.py
@@ -18,8 +18,8 @@
 from collections.abc import Mapping
 from fnmatch import fnmatchcase
 
+from coralvale.cluster.configuration.model import Configuration, Route
 from coralvale.cluster.errors import Kind, Problem
-from coralvale.cluster.plot.model import Plot, Route
 
 LEASE = 10.0  # s without a word of the core, after which nothing bound is begun
 AGAIN = 0.5  # s after which a client may come back to one that has lost touch with the core
@@ -39,7 +39,7 @@
         self.rules, self.lease = dict(rules or {}), lease
         self.move(region, zones)
         self.heard = -1e18  # when a word of the core last came
-        self.plot = Plot()
+        self.configuration = Configuration()
         self.services: dict[str, str] = {}  # those that are bound
         self.routes: dict[str, str] = {}
         self.refused: dict[str, int] = {}  # abroad, by service's region
@@ -49,17 +49,17 @@
         """This gateway's region, and those of the zones, as the settings have them now."""
         self.region, self.zones = region, dict(zones)
 
-    def take_plot(self, plot: Plot) -> None:
-        self.plot = plot
+    def take_configuration(self, configuration: Configuration) -> None:
+        self.configuration = configuration
         self.services = {
             name: region
-            for name, (_, service) in plot.services().items()
+            for name, (_, service) in configuration.services().items()
             if (region := self._rule(name, service.Region))
         }
         self.routes = {}
-        if not self.services and not self.rules and not plot.narrowed:
+        if not self.services and not self.rules and not configuration.narrowed:
             return  # as long as nothing is bound, routes need not be gone through
-        for name, (_, route) in plot.items.get("Routes", {}).items():
+        for name, (_, route) in configuration.items.get("Routes", {}).items():
             if region := self._route(route):
                 self.routes[name] = region
 
--- a/coralvale/cluster/harvest/way.py
+++ b/coralvale/cluster/harvest/way.py
@@ -13,10 +13,10 @@
 
 from attrs import define, field
 
+from coralvale.cluster.configuration.model import Configuration, Route
 from coralvale.cluster.errors import Kind, Problem
 from coralvale.cluster.harvest.budget import Budget
 from coralvale.cluster.harvest.copies import Copies, Copy
-from coralvale.cluster.plot.model import Plot, Route
 from coralvale.cluster.settings import Bounds
 from coralvale.cluster.weir.sluice import Weir
 from coralvale.interface import Outcome
@@ -35,7 +35,7 @@
 HOST_FAILURES = range(500, 600)
 
 
-NOTHING: tuple[Plot, str, str, tuple[str, Route] | None] = (Plot(), "", "", None)
+NOTHING: tuple[Configuration, str, str, tuple[str, Route] | None] = (Configuration(), "", "", None)
 
 
 @define(eq=False)
@@ -67,24 +67,24 @@
     ) -> None:
         self.bounds, self.copies, self.weir = bounds, copies, weir
         self.gateways, self.chance = gateways, chance
-        self.plot, self.home = Plot(), copies.home
-        self.newest: tuple[Plot, str, str, tuple[str, Route] | None] = NOTHING
+        self.configuration, self.home = Configuration(), copies.home
+        self.newest: tuple[Configuration, str, str, tuple[str, Route] | None] = NOTHING
         self.budgets: dict[str, Budget] = {}
         self.usual: dict[str, float] = {}  # delay of a route's answers, s
         self.pace: dict[str, float] = {}  # of a service's, s
         self.counts: dict[str, int] = {}
 
-    def take_plot(self, plot: Plot) -> bool:
+    def take_configuration(self, configuration: Configuration) -> bool:
         """A newer configuration is in force from now on; an older one never is again."""
-        if plot.version <= self.plot.version:
+        if configuration.version <= self.configuration.version:
             return False
-        self.plot = plot
-        self.home.take_plot(plot)
+        self.configuration = configuration
+        self.home.take_configuration(configuration)
         self.copies.lists.clear()  # what binds a service may have changed
-        for table, known in ((self.budgets, plot.services()), (self.pace, plot.services())):
+        for table, known in ((self.budgets, configuration.services()), (self.pace, configuration.services())):
             for name in [n for n in table if n not in known]:
                 del table[name]
-        routes = plot.items.get("Routes", {})
+        routes = configuration.items.get("Routes", {})
         self.usual = {name: value for name, value in self.usual.items() if name in routes}
         return True
 
@@ -107,8 +107,8 @@
         self, now: float, id_: bytes, host: str, path: str, key: str | None, left: float
     ) -> Job | Problem:
         """`left`: s that the client will wait."""
-        plot = self.plot
-        if not plot.version:
+        configuration = self.configuration
+        if not configuration.version:
             return Problem(Kind.NO_CONFIGURATION, retry_after=AGAIN)
         found = self._found(host, path)
         if found is None:
@@ -117,8 +117,8 @@
         if self.home.routes and (foreign := self.home.refuses(now, name)):
             self._abroad(now, name)
             return foreign
-        tenant = plot.keys.get(key, "") if key is not None else ""
-        if not tenant and not route.Public and plot.tenants():
+        tenant = configuration.keys.get(key, "") if key is not None else ""
+        if not tenant and not route.Public and configuration.tenants():
             return Problem(Kind.NO_KEY)
         service = self._service(route)
         budget = self._budget(service)
@@ -126,7 +126,7 @@
         job = Job(id_, name, route, service, tenant, now, now + min(left, route.TimeoutMs / 1000) - ROOM)
         if job.ends <= now:
             return Problem(Kind.NOT_SENT_IN_TIME)
-        if tenant and (terms := plot.tenant(tenant)) and terms.RatePerS > 0:
+        if tenant and (terms := configuration.tenant(tenant)) and terms.RatePerS > 0:
             if wait := self.weir.wait(now, tenant, terms.RatePerS, terms.Burst):
                 return Problem(Kind.OVER_QUOTA, tenant, retry_after=max(0.05, wait))
             job.charged = True
@@ -134,12 +134,12 @@
 
     def _found(self, host: str, path: str) -> tuple[str, Route] | None:
         """The route; looked for once where a request's head and then the request are asked about."""
-        plot, newest = self.plot, self.newest
-        if newest[0] is plot and newest[2] == path and newest[1] == host:
+        configuration, newest = self.configuration, self.newest
+        if newest[0] is configuration and newest[2] == path and newest[1] == host:
             return newest[3]
-        found = plot.route(host, path)
+        found = configuration.route(host, path)
         if self.home.routes:
-            self.newest = (plot, host, path, found)
+            self.newest = (configuration, host, path, found)
         return found
 
     def _service(self, route: Route) -> str:
--- a/coralvale/cluster/cellar/keeper.py
+++ b/coralvale/cluster/storage/keeper.py
@@ -10,10 +10,10 @@
 
 import msgspec
 
-from coralvale.cluster.cellar.store import NAME, Cellar, CellarError
-from coralvale.cluster.grafting.model import CHANGE, OPENING, READ, SEATS, Member, Saved, Seats, Write
-from coralvale.cluster.grafting.words import unpack_seats
-from coralvale.cluster.plot.almanac import Almanac, Change, Image
+from coralvale.cluster.configuration.history import Change, ChangeHistory, Image
+from coralvale.cluster.consensus.messages import CHANGE, OPENING, READ, SEATS, Member, Saved, Seats, Write
+from coralvale.cluster.consensus.voters import unpack_seats
+from coralvale.cluster.storage.store import NAME, Store, StoreError
 
 FORMAT = 1  # of an export
 LATER = 1000  # views by which a restored core is ahead of the one that was lost
@@ -25,28 +25,28 @@
     """Cannot be done; one line that names the place."""
 
 
-def _open(folder: Path) -> Cellar:
+def _open(folder: Path) -> Store:
     if not (folder / NAME).exists():
         raise KeeperError(f"{folder / NAME}: no such file")
     try:
-        return Cellar(str(folder))
-    except (CellarError, sqlite3.Error, OSError) as error:
+        return Store(str(folder))
+    except (StoreError, sqlite3.Error, OSError) as error:
         raise KeeperError(str(error)) from None
 
 
 def look(folder: Path) -> dict[str, Any]:
     """All that a disk holds, in words. Raises KeeperError where it cannot be read."""
-    cellar = _open(folder)
+    store = _open(folder)
     try:
-        record = cellar.load()
-    except CellarError as error:
+        record = store.load()
+    except StoreError as error:
         raise KeeperError(str(error)) from None
     finally:
-        cellar.close()
-    almanac, seats = Almanac(), record.saved.seats if record.saved else Seats(())
+        store.close()
+    history, seats = ChangeHistory(), record.saved.seats if record.saved else Seats(())
     if record.saved:
-        almanac.restore(record.saved.body)
-    history = []
+        history.restore(record.saved.body)
+    entries = []
     for entry in record.entries:
         row: dict[str, Any] = {"seq": entry.seq, "view": entry.view, "kind": KINDS.get(entry.kind, "?")}
         if entry.kind == SEATS:
@@ -56,23 +56,23 @@
             change = _change(entry.body)
             row |= {"base": change.base, "bytes": len(change.body)}
             if entry.seq <= record.commit:
-                row["taken"] = almanac.deliver(entry.body)
-                row["version"] = almanac.plot.version
-        history.append(row)
+                row["taken"] = history.deliver(entry.body)
+                row["version"] = history.configuration.version
+        entries.append(row)
     return {
         "file": str(folder / NAME),
-        "disk": cellar.id,
+        "disk": store.id,
         "view": record.view,
         "vote": record.vote,
         "delivered": record.commit,
         "snapshot": record.saved.seq if record.saved else 0,
-        "entries": history,
+        "entries": entries,
         "members": [{"id": m.id, "name": m.name, "ip": m.ip} for m in seats.new],
         "changing": bool(seats.old),
-        "version": almanac.plot.version,
-        "routes": len(almanac.plot.items.get("Routes", {})),
-        "config": almanac.plot.raw,
-        "image": base64.b64encode(almanac.image()).decode(),
+        "version": history.configuration.version,
+        "routes": len(history.configuration.items.get("Routes", {})),
+        "config": history.configuration.raw,
+        "image": base64.b64encode(history.image()).decode(),
     }
 
 
@@ -96,14 +96,14 @@
     try:
         body = base64.b64decode(kept["image"])
         msgspec.msgpack.decode(body, type=Image)
-        Almanac().restore(body)
+        ChangeHistory().restore(body)
         view, seq = int(kept["view"]) + LATER, int(kept["delivered"])
     except (KeyError, ValueError, TypeError, msgspec.MsgspecError) as error:
         raise KeeperError(f"the export cannot be used: {error}") from None
-    cellar = Cellar(str(folder))
+    store = Store(str(folder))
     try:
-        saved = Saved(max(1, seq), view, Seats((Member(cellar.id, hostname, ip),)), body)
-        cellar.write([Write(1, view, "", saved.seq, 0, (), saved)])
-        return cellar.id
+        saved = Saved(max(1, seq), view, Seats((Member(store.id, hostname, ip),)), body)
+        store.write([Write(1, view, "", saved.seq, 0, (), saved)])
+        return store.id
     finally:
-        cellar.close()
+        store.close()
--- a/coralvale/cluster/cellar/store.py
+++ b/coralvale/cluster/storage/store.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from coralvale.cluster.census.register import Row
-from coralvale.cluster.grafting.machine import Record
-from coralvale.cluster.grafting.model import Entry, Saved, Write
+from coralvale.cluster.consensus.messages import Entry, Saved, Write
+from coralvale.cluster.consensus.replica import Record
 
 NAME = "orchard.sqlite"
 LAYOUT = 1  # of the tables; a newer program reads older ones, and refuses what is newer than itself
@@ -25,11 +25,11 @@
 _saved = msgspec.msgpack.Decoder(Saved).decode
 
 
-class CellarError(OSError):
+class StoreError(OSError):
     """The disk's contents cannot be used; the message names the file."""
 
 
-class Damaged(CellarError):
+class Damaged(StoreError):
     """It is no database of ours, or what it holds does not hang together: as good as lost."""
 
 
@@ -44,8 +44,8 @@
     return str(aside)
 
 
-class Cellar:
-    """Opens the database, or makes it. Raises CellarError if it is there and is not ours, OSError
+class Store:
+    """Opens the database, or makes it. Raises StoreError if it is there and is not ours, OSError
     otherwise."""
 
     def __init__(self, folder: str) -> None:
@@ -79,7 +79,7 @@
         if layout is None:
             self._set("layout", LAYOUT)
         elif int(str(layout)) > LAYOUT:
-            raise CellarError(f"{self.path}: layout {layout}, this program knows up to {LAYOUT}")
+            raise StoreError(f"{self.path}: layout {layout}, this program knows up to {LAYOUT}")
         name = self._fact("id")
         if name is None:
             name = os.urandom(8).hex()
--- a/coralvale/lab/abroad.py
+++ b/coralvale/lab/abroad.py
@@ -19,9 +19,9 @@
 import cattrs
 from attrs import evolve, frozen
 
+from coralvale.cluster.configuration.model import Configuration, survey
 from coralvale.cluster.harvest.copies import Copy
 from coralvale.cluster.harvest.home import LEASE, Home
-from coralvale.cluster.plot.model import Plot, survey
 from coralvale.interface import Outcome
 from coralvale.lab import souring
 from coralvale.lab.model import LabError
@@ -306,18 +306,18 @@
         self.bound[event.service] = event.region
         # A gateway in touch follows within a word of the core; one that is cut off stops within its lease.
         self.counts_until = self.engine.now + max(2 * NEWS, self.plan.lease if self.cut else 0.0)
-        plot = survey(self._configuration(), self.gateways[0].harvest.plot)
-        assert isinstance(plot, Plot), plot
+        plot = survey(self._configuration(), self.gateways[0].harvest.configuration)
+        assert isinstance(plot, Configuration), plot
         self.newest = plot
 
     def _news(self, gateway: Gateway) -> None:
         if self.region_of(gateway) not in self.cut and gateway.number not in self.down:
             gateway.copies.home.heard = self.engine.clock
             if self.newest is not None:
-                gateway.harvest.take_plot(self.newest)
+                gateway.harvest.take_configuration(self.newest)
         self.engine.later(NEWS, self._news, gateway)
 
-    newest: Plot | None = None
+    newest: Configuration | None = None
 
     def play(self) -> dict[str, Any]:
         for event in self.plan.events:
--- a/coralvale/lab/souring.py
+++ b/coralvale/lab/souring.py
@@ -24,12 +24,12 @@
 from attrs import define, field, frozen
 
 from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.configuration.model import Configuration, survey
 from coralvale.cluster.errors import Problem
 from coralvale.cluster.gates.words import pack_blight, pack_out, unpack_blight, unpack_out
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.home import Home
 from coralvale.cluster.harvest.way import Harvest, Job
-from coralvale.cluster.plot.model import Plot, survey
 from coralvale.cluster.settings import Bounds
 from coralvale.cluster.weir.sluice import PERIOD, Rule, Weir
 from coralvale.interface import Outcome
@@ -209,7 +209,7 @@
 class Gateway:
     """The cluster's own way of a request, between the model's clients and hosts."""
 
-    def __init__(self, world: World, number: int, plot: Plot) -> None:
+    def __init__(self, world: World, number: int, plot: Configuration) -> None:
         self.world, self.number, self.zone = world, number, world.zone(number)
         self.name = f"gateway-{number}"
         chance = random.Random(f"{world.seed}/{number}")
@@ -218,7 +218,7 @@
         weir = Weir(Rule(5.0, 0.1, 20.0))
         bounds = Bounds(RetryExtra=64.0)
         self.harvest = Harvest(bounds, self.copies, weir, lambda: world.day.gateways, chance)
-        self.harvest.take_plot(plot)
+        self.harvest.take_configuration(plot)
 
     def ask(self, request: Request) -> None:
         now = self.world.engine.clock
@@ -290,8 +290,8 @@
         self.figures: Counter[str] = Counter()
         self.serial = 0
         self.once: set[str] = set()  # requests that may run once
-        plot = survey(self._configuration(), Plot())
-        assert isinstance(plot, Plot), plot
+        plot = survey(self._configuration(), Configuration())
+        assert isinstance(plot, Configuration), plot
         self.gateways = [Gateway(self, n, plot) for n in range(day.gateways)]
         self.hosts: dict[str, HostModel] = {}
         for service in day.services:
--- a/tests/cluster/consensus_world.py
+++ b/tests/cluster/consensus_world.py
@@ -13,8 +13,8 @@
 import simpy
 from attrs import define, field
 
-from coralvale.cluster.grafting import model as m
-from coralvale.cluster.grafting.machine import Graft, Record, Terms
+from coralvale.cluster.consensus import messages as m
+from coralvale.cluster.consensus.replica import Graft, Record, Terms
 
 TERMS = Terms()
 
--- a/tests/cluster/test_carts.py
+++ b/tests/cluster/test_carts.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from coralvale.cluster.census.register import PARTS, Register, Row, part
+from coralvale.cluster.configuration.model import Configuration, survey
 from coralvale.cluster.gates import carts
 from coralvale.cluster.gates.arrivals import DIFFERS
 from coralvale.cluster.gates.carts import Carriers, Cart, unpack
@@ -17,7 +18,6 @@
 from coralvale.cluster.gates.peers import CARRY, LOAD, OUT, WORD
 from coralvale.cluster.gates.tidings import NEAR_ONLY
 from coralvale.cluster.gates.words import Word, encode, pack_out
-from coralvale.cluster.plot.model import Plot, survey
 from coralvale.cluster.settings import parse
 from coralvale.cluster.weir.sluice import PERIOD
 from coralvale.members.model import Member, State, Update
@@ -151,9 +151,9 @@
         one = next(iter(Fleet(0).all.values()))
         assert not one.tidings.carries(one.ground.clock.monotonic())  # it knows no configuration
         one.was_ready = True
-        plot = survey(configuration(1, ["s"]), Plot())
-        assert isinstance(plot, Plot)
-        one.changes.plot = plot
+        taken = survey(configuration(1, ["s"]), Configuration())
+        assert isinstance(taken, Configuration)
+        one.changes.configuration = taken
         assert one.tidings.carries(one.ground.clock.monotonic())
         one.ground.stopping = True
         assert not one.tidings.carries(one.ground.clock.monotonic())
--- a/tests/cluster/test_plot.py
+++ b/tests/cluster/test_configuration.py
@@ -9,9 +9,9 @@
 import msgspec
 import pytest
 
+from coralvale.cluster.configuration.history import NAMED, TAKEN_ALREADY, Change, ChangeHistory, follow, pack
+from coralvale.cluster.configuration.model import Configuration, survey
 from coralvale.cluster.errors import Kind, Problem
-from coralvale.cluster.plot.almanac import NAMED, TAKEN_ALREADY, Almanac, Change, follow, pack
-from coralvale.cluster.plot.model import Plot, survey
 
 ROUTE = {
     "Vhost": "a.example", "PathPrefix": "/x/", "Kind": "idempotent", "TimeoutMs": 2500, "TargetMs": 400,
@@ -45,22 +45,22 @@
 
 
 def test_what_changes_did_is_told_by_name_and_kept_in_the_image() -> None:
-    almanac = Almanac()
-    almanac.deliver(pack(Change(0, True, body(WHOLE))))
+    history = ChangeHistory()
+    history.deliver(pack(Change(0, True, body(WHOLE))))
     more = {f"t{n:03}": {"ApiKeys": [f"key-{n}"]} for n in range(30)}
     upsert = {"Routes": {"r": {**ROUTE, "Tries": 3}, "deep": WHOLE["Routes"]["deep"]}, "Tenants": more}
-    almanac.deliver(pack(Change(2, False, body({"Ver": 5, "Upsert": upsert, "Remove": {"Tenants": ["u"]}}))))
-    first, second = almanac.steps
+    history.deliver(pack(Change(2, False, body({"Ver": 5, "Upsert": upsert, "Remove": {"Tenants": ["u"]}}))))
+    first, second = history.steps
     assert (first.version, first.base, second.version, second.base) == (2, 0, 5, 2)
     assert second.did["Routes"] == {"changed": (1, ["r"])}  # one that is sent as it was did not change
     count, names = second.did["Tenants"]["added"]
     assert count == 30 and len(names) == NAMED and second.did["Tenants"]["removed"] == (1, ["u"])
-    other = Almanac()
-    other.restore(almanac.image())
-    assert other.steps == almanac.steps and other.plot.version == 5
-    older = msgspec.msgpack.encode(msgspec.msgpack.decode(almanac.image())[:2])  # of a program without them
+    other = ChangeHistory()
+    other.restore(history.image())
+    assert other.steps == history.steps and other.configuration.version == 5
+    older = msgspec.msgpack.encode(msgspec.msgpack.decode(history.image())[:2])  # of a program without them
     other.restore(older)
-    assert not other.steps and other.plot.version == 5
+    assert not other.steps and other.configuration.version == 5
 
 
 @pytest.mark.parametrize(
@@ -83,82 +83,86 @@
     ],
 )
 def test_what_is_invalid_is_refused_with_its_place(config: Any, place: str) -> None:
-    before = survey({"Ver": 1}, Plot())
-    assert isinstance(before, Plot)
+    before = survey({"Ver": 1}, Configuration())
+    assert isinstance(before, Configuration)
     found = survey(config, before)
     assert isinstance(found, Problem) and found.kind is Kind.INVALID and place in found.reason
-    almanac = Almanac()
-    almanac.plot = before
-    assert isinstance(almanac.consider(Change(1, True, body(config))), Problem)
-    assert almanac.plot is before and not almanac.deliver(pack(Change(1, True, body(config))))
+    history = ChangeHistory()
+    history.configuration = before
+    assert isinstance(history.consider(Change(1, True, body(config))), Problem)
+    assert history.configuration is before and not history.deliver(pack(Change(1, True, body(config))))
 
 
 def test_what_cannot_be_read_whole_is_refused() -> None:
     for cut in (b"", body(WHOLE)[:-1], b"\xff", b"[" * 100_000):
-        found = Almanac().consider(Change(0, True, cut))
+        found = ChangeHistory().consider(Change(0, True, cut))
         assert isinstance(found, Problem) and found.kind is Kind.INVALID
 
 
-def take(almanac: Almanac, change: Change) -> Any:
-    found = almanac.consider(change)
-    return found if found is not None else almanac.deliver(pack(change))
+def take(history: ChangeHistory, change: Change) -> Any:
+    found = history.consider(change)
+    return found if found is not None else history.deliver(pack(change))
 
 
 def test_of_two_on_one_version_one_wins_and_the_same_again_is_taken_already() -> None:
-    almanac = Almanac()
+    history = ChangeHistory()
     first = Change(0, True, body(WHOLE))
-    assert take(almanac, first) is True
-    assert take(almanac, first) is TAKEN_ALREADY
+    assert take(history, first) is True
+    assert take(history, first) is TAKEN_ALREADY
     one = Change(2, False, body({"Ver": 4, "Upsert": {"Tenants": {"v": {"ApiKeys": ["k4"]}}}}))
     other = Change(2, False, body({"Ver": 5, "Remove": {"Routes": ["deep"]}}))
-    assert take(almanac, one) is True
-    lost = take(almanac, other)
+    assert take(history, one) is True
+    lost = take(history, other)
     assert isinstance(lost, Problem) and lost.kind is Kind.OTHER_VERSION
-    assert almanac.deliver(pack(other)) is False and almanac.plot.version == 4
+    assert history.deliver(pack(other)) is False and history.configuration.version == 4
     same_number = Change(2, False, body({"Ver": 4, "Remove": {"Routes": ["r"]}}))
-    assert isinstance(take(almanac, same_number), Problem)
-    assert take(almanac, one) is TAKEN_ALREADY
+    assert isinstance(take(history, same_number), Problem)
+    assert take(history, one) is TAKEN_ALREADY
 
 
 def test_changes_by_name_keep_what_they_do_not_name() -> None:
-    almanac = Almanac()
-    take(almanac, Change(0, True, body(WHOLE)))
-    before = almanac.plot
+    history = ChangeHistory()
+    take(history, Change(0, True, body(WHOLE)))
+    before = history.configuration
     upsert = {"Routes": {"new": {**ROUTE, "PathPrefix": "/n/"}}, "Tenants": {"u": {"ApiKeys": ["k9"]}}}
     take(
-        almanac,
+        history,
         Change(2, False, body({"Ver": 9, "Upsert": upsert, "Remove": {"Routes": ["deep", "not there"]}})),
     )
-    plot = almanac.plot
-    assert set(plot.items["Routes"]) == {"r", "new"} and plot.keys == {"k1": "t", "k2": "t", "k9": "u"}
-    assert plot.items["Routes"]["r"][1] is before.items["Routes"]["r"][1]
-    assert json.loads(almanac.config())["Limits"] == WHOLE["Limits"]
+    configuration = history.configuration
+    assert set(configuration.items["Routes"]) == {"r", "new"} and configuration.keys == {
+        "k1": "t",
+        "k2": "t",
+        "k9": "u",
+    }
+    assert configuration.items["Routes"]["r"][1] is before.items["Routes"]["r"][1]
+    assert json.loads(history.config())["Limits"] == WHOLE["Limits"]
     assert before.keys == {"k1": "t", "k2": "t", "k3": "u"}  # the old one is as it was
 
 
 def test_a_gateway_that_asks_comes_to_the_same_from_any_version() -> None:
-    almanac, seen = Almanac(), [Plot()]
-    take(almanac, Change(0, True, body(WHOLE)))
+    history, seen = ChangeHistory(), [Configuration()]
+    take(history, Change(0, True, body(WHOLE)))
     for version in range(3, 90):
-        seen.append(almanac.plot)
+        seen.append(history.configuration)
         config = {"Ver": version, "Upsert": {"Routes": {f"r{version % 7}": {**ROUTE, "TimeoutMs": version}}}}
-        assert take(almanac, Change(version - 1, False, body(config))) is True
-    for plot in seen:
-        news = almanac.since(plot.version)
+        assert take(history, Change(version - 1, False, body(config))) is True
+    for configuration in seen:
+        news = history.since(configuration.version)
         assert news is not None
-        followed = follow(plot, news)
-        assert isinstance(followed, Plot) and followed.raw == almanac.plot.raw
-    assert almanac.since(almanac.plot.version) is None
-    other = Almanac()
-    other.restore(almanac.image())
-    assert other.plot.raw == almanac.plot.raw and other.taken == almanac.taken
+        followed = follow(configuration, news)
+        assert isinstance(followed, Configuration) and followed.raw == history.configuration.raw
+    assert history.since(history.configuration.version) is None
+    other = ChangeHistory()
+    other.restore(history.image())
+    assert other.configuration.raw == history.configuration.raw and other.taken == history.taken
 
 
 def test_the_longest_prefix_is_found_whatever_their_number() -> None:
     routes = {f"r{i}": {**ROUTE, "PathPrefix": f"/p{i}/"} for i in range(5000)}
-    plot = survey(changed(Routes={**WHOLE["Routes"], **routes}), Plot())
-    assert isinstance(plot, Plot)
-    assert [found[0] if (found := plot.route("a.example", p)) else None for p in (
+    configuration = survey(changed(Routes={**WHOLE["Routes"], **routes}), Configuration())
+    assert isinstance(configuration, Configuration)
+    assert [found[0] if (found := configuration.route("a.example", p)) else None for p in (
         "/x/y/z", "/x/y/", "/x/y", "/x/", "/x", "/", "/p4999/a", "/p4999", "//x/", "/" * 9000,
     )] == ["deep", "deep", "r", "r", None, None, "r4999", None, None, None]  # fmt: skip
-    assert plot.route("b.example", "/x/") is None
+    assert configuration.route("b.example", "/x/") is None
--- a/tests/cluster/test_grafting.py
+++ b/tests/cluster/test_consensus.py
@@ -9,9 +9,9 @@
 import pytest
 from consensus_world import TERMS, Broken, World
 
-from coralvale.cluster.grafting import model as m
-from coralvale.cluster.grafting.machine import Graft, Record
-from coralvale.cluster.grafting.words import pack_seats
+from coralvale.cluster.consensus import messages as m
+from coralvale.cluster.consensus.replica import Graft, Record
+from coralvale.cluster.consensus.voters import pack_seats
 
 SEEDS = 40
 
--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -6,14 +6,14 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from test_plot import WHOLE
+from test_configuration import WHOLE
 
 from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.configuration.model import Configuration, survey
 from coralvale.cluster.gates.edge import Edge, EdgeServer
 from coralvale.cluster.gates.hosts import Hosts
 from coralvale.cluster.harvest.copies import Copies
 from coralvale.cluster.harvest.way import Harvest
-from coralvale.cluster.plot.model import Plot, survey
 from coralvale.cluster.settings import Bounds
 from coralvale.cluster.weir.sluice import Rule, Weir
 from coralvale.net.clock import Clock
@@ -39,9 +39,9 @@
         weir = Weir(Rule(5.0, 0.1, 20.0))
         harvest = Harvest(Bounds(RetryExtra=64), Copies(self.register, "z", chance), weir, lambda: 1, chance)
         config = {**WHOLE, "Limits": {"BodyBytes": 1000}}
-        plot = survey(config, Plot())
-        assert isinstance(plot, Plot)
-        harvest.take_plot(plot)
+        configuration = survey(config, Configuration())
+        assert isinstance(configuration, Configuration)
+        harvest.take_configuration(configuration)
         self.hosts = Hosts(clock, 0.5, 8.0, 100)
         self.edge = Edge(harvest, self.hosts, clock)
         self.server = EdgeServer(("127.0.0.1", 0), self.edge, 100, 1 << 20, clock)
--- a/tests/cluster/test_explore.py
+++ b/tests/cluster/test_explore.py
@@ -14,10 +14,10 @@
 
 import pytest
 from consensus_world import TERMS, Broken, Disk
-from test_grafting import SEATS, A, B, C, CountsBeforeDisk, VotesForAny
+from test_consensus import SEATS, A, B, C, CountsBeforeDisk, VotesForAny
 
-from coralvale.cluster.grafting import model as m
-from coralvale.cluster.grafting.machine import Graft, Record
+from coralvale.cluster.consensus import messages as m
+from coralvale.cluster.consensus.replica import Graft, Record
 
 STATES = 9000
 
--- a/tests/cluster/test_founding.py
+++ b/tests/cluster/test_founding.py
@@ -4,7 +4,7 @@
 
 import random
 
-from coralvale.cluster.foreman.founding import OLD, Founding
+from coralvale.cluster.bootstrap.founding import OLD, Founding
 
 IPS = tuple(f"10.0.0.{n}" for n in range(6))
 SEEDS = (IPS[4], IPS[1], IPS[2])  # the nominator is 10.0.0.1
--- a/tests/cluster/test_harvest.py
+++ b/tests/cluster/test_harvest.py
@@ -5,14 +5,14 @@
 import random
 from typing import Any
 
-from test_plot import changed
+from test_configuration import changed
 
 from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.configuration.model import Configuration, survey
 from coralvale.cluster.errors import ANSWERS, Kind, Problem, Promise
 from coralvale.cluster.harvest.budget import Budget
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.way import Harvest, Job
-from coralvale.cluster.plot.model import Plot, survey
 from coralvale.cluster.settings import Bounds
 from coralvale.cluster.weir.sluice import Rule, Weir
 from coralvale.interface import Outcome
@@ -26,9 +26,9 @@
         register.take(0.0, Row(f"i-{n}", "s", "10.0.0.1", 80 + n, "z", "v", 4, 0, 0.0, 1))
     chance = random.Random(3)
     made = Harvest(BOUNDS, Copies(register, "z", chance), Weir(Rule(5, 0.1, 20)), lambda: 1, chance)
-    plot = survey(changed(**at), Plot())
-    assert isinstance(plot, Plot)
-    assert made.take_plot(plot)
+    configuration = survey(changed(**at), Configuration())
+    assert isinstance(configuration, Configuration)
+    assert made.take_configuration(configuration)
     return made
 
 
@@ -70,8 +70,12 @@
 
 def test_a_version_never_goes_back() -> None:
     made = harvest()
-    older = survey({**changed(), "Ver": 1}, Plot())
-    assert isinstance(older, Plot) and not made.take_plot(older) and made.plot.version == 2
+    older = survey({**changed(), "Ver": 1}, Configuration())
+    assert (
+        isinstance(older, Configuration)
+        and not made.take_configuration(older)
+        and made.configuration.version == 2
+    )
 
 
 def test_what_may_run_once_is_never_sent_again_nor_refused_when_it_may_have_run() -> None:
--- a/tests/cluster/test_home.py
+++ b/tests/cluster/test_home.py
@@ -15,15 +15,15 @@
 from typing import Any
 
 import pytest
-from test_plot import ROUTE, changed
+from test_configuration import ROUTE, changed
 
 from coralvale.cluster import commands
 from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.configuration.model import Configuration, survey
 from coralvale.cluster.errors import ANSWERS, Kind, Problem, Promise
 from coralvale.cluster.harvest.copies import Copies
 from coralvale.cluster.harvest.home import Home
 from coralvale.cluster.harvest.way import Harvest, Job
-from coralvale.cluster.plot.model import Plot, survey
 from coralvale.cluster.regions import parse
 from coralvale.cluster.settings import Bounds, SettingsError
 from coralvale.cluster.weir.sluice import Rule, Weir
@@ -58,21 +58,21 @@
         if self.cut or now - self.restarted < 0.2:
             return
         self.home.heard = now - self.late  # what it is told was so a while ago
-        news = [plot for at, plot in self.world.history if at <= now - self.late]
+        news = [configuration for at, configuration in self.world.history if at <= now - self.late]
         if news:
-            self.harvest.take_plot(news[-1])
+            self.harvest.take_configuration(news[-1])
 
 
 class World:
     def __init__(self, seed: int, kind: type[Home] = Home) -> None:
         self.chance, self.kind, self.now = random.Random(seed), kind, 100.0
-        self.history: list[tuple[float, Plot]] = []
+        self.history: list[tuple[float, Configuration]] = []
         self.change()
         self.nodes = [Node(self, zone, ZONES[zone]) for zone in ZONES]
         self.served = 0
 
     def change(self) -> None:
-        before = self.history[-1][1] if self.history else Plot()
+        before = self.history[-1][1] if self.history else Configuration()
         region = self.chance.choice(REGIONS)
         config = {
             "Ver": before.version + self.chance.randrange(1, 5),
@@ -82,9 +82,9 @@
             },
             "Svcs": {"free": {}, "bound": {"Region": region}},
         }  # fmt: skip
-        plot = survey(config, before)
-        assert isinstance(plot, Plot), plot
-        self.history.append((self.now, plot))
+        configuration = survey(config, before)
+        assert isinstance(configuration, Configuration), configuration
+        self.history.append((self.now, configuration))
 
     def bound_to(self, begun_by: float) -> set[str]:
         """Regions that something begun at a moment may be bound to: those in force since, or a while before."""
@@ -110,7 +110,7 @@
             new.cut, new.restarted = node.cut, self.now
             old = [p for at, p in self.history if at < self.now - self.chance.uniform(0, 20)]
             if old:
-                new.harvest.take_plot(old[-1])
+                new.harvest.take_configuration(old[-1])
         for each in self.nodes:
             each.follow(self.now)
         for each in self.nodes:
@@ -181,8 +181,8 @@
     raise AssertionError(f"{kind.__doc__} nothing broke")
 
 
-def bound(**at: Any) -> Plot | Problem:
-    return survey(changed(**at), Plot())
+def bound(**at: Any) -> Configuration | Problem:
+    return survey(changed(**at), Configuration())
 
 
 def test_bindings_are_checked_with_their_place() -> None:
@@ -195,15 +195,15 @@
     found = bound(Svcs=two, Routes__r__Region="delta")
     assert isinstance(found, Problem) and "Routes.r.Region: 'delta'" in found.reason
     before = bound()
-    assert isinstance(before, Plot)
+    assert isinstance(before, Configuration)
     # The same services, one of them bound now: routes that did not change are looked at again.
     narrowed = survey(changed(Ver=3, Routes__r__Region="delta"), before)
-    assert isinstance(narrowed, Plot) and narrowed.narrowed
+    assert isinstance(narrowed, Configuration) and narrowed.narrowed
     again = survey(changed(Ver=4, Routes__r__Region="delta", Svcs__s__Region="coast"), narrowed)
     assert isinstance(again, Problem) and "Routes.r.Region" in again.reason
 
 
-def at(region: str, plot: Plot | Problem, heard: float = 1.0, **rules: str) -> Harvest:
+def at(region: str, configuration: Configuration | Problem, heard: float = 1.0, **rules: str) -> Harvest:
     register, chance = Register(1e6), random.Random(1)
     for n, zone in enumerate(ZONES):
         register.take(0.0, Row(f"i-{zone}", "s", "10.0.0.1", 80 + n, zone, "v", 4, 0, 0.0, 1))
@@ -211,7 +211,7 @@
     home.heard = heard
     copies = Copies(register, f"{region}-1", chance, home)
     made = Harvest(Bounds(RetryExtra=64), copies, Weir(Rule(5, 0.1, 20)), lambda: 6, chance)
-    assert isinstance(plot, Plot) and made.take_plot(plot)
+    assert isinstance(configuration, Configuration) and made.take_configuration(configuration)
     return made
 
 
@@ -220,16 +220,16 @@
 
 
 def test_abroad_it_is_refused_by_its_head_alone_with_a_promise_and_nothing_of_it_is_kept() -> None:
-    plot = bound(Svcs__s__Region="coast")
+    configuration = bound(Svcs__s__Region="coast")
     for region in ("delta", ""):
-        made = at(region, plot)
+        made = at(region, configuration)
         for found in (made.head(1.0, "a.example", "/x/secret-slot"), entered(made, path="/x/secret-slot")):
             assert isinstance(found, Problem) and found.kind is Kind.FOREIGN and not found.reason
             assert ANSWERS[found.kind].promise is Promise.NOT_RUN and found.status == 421
         assert made.home.refused == {"coast": 2} and "secret" not in str(vars(made.home))
         assert "secret" not in str(made.newest)
         assert not made.weir.tenants  # its quota is not charged abroad
-    assert at("coast", plot).head(1.0, "a.example", "/x/1") is None
+    assert at("coast", configuration).head(1.0, "a.example", "/x/1") is None
     assert at("delta", bound()).head(1.0, "a.example", "/x/1") is None
 
 
@@ -260,8 +260,8 @@
     made = at("coast", bound(Svcs__s__Region="coast"))
     job = entered(made)
     assert isinstance(job, Job) and not isinstance(made.pick(1.0, job), Problem)
-    moved = survey(changed(Ver=9, Svcs__s__Region="delta"), made.plot)
-    assert isinstance(moved, Plot) and made.take_plot(moved)
+    moved = survey(changed(Ver=9, Svcs__s__Region="delta"), made.configuration)
+    assert isinstance(moved, Configuration) and made.take_configuration(moved)
     job.maybe = True
     found = made.pick(1.1, job)
     assert isinstance(found, Problem) and found.kind is Kind.MAYBE_RUN  # it ends where it began, unpromised
--- a/tests/cluster/test_news.py
+++ b/tests/cluster/test_news.py
@@ -9,9 +9,9 @@
 
 import pytest
 
+from coralvale.cluster.configuration.history import Change, ChangeHistory, pack
 from coralvale.cluster.gates.node import GatewayNode
 from coralvale.cluster.gates.words import Ask, Parcel, Told
-from coralvale.cluster.plot.almanac import Almanac, Change, pack
 from coralvale.cluster.settings import parse
 from coralvale.standins.cluster import configuration, settings
 
@@ -20,8 +20,8 @@
 
 def first_news(sure: bool) -> tuple[GatewayNode, list[str]]:
     """One without a disk that knows nobody but its seeds, after its first answer."""
-    almanac = Almanac()
-    assert almanac.deliver(pack(Change(0, True, json.dumps(configuration(3, ["s"])).encode())))
+    history = ChangeHistory()
+    assert history.deliver(pack(Change(0, True, json.dumps(configuration(3, ["s"])).encode())))
 
     async def whole() -> tuple[GatewayNode, list[str]]:
         node = GatewayNode(parse(settings(4, IPS, 3, Path("/nowhere"), False)), "")
@@ -34,9 +34,9 @@
             async def request(self, number: int, parcel: Parcel, patience: float) -> Told:
                 asked.append(self.ip)
                 assert isinstance(parcel, Ask)
-                if node.changes.plot.version:
+                if node.changes.configuration.version:
                     await asyncio.Event().wait()  # nothing newer: the question is kept
-                return Told(number, almanac.since(parcel.version), False, sure)
+                return Told(number, history.since(parcel.version), False, sure)
 
         fake: Any = node
         fake.front = Any
@@ -55,6 +55,6 @@
     sure: bool,
 ) -> None:
     node, asked = first_news(sure)
-    assert set(asked) <= set(IPS[:3]) and node.changes.plot.version == 3  # it serves by it
+    assert set(asked) <= set(IPS[:3]) and node.changes.configuration.version == 3  # it serves by it
     now = node.ground.clock.monotonic()
     assert node.home.fresh(now) is sure  # but nothing that is bound until it hears one that is settled
--- a/tests/cluster/test_power.py
+++ b/tests/cluster/test_power.py
@@ -1,7 +1,7 @@
 """A kill, and a loss of power, at every operation of the disk.
 
-A recorder under sqlite (a VFS of `apsw`) writes down each write, sync, cut and removal while a cellar is used:
-the trace. Then the disk is laid as it may stand after each of them, and read by the cellar as it is:
+A recorder under sqlite (a VFS of `apsw`) writes down each write, sync, cut and removal while a store is used:
+the trace. Then the disk is laid as it may stand after each of them, and read by the store as it is:
 
 - killed: all operations so far are there;
 - power lost: what syncs covered is there; of later writes none, or, by lot, each there, missing or torn, as
@@ -19,11 +19,11 @@
 import apsw
 import pytest
 
-from coralvale.cluster.cellar.store import NAME, Cellar
 from coralvale.cluster.census.register import Row
-from coralvale.cluster.grafting import model as m
-from coralvale.cluster.grafting.machine import Record
-from coralvale.cluster.grafting.words import pack_seats
+from coralvale.cluster.consensus import messages as m
+from coralvale.cluster.consensus.replica import Record
+from coralvale.cluster.consensus.voters import pack_seats
+from coralvale.cluster.storage.store import NAME, Store
 
 Operation = tuple[str, str, int, bytes]  # what, file, where, bytes
 recorders: list[Recorder] = []
@@ -64,8 +64,8 @@
         super().xDelete(name, sync_folder)
 
 
-class Recorded(Cellar):
-    """The cellar as it is, on the recorder."""
+class Recorded(Store):
+    """The store as it is, on the recorder."""
 
     pragmas: tuple[str, ...] = ()
 
@@ -123,16 +123,16 @@
     """The trace; how long it was when each write was answered; what each led to."""
     recorder = Recorder("recorder")
     recorders.append(recorder)
-    cellar, answered, led = kind(str(folder)), [len(recorder.trace)], [Record()]
+    store, answered, led = kind(str(folder)), [len(recorder.trace)], [Record()]
     for write in writes():
         if isinstance(write, list):
-            cellar.put_hosts(write)
+            store.put_hosts(write)
             continue
-        cellar.write([write])
+        store.write([write])
         answered.append(len(recorder.trace))
-        led.append(cellar.load())
+        led.append(store.load())
     trace = list(recorder.trace)
-    cellar.close()
+    store.close()
     recorder.unregister()
     recorders.pop()
     return trace, answered, led
@@ -194,11 +194,11 @@
         file.unlink()
     for name, data in files.items():
         (folder / name).write_bytes(data)
-    cellar = Cellar(str(folder))
+    store = Store(str(folder))
     try:
-        return cellar.load()
+        return store.load()
     finally:
-        cellar.close()
+        store.close()
 
 
 def play(folder: Path, kind: type[Recorded]) -> int:
--- a/tests/cluster/test_readers.py
+++ b/tests/cluster/test_readers.py
@@ -11,9 +11,11 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_plot import WHOLE
+from test_configuration import WHOLE
 
 from coralvale.cluster.census.register import Row
+from coralvale.cluster.configuration.history import Change, ChangeHistory
+from coralvale.cluster.configuration.model import Configuration, survey
 from coralvale.cluster.errors import Problem
 from coralvale.cluster.gates.ctl import read_beat
 from coralvale.cluster.gates.peers import Frames, Peers
@@ -33,8 +35,6 @@
     unpack_out,
     unpack_use,
 )
-from coralvale.cluster.plot.almanac import Almanac, Change
-from coralvale.cluster.plot.model import Plot, survey
 from coralvale.cluster.settings import Settings, SettingsError, parse
 from coralvale.standins.cluster import settings as settings_text
 
@@ -50,9 +50,9 @@
 @ROUNDS
 @given(st.binary(max_size=200) | JSON.map(msgspec.json.encode))
 def test_configurations_and_beats_that_are_anything(data: bytes) -> None:
-    found = Almanac().consider(Change(0, True, data))
+    found = ChangeHistory().consider(Change(0, True, data))
     assert isinstance(found, Problem) and found.reason
-    assert isinstance(Almanac().consider(Change(0, False, data)), Problem)
+    assert isinstance(ChangeHistory().consider(Change(0, False, data)), Problem)
     assert isinstance(read_beat("i-1", data), Problem | Row)
 
 
@@ -64,8 +64,8 @@
 )
 def test_a_configuration_with_anything_in_one_place(section: str, name: str, value: Any) -> None:
     config = {**WHOLE, section: {**WHOLE[section], name: value}}
-    found = survey(msgspec.json.decode(msgspec.json.encode(config)), Plot())
-    assert isinstance(found, Plot) or found.reason
+    found = survey(msgspec.json.decode(msgspec.json.encode(config)), Configuration())
+    assert isinstance(found, Configuration) or found.reason
 
 
 @ROUNDS
--- a/tests/cluster/test_cellar.py
+++ b/tests/cluster/test_storage.py
@@ -9,33 +9,33 @@
 from pathlib import Path
 
 import pytest
-from test_plot import WHOLE, body
+from test_configuration import WHOLE, body
 
 from coralvale.cluster import commands
-from coralvale.cluster.cellar.keeper import KeeperError, export, look, restore
-from coralvale.cluster.cellar.store import NAME, Cellar, CellarError
 from coralvale.cluster.census.register import Row
-from coralvale.cluster.grafting import model as m
-from coralvale.cluster.grafting.words import pack_seats
-from coralvale.cluster.plot.almanac import Change, pack
+from coralvale.cluster.configuration.history import Change, pack
+from coralvale.cluster.consensus import messages as m
+from coralvale.cluster.consensus.voters import pack_seats
+from coralvale.cluster.storage.keeper import KeeperError, export, look, restore
+from coralvale.cluster.storage.store import NAME, Store, StoreError
 
 SEATS = m.Seats((m.Member("a", "gateway-a", "10.0.0.1"),))
 
 
-def filled(folder: Path, upto: int = 3) -> Cellar:
-    cellar = Cellar(str(folder))
+def filled(folder: Path, upto: int = 3) -> Store:
+    store = Store(str(folder))
     first = m.Entry(1, 1, m.SEATS, pack_seats(SEATS))
     change = m.Entry(2, 1, m.CHANGE, pack(Change(0, True, body(WHOLE))))
     later = body({"Ver": 7, "Remove": {"Routes": ["deep"]}})
     last = m.Entry(3, 1, m.CHANGE, pack(Change(2, False, later)))
     for number, entry in enumerate((first, change, last)[:upto], 1):
-        cellar.write([m.Write(number, 1, "a", number, None, (entry,))])
-    return cellar
+        store.write([m.Write(number, 1, "a", number, None, (entry,))])
+    return store
 
 
 def test_what_was_written_is_read_and_a_snapshot_takes_the_place_of_what_led_to_it(tmp_path: Path) -> None:
-    cellar = filled(tmp_path)
-    record = cellar.load()
+    store = filled(tmp_path)
+    record = store.load()
     assert (record.view, record.vote, record.commit, [e.seq for e in record.entries]) == (
         1,
         "a",
@@ -43,32 +43,32 @@
         [1, 2, 3],
     )
     saved = m.Saved(2, 1, SEATS, b"")
-    cellar.write(
+    store.write(
         [m.Write(4, 2, "b", 3, None, (), saved), m.Write(5, 2, "b", 3, 3, (m.Entry(3, 2, m.OPENING),))]
     )
-    cellar.close()
-    again = Cellar(str(tmp_path))
+    store.close()
+    again = Store(str(tmp_path))
     record = again.load()
-    assert again.id == cellar.id and record.saved == saved
+    assert again.id == store.id and record.saved == saved
     assert [(e.seq, e.view) for e in record.entries] == [(3, 2)]
 
 
 def test_a_write_that_fails_half_way_leaves_nothing(tmp_path: Path) -> None:
-    cellar = filled(tmp_path)
+    store = filled(tmp_path)
     bad = m.Entry(4, 1, m.CHANGE, object())  # type: ignore[arg-type]
     with pytest.raises(sqlite3.Error):
-        cellar.write([m.Write(4, 9, "z", 3, 2, (m.Entry(2, 9, m.OPENING), bad))])
-    record = cellar.load()
+        store.write([m.Write(4, 9, "z", 3, 2, (m.Entry(2, 9, m.OPENING), bad))])
+    record = store.load()
     assert (record.view, [(e.seq, e.view) for e in record.entries]) == (1, [(1, 1), (2, 1), (3, 1)])
-    cellar.write([m.Write(4, 1, "a", 3, None, (m.Entry(4, 1, m.OPENING),))])  # and it goes on
-    assert len(cellar.load().entries) == 4
+    store.write([m.Write(4, 1, "a", 3, None, (m.Entry(4, 1, m.OPENING),))])  # and it goes on
+    assert len(store.load().entries) == 4
 
 
 def test_power_lost_at_any_write_leaves_what_was_synced_before(tmp_path: Path) -> None:
     """Copies of the folder as it stands after each write, with the newest log torn off: what is read is a
     beginning of what was written, and never less than what the torn write came after."""
     source, seen = tmp_path / "source", []
-    cellar = filled(source)
+    store = filled(source)
     log = source / f"{NAME}-wal"
     size = log.stat().st_size
     for cut in range(0, size, max(1, size // 60)):
@@ -78,12 +78,12 @@
         with (copy / log.name).open("r+b") as file:
             file.truncate(cut)
         try:
-            torn = Cellar(str(copy))
-        except CellarError as error:
+            torn = Store(str(copy))
+        except StoreError as error:
             raise AssertionError(f"cut at {cut}: {error}") from error
         seen.append([e.seq for e in torn.load().entries])
         torn.close()
-    cellar.close()
+    store.close()
     assert all(entries == list(range(1, len(entries) + 1)) for entries in seen)
     assert [len(e) for e in seen] == sorted(len(e) for e in seen) and {0, 1, 2} <= {len(e) for e in seen}
 
@@ -91,27 +91,27 @@
 def test_what_is_not_ours_or_newer_is_refused_by_name(tmp_path: Path) -> None:
     (tmp_path / "foreign").mkdir()
     (tmp_path / "foreign" / NAME).write_bytes(b"not a database at all" * 400)
-    with pytest.raises(CellarError, match=NAME):
-        Cellar(str(tmp_path / "foreign"))
-    cellar = filled(tmp_path / "newer")
-    cellar.db.execute("UPDATE fact SET value = 99 WHERE name = 'layout'")
-    cellar.close()
-    with pytest.raises(CellarError, match="layout 99"):
-        Cellar(str(tmp_path / "newer"))
+    with pytest.raises(StoreError, match=NAME):
+        Store(str(tmp_path / "foreign"))
+    store = filled(tmp_path / "newer")
+    store.db.execute("UPDATE fact SET value = 99 WHERE name = 'layout'")
+    store.close()
+    with pytest.raises(StoreError, match="layout 99"):
+        Store(str(tmp_path / "newer"))
     holed = filled(tmp_path / "holed")
     holed.db.execute("DELETE FROM entry WHERE seq = 2")
-    with pytest.raises(CellarError, match="missing"):
+    with pytest.raises(StoreError, match="missing"):
         holed.load()
 
 
 def test_hosts_are_remembered_and_no_harm_if_not(tmp_path: Path) -> None:
-    cellar = filled(tmp_path)
+    store = filled(tmp_path)
     rows = [Row(f"i-{n}", "s", "10.0.0.1", 80 + n, "z", "v", 4, 0, 0.0, n) for n in range(30)]
-    assert cellar.hosts() == []
-    cellar.put_hosts(rows)
-    cellar.put_hosts(rows[:20])
-    cellar.close()
-    again = Cellar(str(tmp_path))
+    assert store.hosts() == []
+    store.put_hosts(rows)
+    store.put_hosts(rows[:20])
+    store.close()
+    again = Store(str(tmp_path))
     assert sorted(again.hosts(), key=lambda r: r.port) == rows[:20] and len(again.load().entries) == 3
     again.db.execute("UPDATE host SET row = 'torn'")
     assert again.hosts() == []
