--- a/coralvale/cluster/configuration/history.py
+++ b/coralvale/cluster/configuration/history.py
@@ -16,7 +16,7 @@
 from coralvale.cluster.configuration.model import Configuration, amend, differences, survey
 from coralvale.cluster.errors import Kind, Problem
 
-TAKEN = 256  # changes that are remembered, to know one that is sent again
+REMEMBERED = 4096  # changes that are remembered, to know one that is sent again: 12 bytes and a version each
 NEWS = 64  # of them, that are handed on one by one
 STEPS = 64  # changes of which is remembered what they did
 NAMED = 12  # names that are remembered of each kind in each section
@@ -49,6 +49,7 @@
     config: bytes  # JSON
     taken: tuple[tuple[int, bytes], ...]
     steps: tuple[Step, ...] = ()
+    oldest_base: int = 0  # of the changes in `taken`
 
 
 class News(msgspec.Struct, frozen=True, array_like=True):
@@ -62,7 +63,11 @@
     """A change that is in force already."""
 
 
-TAKEN_ALREADY = Taken()
+class Forgotten:
+    """A change on a base so old that whether it was taken is not remembered any more."""
+
+
+TAKEN_ALREADY, FORGOTTEN = Taken(), Forgotten()
 _image, _json = msgspec.msgpack.Decoder(Image).decode, msgspec.json.decode
 _change = msgspec.msgpack.Decoder(Change).decode
 
@@ -90,16 +95,23 @@
 class ChangeHistory:
     def __init__(self) -> None:
         self.configuration = Configuration()
-        self.taken: OrderedDict[int, bytes] = OrderedDict()  # version: digest of the change that led to it
+        self.taken: OrderedDict[bytes, int] = OrderedDict()  # digest of a change: the version that it led to
+        self.oldest_base = 0  # a change on an older base may have been taken and forgotten
         self.news: deque[tuple[int, int, Change]] = deque(maxlen=NEWS)  # from, to, change
         self.steps: deque[Step] = deque(maxlen=STEPS)
         self.planned: tuple[bytes, Configuration] | None = None  # what the newest consideration led to
 
-    def consider(self, change: Change) -> Problem | Taken | None:
+    def was_taken(self, change: Change) -> bool:
+        """Whether this very change (its bytes, on its base) is among those remembered."""
+        return change.digest() in self.taken
+
+    def consider(self, change: Change) -> Problem | Taken | Forgotten | None:
         """Why a change is not to be ordered; None if it is."""
         digest = change.digest()
-        if digest in self.taken.values():
+        if digest in self.taken:
             return TAKEN_ALREADY
+        if change.base < self.oldest_base:
+            return FORGOTTEN
         if change.base != self.configuration.version:
             return Problem(Kind.OTHER_VERSION, f"version {self.configuration.version} is current")
         planned = plan(change, self.configuration)
@@ -122,9 +134,9 @@
         self.news.append((self.configuration.version, planned.version, change))
         self._remember(change, planned)
         self.configuration = planned
-        self.taken[planned.version] = digest
-        while len(self.taken) > TAKEN:
-            self.taken.popitem(last=False)
+        self.taken[digest] = planned.version
+        while len(self.taken) > REMEMBERED:
+            _, self.oldest_base = self.taken.popitem(last=False)
         return True
 
     def _remember(self, change: Change, planned: Configuration) -> None:
@@ -138,7 +150,8 @@
         return msgspec.json.encode(self.configuration.raw)
 
     def image(self) -> bytes:
-        return msgspec.msgpack.encode(Image(self.config(), tuple(self.taken.items()), tuple(self.steps)))
+        taken = tuple((version, digest) for digest, version in self.taken.items())
+        return msgspec.msgpack.encode(Image(self.config(), taken, tuple(self.steps), self.oldest_base))
 
     def restore(self, body: bytes) -> None:
         """Takes what `image` gave, at another member or before this process began."""
@@ -151,7 +164,9 @@
             configuration, Problem
         ):  # it was checked before it was taken: only another program's checks differ
             raise ValueError(f"the configuration kept cannot be used: {configuration.reason}")
-        self.configuration, self.taken = configuration, OrderedDict(image.taken)
+        self.configuration = configuration
+        self.taken = OrderedDict((digest, version) for version, digest in image.taken)
+        self.oldest_base = image.oldest_base
         self.steps = deque(image.steps, maxlen=STEPS)
         self.news.clear()
 
--- /dev/null
+++ b/coralvale/cluster/consensus/election.py
@@ -0,0 +1,133 @@
+"""Elections: pre-votes, votes, the begin and the end of a leadership."""
+
+from __future__ import annotations
+
+from coralvale.cluster.consensus.messages import (
+    OPENING,
+    Send,
+    Settled,
+    TransferLeadership,
+    VoteReply,
+    VoteRequest,
+)
+from coralvale.cluster.consensus.state import Progress, ReplicaState
+
+
+class Elections(ReplicaState):
+    """Sources: the pre-vote and the votes of Ongaro and Ousterhout (ATC 2014)."""
+
+    pre_votes: set[str] | None = None  # who would vote for this replica; None: it does not ask
+    votes: set[str] | None = None
+    vote_write = 0  # the write that has the own vote
+
+    def _enter(self, now: float, view: int, leader: str) -> None:
+        """Takes up a newer view, or its leader; what was going on in the one before ends."""
+        if self.leading or self.tokens:
+            self._step_down(now)
+        if view > self.view:
+            self.view, self.vote = view, ""
+        self.leader, self.leading = leader, False
+        self.pre_votes = self.votes = None
+
+    def _step_down(self, now: float) -> None:
+        """What was proposed here is no longer this replica's to settle."""
+        self.leading, self.leader = False, ""
+        self.heard, self.wait = now, self._election_wait()
+        self.peers.clear()
+        self.out += [Settled(token, False) for token in self.tokens.values()]
+        self.tokens.clear()
+
+    def _election_wait(self) -> float:
+        return self.timing.election * (1 + self.chance.random())
+
+    # A candidate
+
+    def _election_tick(self, now: float) -> None:
+        if now - self.heard <= self.wait:
+            return
+        if not self.is_voter:
+            self.leader = ""
+            return
+        self.heard, self.wait, self.leader = now, self._election_wait(), ""
+        if not self.leaving:
+            self._ask_pre_votes()
+
+    def _vote_request(self, view: int, pre_vote: bool, transferred: bool = False) -> VoteRequest:
+        last_view = self._view_of(self.last) or 0
+        return VoteRequest(view, self.me.id, last_view, self.last, pre_vote, transferred)
+
+    def _to_voters(self, request: VoteRequest) -> list[Send]:
+        return [Send(m, request) for m in self.voters.all().values() if m.id != self.me.id]
+
+    def _ask_pre_votes(self) -> None:
+        self.pre_votes, self.votes = {self.me.id}, None
+        self.out += self._to_voters(self._vote_request(self.view + 1, True))
+        if self.voters.majority(self.pre_votes):
+            self._campaign(self.heard)
+
+    def _campaign(self, now: float, transferred: bool = False) -> None:
+        """The own vote counts when it is on disk; the requests go out then, so that answers come after it."""
+        self.view, self.vote, self.leader = self.view + 1, self.me.id, ""
+        self.heard, self.wait = now, self._election_wait()
+        self.pre_votes, self.votes = None, {self.me.id}
+        self._write(self._to_voters(self._vote_request(self.view, False, transferred)))
+        self.vote_write = self.number
+
+    def _count_vote(self, now: float, reply: VoteReply) -> None:
+        if reply.view > self.view and not reply.granted:
+            self._enter(now, reply.view, "")
+        elif not reply.granted:
+            return
+        elif reply.pre_vote:
+            if self.pre_votes is not None and reply.view == self.view + 1:
+                self.pre_votes.add(reply.sender)
+                if self.voters.majority(self.pre_votes):
+                    self._campaign(now)
+        elif self.votes is not None and reply.view == self.view and not self.leading:
+            self.votes.add(reply.sender)
+            self._lead_if_elected(now)
+
+    def _lead_if_elected(self, now: float) -> None:
+        if self.votes is not None and self.written >= self.vote_write and self.voters.majority(self.votes):
+            self._lead(now)
+
+    def _lead(self, now: float) -> None:
+        """Leads the view, and goes on from all that this disk has."""
+        self.pre_votes = self.votes = None
+        self.leading, self.leader = True, self.me.id
+        self.peers = {i: Progress(self.last + 1, heard=now, contact=now) for i in self._others()}
+        self._append(now, OPENING)
+
+    # A voter
+
+    def _answer_vote(self, now: float, ask: VoteRequest) -> None:
+        as_new = (ask.last_view, ask.last_seq) >= (self._view_of(self.last) or 0, self.last)
+        followed = self.in_contact(now)
+        if ask.pre_vote:
+            granted = as_new and ask.view > self.view and not followed
+            self._reply(ask.sender, VoteReply(ask.view if granted else self.view, self.me.id, granted, True))
+            return
+        if ask.view > self.view and (ask.transferred or not followed):
+            self._enter(now, ask.view, "")
+        if as_new and ask.view == self.view and self.vote in ("", ask.sender) and not self.leader:
+            self.vote, self.heard = ask.sender, now
+            if member := self._member(ask.sender):
+                self._write([Send(member, VoteReply(self.view, self.me.id, True))])
+        else:
+            self._reply(ask.sender, VoteReply(self.view, self.me.id, False))
+
+    # A leader that leaves
+
+    def _transfer(self, now: float) -> None:
+        """Names the voter in contact whose disk has the most."""
+        voters = self.voters.all()
+        there = [
+            (p.match, i)
+            for i, p in self.peers.items()
+            if i in voters and now - p.heard < self.timing.silence and not self._is_leaving(i)
+        ]
+        if there:
+            self.out.append(Send(voters[max(there)[1]], TransferLeadership(self.view, self.me.id)))
+
+    def _is_leaving(self, name: str) -> bool:
+        return False
--- a/coralvale/cluster/consensus/messages.py
+++ b/coralvale/cluster/consensus/messages.py
@@ -1,6 +1,6 @@
-"""Types of the order of changes: members, entries, messages between members, events in and actions out.
+"""Types of the consensus among replicas: members, entries, messages between replicas, actions for the caller.
 
-The wire between members is msgspec's array form: a field that a newer program adds stands at the end with a
+The wire between replicas is msgspec's array form: a field that a newer program adds stands at the end with a
 default. Times are seconds of a clock that never steps back.
 """
 
@@ -9,21 +9,21 @@
 import msgspec
 from attrs import frozen
 
-# Kinds of entries.
-OPENING, CHANGE, SEATS, READ = 0, 1, 2, 3
+# Kinds of entries. READ was written by earlier versions for each reading; it has no effect.
+OPENING, CHANGE, VOTERS, READ = 0, 1, 2, 3
+OLD_VERSION = -1  # instead of a round, from a version that does not tell it
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
-    """One disk's life: `id` is drawn when an empty disk is first used, so a disk that was lost is
-    nobody's."""
+    """One disk's life: `id` is drawn when an empty disk is first used, so a disk that was lost is nobody's."""
 
     id: str
     name: str
     ip: str
 
 
-class Seats(msgspec.Struct, frozen=True, array_like=True):
-    """Who votes. While a change of members is on its way, majorities of both `old` and `new` are needed."""
+class VoterSet(msgspec.Struct, frozen=True, array_like=True):
+    """Who votes. While it changes (a joint configuration), majorities of both `old` and `new` are needed."""
 
     new: tuple[Member, ...]
     old: tuple[Member, ...] = ()
@@ -33,8 +33,8 @@
 
     def majority(self, ids: set[str]) -> bool:
         """Whether these members are enough, in each of the sets that count."""
-        groups = [g for g in (self.old, self.new) if g]
-        return bool(groups) and all(2 * sum(m.id in ids for m in g) > len(g) for g in groups)
+        groups = [group for group in (self.old, self.new) if group]
+        return bool(groups) and all(2 * sum(m.id in ids for m in group) > len(group) for group in groups)
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
@@ -44,38 +44,41 @@
     body: bytes = b""
 
 
-class Saved(msgspec.Struct, frozen=True, array_like=True):
-    """All that entries up to `seq` led to."""
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """All that the entries up to `seq` led to."""
 
     seq: int
     view: int
-    seats: Seats
+    voters: VoterSet
     body: bytes
 
 
-# Messages. Each names the disk's life that sends it, and the view it is in.
+# Messages. Each names the disk that sends it, and the view that its sender is in.
 
 
-class Canvass(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Asks for a vote. `trial`: only whether one would be given. `named`: the holder named this one."""
+class VoteRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """`pre_vote`: only asks whether a vote would be given. `transferred`: the leader named this candidate."""
 
     view: int
     sender: str
     last_view: int
     last_seq: int
-    trial: bool = False
-    named: bool = False
+    pre_vote: bool = False
+    transferred: bool = False
 
 
-class Ballot(msgspec.Struct, frozen=True, array_like=True, tag=2):
+class VoteReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
     view: int
     sender: str
-    given: bool
-    trial: bool = False
+    granted: bool
+    pre_vote: bool = False
 
 
-class Extend(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """From the holder: what follows the entry before, and up to where all is delivered."""
+class Append(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """From the leader: what follows the entry before, and up to where all is committed.
+
+    `round` counts the leader's broadcasts in its view: a reply that echoes it was made after that broadcast.
+    """
 
     view: int
     sender: str
@@ -83,39 +86,82 @@
     before_view: int
     commit: int
     entries: tuple[Entry, ...] = ()
+    round: int = 0
 
 
-class Extended(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """`seq`: up to where the sender's disk agrees with the holder; if not `fits`, from where to try again."""
+class AppendReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """`seq`: up to where the sender's disk agrees with the leader's log; if not `accepted`, from where to try
+    again. `round`: the one of the `Append` that it answers, 0 for none; `OLD_VERSION` where it is not told."""
 
     view: int
     sender: str
-    fits: bool
+    accepted: bool
     seq: int
+    round: int = OLD_VERSION
 
 
-class Copy(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """From the holder to one that lacks entries which are no longer kept one by one."""
+class TransferLeadership(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """The leader leaves, and names the replica that is to follow it."""
 
     view: int
     sender: str
-    saved: Saved
 
 
-class Successor(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """The holder leaves and names the one that is to go on."""
+class JoinRequest(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """A disk without a vote asks to be kept up to date, and to vote when one more is needed."""
+
+    member: Member
+
+
+class SnapshotPart(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Bytes of an encoded `Snapshot`, from the leader to one that lacks entries which are no longer kept."""
 
     view: int
     sender: str
+    seq: int
+    checksum: int  # crc32 of all of it; with `seq` and `size` it tells one snapshot from another
+    size: int
+    offset: int
+    data: bytes
 
 
-class Join(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """A disk that is in no view, and wants to be."""
+class SnapshotPartReply(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """`offset`: up to where the snapshot has come."""
 
-    member: Member
+    view: int
+    sender: str
+    checksum: int
+    offset: int
 
 
-Message = Canvass | Ballot | Extend | Extended | Copy | Successor | Join
+class LeaveRequest(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """A replica that is being stopped asks whether it may end."""
+
+    view: int
+    sender: str
+
+
+class LeaveReply(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """`safe`: all that is committed is on disk at a majority of those that stay."""
+
+    view: int
+    sender: str
+    safe: bool
+
+
+FromLeader = Append | TransferLeadership | SnapshotPart
+Message = (
+    VoteRequest
+    | VoteReply
+    | Append
+    | AppendReply
+    | TransferLeadership
+    | JoinRequest
+    | SnapshotPart
+    | SnapshotPartReply
+    | LeaveRequest
+    | LeaveReply
+)
 
 # Actions
 
@@ -128,7 +174,7 @@
 
 @frozen
 class Write:
-    """To be put on disk and synced, in the order given; `Wrote(number)` answers it."""
+    """To be put on disk and synced, in the order given; `Replica.wrote(number)` answers it."""
 
     number: int
     view: int
@@ -136,12 +182,13 @@
     commit: int
     cut: int | None = None  # entries from this seq on are taken out first
     entries: tuple[Entry, ...] = ()
-    saved: Saved | None = None  # takes the place of all entries up to its seq
+    snapshot: Snapshot | None = None  # takes the place of the one before
+    trim: int = 0  # entries below this seq are not needed any more
 
 
 @frozen
 class Deliver:
-    """An entry that all members deliver, in this order."""
+    """An entry that all replicas deliver, in this order."""
 
     entry: Entry
 
@@ -150,15 +197,15 @@
 class Restore:
     """All that was delivered until now is replaced by this."""
 
-    saved: Saved
+    snapshot: Snapshot
 
 
 @frozen
 class Settled:
-    """What was proposed under `token` is delivered (`well`), or it will not be by this member's doing."""
+    """A proposal or a barrier is decided: `accepted`, or not known to be, by this replica's doing."""
 
     token: int
-    well: bool
+    accepted: bool
 
 
 Action = Send | Write | Deliver | Restore | Settled
--- /dev/null
+++ b/coralvale/cluster/consensus/replication.py
@@ -0,0 +1,276 @@
+"""Replication: entries and snapshots from the leader to the others, what is committed, and the read barrier."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from coralvale.cluster.consensus.election import Elections
+from coralvale.cluster.consensus.messages import (
+    OLD_VERSION,
+    Append,
+    AppendReply,
+    Entry,
+    Member,
+    Send,
+    Settled,
+    Snapshot,
+    SnapshotPart,
+    SnapshotPartReply,
+)
+from coralvale.cluster.consensus.snapshot import SnapshotDownload, SnapshotUpload
+from coralvale.cluster.consensus.state import Progress
+
+KEPT = 64  # entries kept behind a snapshot: a replica that lags by less needs no snapshot
+SNAPSHOT_EVERY = 128  # entries
+MOST_KEPT = 1024  # entries, for replicas that are getting a snapshot
+BATCH = 64  # entries in one message
+BATCH_BYTES = 256 * 1024  # of their bodies, unless one alone is larger
+SLOWEST = 64 * 1024  # bytes a second of a link, below which a long entry may be sent twice
+MOST_IN_FLIGHT = 256  # entries proposed and not committed
+ROUNDS = 64  # broadcasts whose time is remembered
+NO_ROUND = 0  # a reply to something else than a broadcast
+
+
+class Replication(Elections):
+    """A follower's disk speaks through its replies; only what a majority's disks have is committed."""
+
+    kept = KEPT
+    snapshot_every = SNAPSHOT_EVERY
+    round = 0  # broadcasts of this view's leader
+    read_rounds: deque[tuple[int, int]]  # barriers: the round that a majority has to answer, the token
+    round_times: deque[tuple[int, float]]
+    download: SnapshotDownload
+
+    def _begin_replication(self) -> None:
+        self.read_rounds, self.round_times = deque(), deque(maxlen=ROUNDS)
+        self.download = SnapshotDownload()
+
+    def _step_down(self, now: float) -> None:
+        self.out += [Settled(token, False) for _, token in self.read_rounds]
+        self.read_rounds.clear()
+        super()._step_down(now)
+
+    # The leader
+
+    def _broadcast(self, now: float) -> None:
+        self.round += 1
+        self.round_times.append((self.round, now))
+        self.heartbeat_at = now + self.timing.heartbeat
+        self._feed(now, heartbeat=True)
+
+    def _feed(self, now: float, heartbeat: bool = False) -> None:
+        for name, member in self._others().items():
+            progress = self.peers.setdefault(name, Progress(self.last + 1, heard=now))
+            self._feed_one(now, member, progress, heartbeat)
+
+    def _feed_one(self, now: float, member: Member, progress: Progress, heartbeat: bool) -> None:
+        if progress.next <= self.log_start:
+            self._feed_snapshot(now, member, progress)
+            if heartbeat:
+                self._send_append(member, progress, self.log_start, ())
+            return
+        progress.upload = None
+        free = not progress.outstanding or now >= progress.resend_at
+        entries = self._batch(progress.next) if free else ()
+        if not entries and not heartbeat:
+            return
+        self._send_append(member, progress, progress.next - 1, entries)
+        if entries:
+            size = sum(len(entry.body) for entry in entries)
+            progress.resend_at = now + self.timing.again + size / SLOWEST
+            progress.outstanding = entries[-1].seq
+
+    def _send_append(
+        self, member: Member, progress: Progress, before: int, entries: tuple[Entry, ...]
+    ) -> None:
+        progress.told = max(progress.told, min(self.commit, before + len(entries)))
+        view = self._view_of(before) or 0
+        append = Append(self.view, self.me.id, before, view, self.commit, entries, self.round)
+        self.out.append(Send(member, append))
+
+    def _batch(self, first: int) -> tuple[Entry, ...]:
+        """Entries from `first` on, bounded in number and bytes; at least one where there is any."""
+        found: list[Entry] = []
+        size = 0
+        for at in range(
+            first - self.log_start - 1, min(first - self.log_start - 1 + BATCH, len(self.entries))
+        ):
+            entry = self.entries[at]
+            size += len(entry.body)
+            if found and size > BATCH_BYTES:
+                break
+            found.append(entry)
+        return tuple(found)
+
+    def _feed_snapshot(self, now: float, member: Member, progress: Progress) -> None:
+        if progress.upload is None or progress.upload.seq < self.log_start:
+            progress.upload = SnapshotUpload.of(self.snapshot)
+        if part := progress.upload.part(now, self.view, self.me.id):
+            self.out.append(Send(member, part))
+
+    def _take_append_reply(self, now: float, reply: AppendReply) -> None:
+        if reply.view > self.view:
+            self._enter(now, reply.view, "")
+            return
+        progress = self.peers.get(reply.sender)
+        if not self.leading or reply.view != self.view or progress is None:
+            self.stale += 1
+            return
+        progress.heard = now
+        self._note_round(now, progress, reply.round)
+        if not reply.accepted or reply.seq >= progress.outstanding:
+            progress.outstanding = 0
+        if reply.accepted:
+            progress.match = max(progress.match, reply.seq)
+            progress.next = progress.match + 1
+            self._count_commit(now)
+        else:
+            progress.next = max(1, min(progress.next - 1, reply.seq + 1))
+        self._feed_after_reply(now, reply.sender, progress)
+
+    def _feed_after_reply(self, now: float, name: str, progress: Progress) -> None:
+        member = self._others().get(name)
+        if member is None or not self.leading:
+            return
+        if progress.next <= self.last:
+            self._feed_one(now, member, progress, heartbeat=False)
+        elif progress.told < self.commit:
+            self._send_append(member, progress, progress.match, ())
+
+    def _note_round(self, now: float, progress: Progress, number: int) -> None:
+        """A reply was made after the broadcast that it echoes: contact counts from when that was sent, so that
+        old replies, read late by a process that stood still, prove nothing."""
+        if number == OLD_VERSION:
+            progress.contact = now
+        elif number > progress.round:
+            progress.round = number
+            progress.contact = next((at for n, at in self.round_times if n == number), progress.contact)
+            self._confirm_reads()
+
+    def _count_commit(self, now: float) -> None:
+        """What is on disk at a majority is committed; only an entry of this view tells of those before it."""
+        for seq in range(self.last, self.commit, -1):
+            if self._view_of(seq) != self.view:
+                return
+            has = {i for i, p in self.peers.items() if p.match >= seq}
+            if self.durable >= seq:
+                has.add(self.me.id)
+            if self.voters.majority(has):
+                self.commit = seq
+                self._deliver()
+                self._voters_committed(now)
+                if self.leading:
+                    self._broadcast(now)
+                return
+
+    def _voters_committed(self, now: float) -> None:
+        """More is committed: a change of voters may have to go on."""
+
+    # The read barrier
+
+    def _read_barrier(self, now: float, token: int) -> None:
+        """Settled once a majority has answered a broadcast that was sent after this call."""
+        self._broadcast(now)
+        self.read_rounds.append((self.round, token))
+        self._confirm_reads()
+
+    def _confirm_reads(self) -> None:
+        while self.read_rounds:
+            number, token = self.read_rounds[0]
+            answered = {i for i, p in self.peers.items() if p.round >= number} | {self.me.id}
+            if not self.voters.majority(answered):
+                return
+            self.read_rounds.popleft()
+            self.out.append(Settled(token, True))
+
+    # A follower
+
+    def _take_append(self, now: float, append: Append) -> None:
+        at = self._view_of(append.before_seq)
+        if append.before_seq < self.log_start:
+            # Its beginning is part of what was delivered here long ago.
+            self._answer_append(append, True, min(self.commit, self.durable))
+            return
+        if at is None or at != append.before_view:
+            hint = min(self.last, append.before_seq - 1) if at is None else self.commit
+            self._answer_append(append, False, hint)
+            return
+        cut, fresh = self._merge(append.entries)
+        upto = append.before_seq + len(append.entries)
+        self.commit, before = max(self.commit, min(append.commit, upto)), self.commit
+        if fresh or cut is not None:
+            self._write(self._append_reply(append, upto), cut=cut, entries=tuple(fresh))
+        else:
+            # Of what is not on disk yet nothing is said; what is to be said of it waits with its write.
+            self._answer_append(append, True, min(upto, self.durable))
+        if self.commit > before:
+            self._deliver()
+
+    def _merge(self, entries: tuple[Entry, ...]) -> tuple[int | None, list[Entry]]:
+        """Takes what is new, and trims what the view before left unsettled: from where on, and the new ones."""
+        cut: int | None = None
+        fresh: list[Entry] = []
+        for entry in entries:
+            mine = self._view_of(entry.seq)
+            if not fresh and (mine == entry.view or entry.seq <= self.commit):
+                continue
+            if mine is not None and not fresh:
+                cut = entry.seq
+                self._cut_from(entry.seq)
+            fresh.append(entry)
+            self._push(entry)
+        return cut, fresh
+
+    def _append_reply(self, append: Append, seq: int) -> list[Send]:
+        sender = self._member(append.sender)
+        reply = AppendReply(self.view, self.me.id, True, seq, append.round)
+        return [Send(sender, reply)] if sender else []
+
+    def _answer_append(self, append: Append, accepted: bool, seq: int) -> None:
+        self._reply(append.sender, AppendReply(self.view, self.me.id, accepted, seq, append.round))
+
+    # Snapshots
+
+    def _take_part(self, now: float, part: SnapshotPart) -> None:
+        if part.seq <= self.commit and self.founded:
+            agreed = min(self.commit, self.durable)
+            self._reply(part.sender, AppendReply(self.view, self.me.id, True, agreed, NO_ROUND))
+            return
+        snapshot = self.download.take(part)
+        if snapshot is None:
+            offset = len(self.download.data)
+            self._reply(part.sender, SnapshotPartReply(self.view, self.me.id, part.checksum, offset))
+            return
+        self._replace_by(snapshot)
+        sender = self._member(part.sender)
+        reply = AppendReply(self.view, self.me.id, True, snapshot.seq, NO_ROUND)
+        self._write([Send(sender, reply)] if sender else [], cut=0, snapshot=snapshot, trim=snapshot.seq)
+
+    def _take_part_reply(self, now: float, reply: SnapshotPartReply) -> None:
+        progress = self.peers.get(reply.sender)
+        if not self.leading or reply.view != self.view or progress is None or progress.upload is None:
+            self.stale += 1
+            return
+        progress.heard = now
+        member = self._others().get(reply.sender)
+        if progress.upload.answered(reply.checksum, reply.offset) and member:
+            self._feed_one(now, member, progress, heartbeat=False)
+
+    def due_for_snapshot(self) -> bool:
+        """Whether `save` is to be called: so many entries were delivered since the last time."""
+        return self.applied - self.snapshot.seq > self.snapshot_every and self.applied == self.commit
+
+    def _save(self, body: bytes) -> None:
+        seq = self.applied
+        self.snapshot = Snapshot(seq, self._view_of(seq) or 0, self._voters_at(seq), body)
+        start = min([seq - self.kept, *(p.upload.seq for p in self.peers.values() if p.upload)])
+        self._trim(max(start, seq - MOST_KEPT))
+        self._write([], snapshot=self.snapshot, trim=self.log_start)
+
+    def _trim(self, start: int) -> None:
+        """Forgets entries up to `start`, and voter sets that the snapshot has."""
+        while self.entries and self.entries[0].seq <= start:
+            first = self.entries.popleft()
+            self.log_start, self.log_start_view = first.seq, first.view
+        while self.voter_log and self.voter_log[0][0] <= self.snapshot.seq:
+            self.voter_log.popleft()
--- a/coralvale/cluster/events.py
+++ b/coralvale/cluster/events.py
@@ -30,10 +30,14 @@
     FAILED = 108, "ERROR", "a task failed: {reason}"
     MEMBER = 201, "INFO", "gateway {name} is {state}"
     FOUNDED = 202, "INFO", "founded the core with disk {id}"
-    VIEW = 203, "INFO", "view {view}: holder {holder}"
-    SEATS = 204, "INFO", "members of the core: {members}"
-    JOINING = 205, "INFO", "disk {id} asks for a seat"
-    STOPPED_HOLDING = 206, "WARNING", "no longer the holder of view {view}"
+    VIEW = 203, "INFO", "view {view}: leader {leader}"
+    VOTERS = 204, "INFO", "voters: {members}"
+    JOINING = 205, "INFO", "disk {id} asks to be kept up to date"
+    ENDS_UNSAFE = (
+        206,
+        "WARNING",
+        "ends before a majority of the others is known to hold all that is committed",
+    )
     VERSION = (
         301,
         "INFO",
--- a/coralvale/cluster/gates/changes.py
+++ b/coralvale/cluster/gates/changes.py
@@ -9,10 +9,9 @@
 
 import msgspec
 
-from coralvale.cluster.configuration.history import TAKEN_ALREADY, Change, follow, pack
+from coralvale.cluster.configuration.history import Change, follow
 from coralvale.cluster.configuration.model import Configuration
-from coralvale.cluster.consensus import messages as order
-from coralvale.cluster.errors import Problem
+from coralvale.cluster.errors import Kind, Problem
 from coralvale.cluster.events import Event, tell
 from coralvale.cluster.gates.core import Core
 from coralvale.cluster.gates.ctl import Answered
@@ -40,7 +39,6 @@
         self.configuration = Configuration()
         self.tenants: dict[int, str] = {}  # by what stands for them in words
         self.waiters: set[asyncio.Future[None]] = set()
-        self.desk_lock = asyncio.Lock()
 
     def in_force(self, configuration: Configuration) -> None:
         """Swapped whole; one that is not newer is passed over."""
@@ -67,7 +65,7 @@
                 waiter.set_result(None)
 
     async def follow(self) -> None:
-        """A gateway that has no seat, or hears no holder, asks a member of the core for news, and another
+        """A gateway without a vote, or that hears no leader, asks a member of the core for news, and another
         when that one is silent."""
         at = ""
         while True:
@@ -110,6 +108,8 @@
                     self.in_force(configuration)
 
     async def asked(self, frames: Frames, ask: Ask) -> None:
+        """News for a gateway without a vote. What is told was committed; `sure` says that this replica hears a
+        leader, so that nothing newer was committed longer ago than a leader may be silent."""
         ends = self.ground.clock.monotonic() + ASK_FOR
         while (news := self.core.history.since(ask.version)) is None:
             left = ends - self.ground.clock.monotonic()
@@ -121,15 +121,15 @@
                 async with asyncio.timeout(min(left, LOST_AFTER)):
                     await waiter
             except TimeoutError:
-                if self.core.graft and not self.core.graft.attached(self.ground.clock.monotonic()):
+                if not self.core.in_contact():
                     break
             finally:
                 self.waiters.discard(waiter)
-        sure = bool(self.core.graft and self.core.graft.attached(self.ground.clock.monotonic()))
+        sure = self.core.in_contact()
         frames.send(Told(ask.number, news, news is None and not sure, sure))
 
     async def change(self, change: Change) -> Answered:
-        """An operator's change: settled here by the holder, passed on to it by any other."""
+        """An operator's change: settled here by the leader, passed on to it by any other."""
         return await self._call(change)
 
     async def read(self) -> Answered:
@@ -138,55 +138,37 @@
     async def _call(self, change: Change | None) -> Answered:
         size = len(change.body) if change else len(self.configuration.raw) * 1000
         patience = PASSED_ON + LARGE * size / 1e7
-        if self.core.graft and self.core.graft.holding:
-            try:
-                async with asyncio.timeout(patience):
-                    return await self._settle(change)
-            except TimeoutError:
-                return 503, b"no majority answers"
-        _, holder, _ = self.core.known()
-        if not holder or holder == self.ground.settings.Ip:
-            return 503, b"no holder is known"
+        if self.core.leads():
+            return await self._settle(change, patience)
+        _, leader, _ = self.core.known()
+        if not leader or leader == self.ground.settings.Ip:
+            return 503, b"no leader is known"
         number = self.ground.peers.next()
-        answer = await self.ground.peers.link(holder).request(number, Call(number, change), patience)
+        answer = await self.ground.peers.link(leader).request(number, Call(number, change), patience)
         if isinstance(answer, Reply):
             return answer.status, answer.body
-        return 503, b"the holder does not answer"
-
-    async def _settle(self, change: Change | None) -> Answered:
-        """By the holder: one change after the other, each judged by what those before it led to."""
-        graft = self.core.graft
-        assert graft
-        async with self.desk_lock:
-            if not graft.settled or not graft.holding:
-                return 503, b"no longer the holder, or not yet"
-            if change is None:
-                if not await self.core.propose(order.READ, b"", PASSED_ON):
-                    return 503, b"no majority answers"
-                return 200, self.core.history.config()
-            begun = self.ground.clock.monotonic()
-            found = self.core.history.consider(change)
-            if found is TAKEN_ALREADY:
-                return 200, b"{}"
-            if isinstance(found, Problem):
-                tell(Event.CHANGE_REFUSED, kind=found.kind.name, reason=found.reason)
-                return found.status, found.reason.encode()
-            if not await self.core.propose(order.CHANGE, pack(change), 8.0):
-                return 503, b"no majority answers"
-            if change.digest() not in self.core.history.taken.values():
-                return 503, b"another came first"
-            tell(
-                Event.CHANGE_TAKEN,
-                version=self.core.history.configuration.version,
-                ms=(self.ground.clock.monotonic() - begun) * 1000,
-            )
-            return 200, b"{}"
+        return 503, b"the leader does not answer"
+
+    async def _settle(self, change: Change | None, patience: float) -> Answered:
+        """By the leader: see `coralvale.cluster.orders`."""
+        begun = self.ground.clock.monotonic()
+        answer = await self.core.order(change, patience)
+        if answer is None:
+            return 503, b"no majority answers"
+        if answer.change:
+            ms = (self.ground.clock.monotonic() - begun) * 1000
+            tell(Event.CHANGE_TAKEN, version=self.core.history.configuration.version, ms=ms)
+        if problem := answer.problem:
+            if change and problem.kind is not Kind.UNSETTLED:
+                tell(Event.CHANGE_REFUSED, kind=problem.kind.name, reason=problem.reason)
+            return answer.status, problem.reason.encode()
+        return answer.status, answer.body
 
     async def called(self, frames: Frames, call: Call) -> None:
-        if self.core.graft and self.core.graft.holding:
+        if self.core.leads():
             status, body = await self._call(call.change)
         else:
-            status, body = 503, b"not the holder"
+            status, body = 503, b"not the leader"
         frames.send(Reply(call.number, status, body))
 
     def history(self) -> Answered:
--- a/coralvale/cluster/gates/core.py
+++ b/coralvale/cluster/gates/core.py
@@ -1,22 +1,23 @@
-"""The core at this gateway: its seat in the order of changes, its disk, and who the others say the core is."""
+"""The control state at this gateway: its replica of the log of changes, its disk, and who the members are."""
 
 from __future__ import annotations
 
 import asyncio
 import sqlite3
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 
 from coralvale.cluster.bootstrap.founding import Founding
 from coralvale.cluster.census.register import Row
-from coralvale.cluster.configuration.history import ChangeHistory
+from coralvale.cluster.configuration.history import Change, ChangeHistory
 from coralvale.cluster.configuration.model import Configuration
-from coralvale.cluster.consensus import messages as order
-from coralvale.cluster.consensus.replica import Graft as Machine
-from coralvale.cluster.consensus.replica import Record, Terms
+from coralvale.cluster.consensus import messages as consensus
+from coralvale.cluster.consensus.replica import DurableState, Replica, Timing
 from coralvale.cluster.events import Event, tell
 from coralvale.cluster.gates.ground import Ground
-from coralvale.cluster.gates.words import Graft, Nominate, Nominee
+from coralvale.cluster.gates.words import ConsensusMessage, Nominate, Nominee
+from coralvale.cluster.orders import OrderAnswer, OrderDesk
 from coralvale.cluster.storage.store import Damaged, Store, StoreError, set_aside
 
 RETRY_DISK = 0.25  # s until a write that failed is tried again
@@ -29,65 +30,90 @@
         take_configuration: Callable[[Configuration], None],
         remember: Callable[[list[Row]], None],
     ) -> None:
-        """`take_configuration`: a configuration that was delivered; `remember`: hosts that the disk has."""
+        """`take_configuration`: one that was delivered; `remember`: hosts that the disk has."""
         self.ground, self.take_configuration, self.remember = ground, take_configuration, remember
         settings = ground.settings
-        self.graft: Machine | None = None
+        self.replica: Replica | None = None
         self.store: Store | None = None
         self.history = ChangeHistory()
         self.disk = ThreadPoolExecutor(1)
-        self.writes: list[order.Write] = []
+        self.writes: list[consensus.Write] = []
         self.writing = False
         self.disk_failed = 0.0
-        self.tokens: dict[int, asyncio.Future[bool]] = {}
+        self.answers: dict[int, asyncio.Future[OrderAnswer]] = {}
+        self.pending: deque[consensus.Action | OrderAnswer] = deque()
+        self.acting = False
+        self.desk: OrderDesk | None = None
         self.founding = Founding(
             settings.Ip, tuple(settings.seeds), settings.Bootstrap, settings.holds_state, ground.born
         )
-        self.heard: tuple[int, str, tuple[str, ...]] = (0, "", ())  # view, holder, members
+        self.heard: tuple[int, str, tuple[str, ...]] = (0, "", ())  # view, leader, voters
         self.view_told = (0, "")
-        self.seats_told: order.Seats | None = None
+        self.voters_told: consensus.VoterSet | None = None
 
     def known(self) -> tuple[int, str, tuple[str, ...]]:
-        """The newest view that is known of: its number, its holder's address, its members'."""
-        graft = self.graft
-        if graft and graft.founded and graft.seated:
-            seats = graft.seats.all()
-            holder = seats.get(graft.holder)
-            mine = (graft.view, holder.ip if holder else "", tuple(sorted({m.ip for m in seats.values()})))
+        """The newest view that is known of: its number, its leader's address, its voters'."""
+        replica = self.replica
+        if replica and replica.founded and replica.is_voter:
+            voters = replica.voters.all()
+            leader = voters.get(replica.leader)
+            addresses = tuple(sorted({m.ip for m in voters.values()}))
+            mine = (replica.view, leader.ip if leader else "", addresses)
             view, _, core = self.heard
-            # One that has lost its seat while it was away knows an old view, and others a core without it.
-            if (
-                holder
-                or mine[0] > view
-                or (mine[0] == view and (not core or self.ground.settings.Ip in core))
-            ):
+            # One that has lost its vote while it was away knows an old view, and others a core without it.
+            among = not core or self.ground.settings.Ip in core
+            if leader or mine[0] > view or (mine[0] == view and among):
                 return mine
         return self.heard
 
+    def leads(self) -> bool:
+        return self.replica is not None and self.replica.leading
+
+    def in_contact(self) -> bool:
+        """Whether this gateway's replica is, as far as it can know, on the side that goes on."""
+        return self.replica is not None and self.replica.in_contact(self.ground.clock.monotonic())
+
     def delivers(self) -> bool:
-        """Whether the order of changes brings this gateway what is new."""
-        return self.graft is not None and not self.graft.astray(self.ground.clock.monotonic())
-
-    def act(self, actions: list[order.Action]) -> None:
-        for action in actions:
-            if isinstance(action, order.Send):
-                self.ground.peers.link(action.to.ip).send(Graft(action.message))
-            elif isinstance(action, order.Write):
-                self.writes.append(action)
-            elif isinstance(action, order.Deliver):
-                self._deliver(action.entry)
-            elif isinstance(action, order.Restore):
-                self.history.restore(action.saved.body)
-                self.take_configuration(self.history.configuration)
-            elif (future := self.tokens.get(action.token)) and not future.done():
-                future.set_result(action.well)
+        """Whether the log of changes brings this gateway what is new."""
+        return self.replica is not None and not self.replica.needs_seat(self.ground.clock.monotonic())
+
+    def act(self, actions: Sequence[consensus.Action | OrderAnswer]) -> None:
+        """Carries out what the replica and the desk return, in order; what that leads to comes after it."""
+        self.pending.extend(actions)
+        if self.acting:
+            return
+        self.acting = True
+        try:
+            while self.pending:
+                self._carry_out(self.pending.popleft())
+        finally:
+            self.acting = False
         if self.writes and not self.writing:
             self.writing = True
             self.ground.spawn(self._write())
 
+    def _carry_out(self, action: consensus.Action | OrderAnswer) -> None:
+        match action:
+            case consensus.Send():
+                self.ground.peers.link(action.to.ip).send(ConsensusMessage(action.message, action.to.id))
+            case consensus.Write():
+                self.writes.append(action)
+            case consensus.Deliver():
+                self._deliver(action.entry)
+            case consensus.Restore():
+                self.history.restore(action.snapshot.body)
+                self.take_configuration(self.history.configuration)
+            case consensus.Settled():
+                if self.desk:
+                    now = self.ground.clock.monotonic()
+                    self.pending.extend(self.desk.settled(now, action.token, action.accepted))
+            case OrderAnswer():
+                if (future := self.answers.get(action.token)) and not future.done():
+                    future.set_result(action)
+
     async def _write(self) -> None:
         """What is to be on disk goes there in order; a disk in trouble is tried until it takes it."""
-        assert self.store and self.graft
+        assert self.store and self.replica
         try:
             while self.writes:
                 batch = list(self.writes)
@@ -103,36 +129,36 @@
                     tell(Event.DISK_WELL, seconds=self.ground.clock.monotonic() - self.disk_failed)
                     self.disk_failed = 0.0
                 del self.writes[: len(batch)]
-                self.act(self.graft.wrote(self.ground.clock.monotonic(), batch[-1].number))
+                self.act(self.replica.wrote(self.ground.clock.monotonic(), batch[-1].number))
         finally:
             self.writing = False
 
-    def _deliver(self, entry: order.Entry) -> None:
-        assert self.graft
-        if entry.kind == order.CHANGE and self.history.deliver(entry.body):
+    def _deliver(self, entry: consensus.Entry) -> None:
+        if entry.kind == consensus.CHANGE and self.history.deliver(entry.body):
             self.take_configuration(self.history.configuration)
 
     def tell_view(self) -> None:
-        graft = self.graft
-        assert graft
-        if graft.holder and (graft.view, graft.holder) != self.view_told:
-            self.view_told = (graft.view, graft.holder)
-            named = graft.seats.all().get(graft.holder)
-            tell(Event.VIEW, view=graft.view, holder=named.name if named else graft.holder)
-        if graft.seats != self.seats_told:
-            self.seats_told = graft.seats
-            names = ", ".join(m.name for m in graft.seats.new)
-            tell(Event.SEATS, members=names + (" (changing)" if graft.seats.old else ""))
-        if graft.delivered - graft.base.seq > 128 and graft.delivered == graft.commit:
-            self.act(graft.save(self.history.image()))
+        """Logs a new view, leader or set of voters, and takes a snapshot when one is due."""
+        replica = self.replica
+        assert replica
+        if replica.leader and (replica.view, replica.leader) != self.view_told:
+            self.view_told = (replica.view, replica.leader)
+            named = replica.voters.all().get(replica.leader)
+            tell(Event.VIEW, view=replica.view, leader=named.name if named else replica.leader)
+        if replica.voters != self.voters_told:
+            self.voters_told = replica.voters
+            names = ", ".join(m.name for m in replica.voters.new)
+            tell(Event.VOTERS, members=names + (" (changing)" if replica.voters.old else ""))
+        if replica.due_for_snapshot():
+            self.act(replica.save(self.history.image()))
 
     async def open(self) -> None:
         s = self.ground.settings
         try:
             self.store = await self.ground.loop.run_in_executor(self.disk, Store, s.Datadir)
-            record = await self.ground.loop.run_in_executor(self.disk, self.store.load)
+            state = await self.ground.loop.run_in_executor(self.disk, self.store.load)
         except Damaged as error:
-            # As good as lost: it begins anew, and is seated when it holds all that the others have.
+            # As good as lost: it begins anew, and votes when it holds all that the others have.
             tell(Event.DISK_FOREIGN, reason=str(error))
             self.founding.lost_disk()
             aside = await self.ground.loop.run_in_executor(self.disk, set_aside, s.Datadir)
@@ -144,7 +170,7 @@
             self.ground.spawn(self._open_again())
             return
         self.remember(await self.ground.loop.run_in_executor(self.disk, self.store.hosts))
-        self._begin_order(record)
+        self._begin(state)
 
     async def _open_again(self) -> None:
         """A disk in trouble at the start: this gateway serves, and is no member until its disk can be
@@ -152,62 +178,79 @@
         await asyncio.sleep(1.0)
         await self.open()
 
-    def _begin_order(self, record: Record) -> None:
+    def _begin(self, state: DurableState) -> None:
         s = self.ground.settings
         assert self.store
-        me = order.Member(self.store.id, s.Hostname, s.Ip)
+        me = consensus.Member(self.store.id, s.Hostname, s.Ip)
         self.founding.me = me.id
-        terms = Terms(least=2 * s.FaultBudget.Nodes + 1)
-        self.graft = Machine(me, record, terms, self.ground.chance, self.ground.clock.monotonic())
-        self.act(self.graft.start(self.ground.clock.monotonic()))
+        timing = Timing(least=2 * s.FaultBudget.Nodes + 1, spare=s.Bounds.SyncS)
+        self.replica = Replica(me, state, timing, self.ground.chance, self.ground.clock.monotonic())
+        self.desk = OrderDesk(self.replica, self.history)
+        self.act(self.replica.start(self.ground.clock.monotonic()))
 
     async def join(self) -> None:
-        """A disk without a seat asks for one; on the very first start one gateway names who founds the
-        core."""
+        """A disk without a vote asks to be kept up to date; on the very first start one gateway names who
+        founds the core."""
         told = False
         while True:
             await asyncio.sleep(0.2)
-            graft = self.graft
-            if graft is None or self.ground.stopping or not graft.astray(self.ground.clock.monotonic()):
+            replica = self.replica
+            if replica is None or self.ground.stopping:
                 continue
-            _, holder, core = self.known()
-            if not graft.founded and not graft.last and self.founding.may_ask(bool(core)):
-                await self._nominate(graft)
+            if not replica.needs_seat(self.ground.clock.monotonic()):
                 continue
-            if not told and not graft.seated:
+            _, leader, core = self.known()
+            if not replica.founded and not replica.last and self.founding.may_ask(bool(core)):
+                await self._nominate(replica)
+                continue
+            if not told and not replica.is_voter:
                 told = True
-                tell(Event.JOINING, id=graft.me.id)
-            for ip in {holder} if holder else set(core):
-                self.ground.peers.link(ip).send(Graft(order.Join(graft.me)))
+                tell(Event.JOINING, id=replica.me.id)
+            for ip in {leader} if leader else set(core):
+                self.ground.peers.link(ip).send(ConsensusMessage(consensus.JoinRequest(replica.me)))
 
-    async def _nominate(self, graft: Machine) -> None:
+    async def _nominate(self, replica: Replica) -> None:
         nominator = self.founding.nominator
+        now, core_known = self.ground.clock.monotonic(), bool(self.known()[2])
         if nominator == self.ground.settings.Ip:
-            named = self.founding.asked(self.ground.clock.monotonic(), graft.me.id, bool(self.known()[2]))
+            named = self.founding.asked(now, replica.me.id, core_known)
         else:
             number = self.ground.peers.next()
-            answer = await self.ground.peers.link(nominator).request(number, Nominate(number, graft.me), 1.0)
+            link = self.ground.peers.link(nominator)
+            answer = await link.request(number, Nominate(number, replica.me), 1.0)
             named = answer.id if isinstance(answer, Nominee) else ""
-        if not graft.founded and self.founding.told(named, bool(self.known()[2])):
-            self.act(graft.found(self.ground.clock.monotonic()))
-            tell(Event.FOUNDED, id=graft.me.id)
-
-    async def propose(self, kind: int, body: bytes, patience: float) -> bool:
-        assert self.graft
-        token = self.ground.peers.next()
-        future: asyncio.Future[bool] = self.ground.loop.create_future()
-        self.tokens[token] = future
+        if not replica.founded and self.founding.told(named, bool(self.known()[2])):
+            self.act(replica.found(self.ground.clock.monotonic()))
+            tell(Event.FOUNDED, id=replica.me.id)
+
+    async def order(self, change: Change | None, patience: float) -> OrderAnswer | None:
+        """By the leader: an operator's change, or (None) a reading. None: not decided within `patience` s."""
+        assert self.desk
+        token, now = self.ground.peers.next(), self.ground.clock.monotonic()
+        future: asyncio.Future[OrderAnswer] = self.ground.loop.create_future()
+        self.answers[token] = future
         try:
-            self.act(self.graft.propose(self.ground.clock.monotonic(), token, kind, body))
+            self.act(self.desk.order(now, token, change) if change else self.desk.read(now, token))
             async with asyncio.timeout(patience):
                 return await future
         except TimeoutError:
-            return False
+            return None
         finally:
-            self.tokens.pop(token, None)
+            self.answers.pop(token, None)
+
+    def leave(self) -> None:
+        """This process is being stopped: leadership and vote are handed on."""
+        if self.replica:
+            self.act(self.replica.leave(self.ground.clock.monotonic()))
+
+    def may_end(self) -> bool:
+        """Whether all that is committed is safe without this process; a gateway without a replica always may."""
+        return self.replica is None or not self.replica.founded or self.replica.may_end
 
-    def seat(self) -> str:
-        """What this gateway's disk is to the order of changes."""
-        if self.graft is None or not self.graft.seated:
+    def role(self) -> str:
+        """What this gateway's disk is to the log of changes."""
+        if self.replica is None:
             return "none"
-        return "changing" if self.graft.seats.old or not self.graft.settled else "seated"
+        if not self.replica.is_voter:
+            return "learner" if self.replica.founded else "none"
+        return "changing" if self.replica.voters.old or not self.replica.settled else "voter"
--- a/coralvale/cluster/gates/figures.py
+++ b/coralvale/cluster/gates/figures.py
@@ -46,7 +46,7 @@
             ("view", "of the core, the newest that is known of", float(view)),
             ("core_members", "machines that hold the state", float(len(core))),
             ("core_holder_known", "1 while the holder of the view is known", float(bool(holder))),
-            ("seated", "1 where this gateway's disk has a seat", float(o.core.seat() != "none")),
+            ("voter", "1 where this gateway's disk votes", float(o.core.role() in ("voter", "changing"))),
             ("gateways", "that are taken to serve", float(o.gateways())),
             ("requests_open", "requests in hand", float(len(o.edge.open))),
             (
--- a/coralvale/cluster/gates/node.py
+++ b/coralvale/cluster/gates/node.py
@@ -25,8 +25,8 @@
 from coralvale.cluster.gates.words import (
     Ask,
     Call,
+    ConsensusMessage,
     Gossip,
-    Graft,
     Nominate,
     Nominee,
     Noted,
@@ -185,8 +185,7 @@
         begun = self.ground.clock.monotonic()
         ends = begun + max(1.0, self.ground.settings.Bounds.GraceS - SPARE)
         self.front.drain()
-        if self.core.graft:
-            self.core.act(self.core.graft.leave(begun))
+        self.core.leave()
         self.front.close_idle()
         await asyncio.sleep(min(ACCEPT, max(0.0, ends - self.ground.clock.monotonic() - 0.5)))
         self.front.stop_accepting()
@@ -194,8 +193,10 @@
             self.front.close_idle()
             await asyncio.sleep(0.02)
         self.front.close_idle()
-        if self.core.graft:
-            self.core.act(self.core.graft.leave(self.ground.clock.monotonic()))
+        while not self.core.may_end() and self.ground.clock.monotonic() < ends:
+            await asyncio.sleep(0.02)
+        if not self.core.may_end():
+            tell(Event.ENDS_UNSAFE)
         self.there.swim.leave(self.ground.clock.monotonic())
         for _ in range(4):
             self.there.carry()
@@ -239,9 +240,9 @@
         age = now - self.ground.born
         if not self.was_ready:
             if (
-                self.core.graft
-                and self.core.graft.founded
-                and not self.core.graft.settled
+                self.core.replica
+                and self.core.replica.founded
+                and not self.core.replica.settled
                 and age < UNSETTLED
             ):
                 return False
@@ -272,15 +273,17 @@
             if now >= self.there.swim.due():
                 self.there.swim.tick(now)
             self.there.carry()
-            if self.core.graft:
-                self.core.act(self.core.graft.tick(now))
+            if self.core.replica:
+                self.core.act(self.core.replica.tick(now))
                 self.core.tell_view()
             if now - swept > 1.0:
                 swept = now
                 self._sweep(now)
             # The order of changes has many clocks; without it membership's next moment is known.
             rest = (
-                TICK if self.core.graft else min(REST, self.there.swim.due() - self.ground.clock.monotonic())
+                TICK
+                if self.core.replica
+                else min(REST, self.there.swim.due() - self.ground.clock.monotonic())
             )
             await asyncio.sleep(max(TICK, rest))
 
@@ -353,9 +356,9 @@
 
     def _parcel(self, frames: Frames, parcel: Parcel) -> None:
         now = self.ground.clock.monotonic()
-        if isinstance(parcel, Graft):
-            if self.core.graft:
-                self.core.act(self.core.graft.receive(now, parcel.message, frames.ip))
+        if isinstance(parcel, ConsensusMessage):
+            if self.core.replica:
+                self.core.act(self.core.replica.receive(now, parcel.message, frames.ip, parcel.to))
         elif isinstance(parcel, Gossip):
             try:
                 packet = swim_wire.read(parcel.packet)
--- a/coralvale/cluster/gates/status.py
+++ b/coralvale/cluster/gates/status.py
@@ -66,7 +66,7 @@
         "view": view,
         "holder": holder,
         "core": list(core),
-        "seat": o.core.seat(),
+        "replica": o.core.role(),
         "gateways": [
             {
                 "name": m.name,
--- a/coralvale/cluster/gates/words.py
+++ b/coralvale/cluster/gates/words.py
@@ -25,10 +25,12 @@
 MOST_OUT = 250  # copies in one word of what is out: what fits a datagram
 
 
-class Graft(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Of the order of changes. Nothing answers it but another one."""
+class ConsensusMessage(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Between replicas of the log of changes. Nothing answers it but another one. `to`: the disk that it is meant
+    for, "" for whichever is at the address."""
 
     message: Message
+    to: str = ""
 
 
 class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -100,7 +102,7 @@
     id: str
 
 
-Parcel = Graft | Gossip | Ask | Told | Call | Reply | Rows | Noted | Pull | Nominate | Nominee
+Parcel = ConsensusMessage | Gossip | Ask | Told | Call | Reply | Rows | Noted | Pull | Nominate | Nominee
 Answer = Told | Reply | Rows | Noted | Nominee
 
 
--- a/coralvale/cluster/storage/keeper.py
+++ b/coralvale/cluster/storage/keeper.py
@@ -11,13 +11,22 @@
 import msgspec
 
 from coralvale.cluster.configuration.history import Change, ChangeHistory, Image
-from coralvale.cluster.consensus.messages import CHANGE, OPENING, READ, SEATS, Member, Saved, Seats, Write
-from coralvale.cluster.consensus.voters import unpack_seats
+from coralvale.cluster.consensus.messages import (
+    CHANGE,
+    OPENING,
+    READ,
+    VOTERS,
+    Member,
+    Snapshot,
+    VoterSet,
+    Write,
+)
+from coralvale.cluster.consensus.voters import unpack_voters
 from coralvale.cluster.storage.store import NAME, Store, StoreError
 
 FORMAT = 1  # of an export
 LATER = 1000  # views by which a restored core is ahead of the one that was lost
-KINDS = {OPENING: "opening", CHANGE: "change", SEATS: "seats", READ: "read"}
+KINDS = {OPENING: "opening", CHANGE: "change", VOTERS: "voters", READ: "read"}
 _change = msgspec.msgpack.Decoder(Change).decode
 
 
@@ -38,37 +47,38 @@
     """All that a disk holds, in words. Raises KeeperError where it cannot be read."""
     store = _open(folder)
     try:
-        record = store.load()
+        state = store.load()
     except StoreError as error:
         raise KeeperError(str(error)) from None
     finally:
         store.close()
-    history, seats = ChangeHistory(), record.saved.seats if record.saved else Seats(())
-    if record.saved:
-        history.restore(record.saved.body)
+    history, snapshot = ChangeHistory(), state.snapshot
+    voters = snapshot.voters if snapshot else VoterSet(())
+    if snapshot:
+        history.restore(snapshot.body)
     entries = []
-    for entry in record.entries:
+    for entry in state.entries:
         row: dict[str, Any] = {"seq": entry.seq, "view": entry.view, "kind": KINDS.get(entry.kind, "?")}
-        if entry.kind == SEATS:
-            seats = unpack_seats(entry.body)
-            row["members"] = [m.name for m in seats.new]
+        if entry.kind == VOTERS:
+            voters = unpack_voters(entry.body)
+            row["members"] = [m.name for m in voters.new]
         elif entry.kind == CHANGE:
             change = _change(entry.body)
             row |= {"base": change.base, "bytes": len(change.body)}
-            if entry.seq <= record.commit:
+            if (snapshot.seq if snapshot else 0) < entry.seq <= state.commit:
                 row["taken"] = history.deliver(entry.body)
                 row["version"] = history.configuration.version
         entries.append(row)
     return {
         "file": str(folder / NAME),
         "disk": store.id,
-        "view": record.view,
-        "vote": record.vote,
-        "delivered": record.commit,
-        "snapshot": record.saved.seq if record.saved else 0,
+        "view": state.view,
+        "vote": state.vote,
+        "delivered": state.commit,
+        "snapshot": snapshot.seq if snapshot else 0,
         "entries": entries,
-        "members": [{"id": m.id, "name": m.name, "ip": m.ip} for m in seats.new],
-        "changing": bool(seats.old),
+        "members": [{"id": m.id, "name": m.name, "ip": m.ip} for m in voters.new],
+        "changing": bool(voters.old),
         "version": history.configuration.version,
         "routes": len(history.configuration.items.get("Routes", {})),
         "config": history.configuration.raw,
@@ -102,8 +112,9 @@
         raise KeeperError(f"the export cannot be used: {error}") from None
     store = Store(str(folder))
     try:
-        saved = Saved(max(1, seq), view, Seats((Member(store.id, hostname, ip),)), body)
-        store.write([Write(1, view, "", saved.seq, 0, (), saved)])
+        alone = VoterSet((Member(store.id, hostname, ip),))
+        snapshot = Snapshot(max(1, seq), view, alone, body)
+        store.write([Write(1, view, "", snapshot.seq, 0, (), snapshot, snapshot.seq)])
         return store.id
     finally:
         store.close()
--- a/coralvale/cluster/storage/store.py
+++ b/coralvale/cluster/storage/store.py
@@ -16,13 +16,15 @@
 import msgspec
 
 from coralvale.cluster.census.register import Row
-from coralvale.cluster.consensus.messages import Entry, Saved, Write
-from coralvale.cluster.consensus.replica import Record
+from coralvale.cluster.consensus.messages import Entry, Snapshot, Write
+from coralvale.cluster.consensus.state import DurableState
 
 NAME = "orchard.sqlite"
-LAYOUT = 1  # of the tables; a newer program reads older ones, and refuses what is newer than itself
+# Of the tables; a newer program reads older ones, and refuses what is newer than itself. 2: entries may begin
+# before the snapshot.
+LAYOUT = 2
 _row = msgspec.msgpack.Decoder(Row).decode
-_saved = msgspec.msgpack.Decoder(Saved).decode
+_snapshot = msgspec.msgpack.Decoder(Snapshot).decode
 
 
 class StoreError(OSError):
@@ -80,6 +82,10 @@
             self._set("layout", LAYOUT)
         elif int(str(layout)) > LAYOUT:
             raise StoreError(f"{self.path}: layout {layout}, this program knows up to {LAYOUT}")
+        elif (
+            int(str(layout)) < LAYOUT
+        ):  # what is there is read as it is; the version before refuses it from now on
+            self._set("layout", LAYOUT)
         name = self._fact("id")
         if name is None:
             name = os.urandom(8).hex()
@@ -102,24 +108,29 @@
     def _set(self, name: str, value: object) -> None:
         self.db.execute("INSERT OR REPLACE INTO fact VALUES (?, ?)", (name, value))
 
-    def load(self) -> Record:
+    def load(self) -> DurableState:
         """What is on disk. Raises Damaged where it cannot be read."""
         try:
             saved = self._fact("saved")
             rows = self.db.execute("SELECT seq, view, kind, body FROM entry ORDER BY seq").fetchall()
-            record = Record(
+            state = DurableState(
                 int(str(self._fact("view") or 0)),
                 str(self._fact("vote") or ""),
                 int(str(self._fact("commit") or 0)),
-                _saved(saved) if isinstance(saved, bytes) else None,
+                _snapshot(saved) if isinstance(saved, bytes) else None,
                 [Entry(*row) for row in rows],
             )
         except (sqlite3.DatabaseError, msgspec.MsgspecError) as error:
             raise Damaged(f"{self.path}: {error}") from error
-        first = (record.saved.seq if record.saved else 0) + 1
-        if [e.seq for e in record.entries] != list(range(first, first + len(record.entries))):
+        self._check(state)
+        return state
+
+    def _check(self, state: DurableState) -> None:
+        """Raises Damaged where entries are missing: among them, or between the snapshot and the first."""
+        following = (state.snapshot.seq if state.snapshot else 0) + 1
+        first = min(following, state.entries[0].seq) if state.entries else following
+        if [e.seq for e in state.entries] != list(range(first, first + len(state.entries))):
             raise Damaged(f"{self.path}: entries are missing between {first} and the last")
-        return record
 
     def write(self, writes: list[Write]) -> None:
         """All of them in one transaction, synced. Raises sqlite3.Error if it is not there then."""
@@ -139,9 +150,9 @@
     def _put(self, write: Write) -> None:
         if write.cut is not None:
             self.db.execute("DELETE FROM entry WHERE seq >= ?", (write.cut,))
-        if write.saved is not None:
-            self.db.execute("DELETE FROM entry WHERE seq <= ?", (write.saved.seq,))
-            self._set("saved", msgspec.msgpack.encode(write.saved))
+        if write.snapshot is not None:
+            self.db.execute("DELETE FROM entry WHERE seq < ?", (write.trim,))
+            self._set("saved", msgspec.msgpack.encode(write.snapshot))
         self.db.executemany(
             "INSERT OR REPLACE INTO entry VALUES (?, ?, ?, ?)",
             [(e.seq, e.view, e.kind, e.body) for e in write.entries],
--- a/tests/cluster/test_power.py
+++ b/tests/cluster/test_power.py
@@ -21,13 +21,13 @@
 
 from coralvale.cluster.census.register import Row
 from coralvale.cluster.consensus import messages as m
-from coralvale.cluster.consensus.replica import Record
-from coralvale.cluster.consensus.voters import pack_seats
+from coralvale.cluster.consensus.replica import DurableState
+from coralvale.cluster.consensus.voters import pack_voters
 from coralvale.cluster.storage.store import NAME, Store
 
 Operation = tuple[str, str, int, bytes]  # what, file, where, bytes
 recorders: list[Recorder] = []
-SEATS = m.Seats((m.Member("a", "gateway-a", "10.0.0.1"),))
+VOTERS = m.VoterSet((m.Member("a", "gateway-a", "10.0.0.1"),))
 
 
 class File(apsw.VFSFile):
@@ -105,25 +105,25 @@
     rows = [Row(f"i-{n}", "s", "10.0.0.1", 80 + n, "z", "v", 4, 0, 0.0, n) for n in range(40)]
     for step in range(46):
         if step and not step % 9:
-            saved = m.Saved(seq, step, SEATS, chance.randbytes(9000))
+            saved = m.Snapshot(seq, step, VOTERS, chance.randbytes(9000))
             found.append(m.Write(step + 1, step, "a", seq, None, (), saved))
         elif step % 5 == 3 and (step - 1) % 9:
             entry = m.Entry(seq, step, m.OPENING)  # in place of the last
             found.append(m.Write(step + 1, step, "b", max(0, seq - 1), seq, (entry,)))
         else:
             seq += 1
-            kind, body = (m.SEATS, pack_seats(SEATS)) if seq == 1 else (m.CHANGE, chance.randbytes(30000))
+            kind, body = (m.VOTERS, pack_voters(VOTERS)) if seq == 1 else (m.CHANGE, chance.randbytes(30000))
             found.append(m.Write(step + 1, step, "a", seq, None, (m.Entry(seq, step, kind, body),)))
         if step % 7 == 3:
             found.append(rows[: 5 + step % 30])
     return found
 
 
-def used(folder: Path, kind: type[Recorded]) -> tuple[list[Operation], list[int], list[Record]]:
+def used(folder: Path, kind: type[Recorded]) -> tuple[list[Operation], list[int], list[DurableState]]:
     """The trace; how long it was when each write was answered; what each led to."""
     recorder = Recorder("recorder")
     recorders.append(recorder)
-    store, answered, led = kind(str(folder)), [len(recorder.trace)], [Record()]
+    store, answered, led = kind(str(folder)), [len(recorder.trace)], [DurableState()]
     for write in writes():
         if isinstance(write, list):
             store.put_hosts(write)
@@ -183,13 +183,13 @@
         data[at : at + len(more)] = more
 
 
-def same(one: Record, other: Record) -> bool:
-    return (one.view, one.vote, one.commit, one.saved, one.entries) == (
-        other.view, other.vote, other.commit, other.saved, other.entries,
+def same(one: DurableState, other: DurableState) -> bool:
+    return (one.view, one.vote, one.commit, one.snapshot, one.entries) == (
+        other.view, other.vote, other.commit, other.snapshot, other.entries,
     )  # fmt: skip
 
 
-def read(folder: Path, files: dict[str, bytes]) -> Record:
+def read(folder: Path, files: dict[str, bytes]) -> DurableState:
     for file in folder.iterdir():
         file.unlink()
     for name, data in files.items():
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -64,7 +64,7 @@
 
         async def seated() -> bool:
             found = await call(cluster.ips[0], CTL, "POST", "/rpc?call=gateway.status")
-            return found is not None and json.loads(found.body)["seat"] == "seated"
+            return found is not None and json.loads(found.body)["replica"] == "voter"
 
         await cluster.until(seated)
         await cluster.kill(1)
--- a/tests/cluster/test_storage.py
+++ b/tests/cluster/test_storage.py
@@ -15,16 +15,16 @@
 from coralvale.cluster.census.register import Row
 from coralvale.cluster.configuration.history import Change, pack
 from coralvale.cluster.consensus import messages as m
-from coralvale.cluster.consensus.voters import pack_seats
+from coralvale.cluster.consensus.voters import pack_voters
 from coralvale.cluster.storage.keeper import KeeperError, export, look, restore
 from coralvale.cluster.storage.store import NAME, Store, StoreError
 
-SEATS = m.Seats((m.Member("a", "gateway-a", "10.0.0.1"),))
+VOTERS = m.VoterSet((m.Member("a", "gateway-a", "10.0.0.1"),))
 
 
 def filled(folder: Path, upto: int = 3) -> Store:
     store = Store(str(folder))
-    first = m.Entry(1, 1, m.SEATS, pack_seats(SEATS))
+    first = m.Entry(1, 1, m.VOTERS, pack_voters(VOTERS))
     change = m.Entry(2, 1, m.CHANGE, pack(Change(0, True, body(WHOLE))))
     later = body({"Ver": 7, "Remove": {"Routes": ["deep"]}})
     last = m.Entry(3, 1, m.CHANGE, pack(Change(2, False, later)))
@@ -42,15 +42,22 @@
         3,
         [1, 2, 3],
     )
-    saved = m.Saved(2, 1, SEATS, b"")
+    saved = m.Snapshot(2, 1, VOTERS, b"")
     store.write(
-        [m.Write(4, 2, "b", 3, None, (), saved), m.Write(5, 2, "b", 3, 3, (m.Entry(3, 2, m.OPENING),))]
+        [
+            m.Write(4, 2, "b", 3, None, (), saved, 2),
+            m.Write(5, 2, "b", 3, 3, (m.Entry(3, 2, m.OPENING),)),
+        ]
     )
     store.close()
     again = Store(str(tmp_path))
     record = again.load()
-    assert again.id == store.id and record.saved == saved
-    assert [(e.seq, e.view) for e in record.entries] == [(3, 2)]
+    assert again.id == store.id and record.snapshot == saved
+    assert [(e.seq, e.view) for e in record.entries] == [(2, 1), (3, 2)]  # one is kept behind the snapshot
+    again.write(
+        [m.Write(6, 3, "", 9, 0, (), m.Snapshot(9, 3, VOTERS, b""), 9)]
+    )  # one that came from the leader
+    assert again.load().entries == []
 
 
 def test_a_write_that_fails_half_way_leaves_nothing(tmp_path: Path) -> None:
