Tries: one table of what each end says; answers between gateways are fenced by connection

Cause: what may be promised or repeated after a try was decided in two places of `way.py` by lists of outcomes; an answer between gateways was matched by a number alone, which began at 0 in each process, on whatever connection it came.

Ruled out: a mistake in the lists as they stood (the table says the same).

Change: `harvest/tries.py` has the states (not written, turned away, written, answered) and the table from outcomes; an answer on a connection that was given up, or to no open request, is dropped and counted; numbers begin at one drawn at each start.

--- a/coralvale/cluster/gates/peers.py
+++ b/coralvale/cluster/gates/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -92,6 +93,7 @@
         self.waiting: dict[int, asyncio.Future[Answer | None]] = {}
         self.task: asyncio.Task[None] | None = None
         self.not_before = 0.0
+        self.stale = 0  # answers that came too late to be anybody's
         self.loop = asyncio.get_running_loop()
 
     def send(self, parcel: Parcel) -> None:
@@ -142,10 +144,15 @@
                 future.set_result(None)
 
     def _taken(self, frames: Frames, parcel: Parcel) -> None:
+        if frames is not self.frames:
+            self.stale += 1  # of a connection that was given up
+            return
         number = getattr(parcel, "number", None)
         future = self.waiting.get(number) if number is not None else None
         if future and not future.done() and isinstance(parcel, Answer):
             future.set_result(parcel)
+        else:
+            self.stale += 1
 
     def _lost(self, frames: Frames) -> None:
         if self.frames is frames:
@@ -180,7 +187,9 @@
         self.credit = 0.0
         self.pacing = False
         self.accepted: set[Frames] = set()
-        self.number = 0
+        # Requests are numbered on from a number of this process's own: what was meant for the one before it at
+        # this address is nobody's.
+        self.number = int.from_bytes(os.urandom(4)) << 20
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
--- a/coralvale/cluster/harvest/way.py
+++ b/coralvale/cluster/harvest/way.py
@@ -17,11 +17,11 @@
 from coralvale.cluster.errors import Kind, Problem
 from coralvale.cluster.harvest.budget import Budget
 from coralvale.cluster.harvest.copies import Copies, Copy
+from coralvale.cluster.harvest.tries import ENDS
 from coralvale.cluster.settings import Bounds
 from coralvale.cluster.weir.sluice import Weir
 from coralvale.interface import Outcome
 
-NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 ROOM = 0.025  # s before the client's time is up, for the answer to reach it
 SPARE_TRIES = 2  # beyond the route's, for tries of which no byte was sent
 AGAIN = 0.25  # s after which a client may come back when no host is there
@@ -205,11 +205,10 @@
         self._learn(now, job, copy, outcome, status, delay)
         if outcome is Outcome.OK and not self._failure(job, status):
             return None
-        if outcome not in NOT_RUN:
-            job.maybe = True
-        if outcome is not Outcome.CONNECT_FAILED and outcome is not Outcome.NOT_SENT:
-            job.sent = True
-        if outcome in (Outcome.CONNECT_FAILED, Outcome.NOT_SENT):
+        end = ENDS[outcome]
+        job.maybe = job.maybe or end.may_have_run
+        job.sent = job.sent or end.arrived
+        if not end.arrived:
             # Nothing arrived anywhere: neither the hosts' budget nor the route's tries are used.
             if job.tries >= job.route.Tries + SPARE_TRIES:
                 return self._failed(job, "no copy took it")
--- a/tests/cluster/test_harvest.py
+++ b/tests/cluster/test_harvest.py
@@ -12,6 +12,7 @@
 from coralvale.cluster.errors import ANSWERS, Kind, Problem, Promise
 from coralvale.cluster.harvest.budget import Budget
 from coralvale.cluster.harvest.copies import Copies, Copy
+from coralvale.cluster.harvest.tries import ENDS
 from coralvale.cluster.harvest.way import Harvest, Job
 from coralvale.cluster.settings import Bounds
 from coralvale.cluster.weir.sluice import Rule, Weir
@@ -91,6 +92,25 @@
     assert kind(found) is Kind.NOT_RUN and found.promises
 
 
+def test_each_way_that_a_try_can_end_stands_in_the_one_table() -> None:
+    assert set(ENDS) == set(Outcome)
+    once = {outcome for outcome, end in ENDS.items() if end.may_repeat(False)}
+    assert once == {Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.FULL}
+    assert {o for o, end in ENDS.items() if not end.may_repeat(True)} == {Outcome.OK}
+    for outcome, end in ENDS.items():
+        made = harvest()
+        job = enter(made, "/x/y/1")
+        copy = made.pick(1.0, job)
+        assert isinstance(copy, Copy)
+        found = made.ended(1.1, job, copy, 1, outcome, 500, 0.1)
+        if outcome is Outcome.OK:
+            assert found is None  # the host's answer is the client's, whatever it is
+            continue
+        assert job.maybe is end.may_have_run
+        # Once it may have run, nothing that promises is ever said of it.
+        assert made.give_up(1.2, job).promises is not end.may_have_run
+
+
 def test_what_is_repeatable_goes_to_another_copy() -> None:
     made = harvest()
     job = enter(made)
--- a/tests/cluster/test_peers.py
+++ b/tests/cluster/test_peers.py
@@ -62,6 +62,28 @@
     play(scene)
 
 
+def test_an_answer_on_a_connection_that_was_given_up_is_nobodys() -> None:
+    async def scene(here: Peers, there: str, silent: str) -> None:
+        link, number = here.link(there), here.next()
+        assert await link.request(number, Pull(number), LONG) == Noted(number)
+        before, link.frames = link.frames, None  # as after a break: another connection follows
+        assert before is not None
+        number = here.next()
+        asked = asyncio.create_task(link.request(number, Pull(number), LONG))
+        await asyncio.sleep(0)
+        before.taken(before, Noted(number))
+        assert not asked.done() and link.stale == 1
+        assert await asked == Noted(number)
+        before.close()
+
+    play(scene)
+
+
+def test_requests_of_a_new_process_are_numbered_apart_from_those_of_the_one_before() -> None:
+    made = {Peers("127.0.0.1", 1, answers, lambda ip, data: None).next() >> 20 for _ in range(20)}
+    assert len(made) > 15
+
+
 def test_a_port_where_nobody_is_answers_at_once_and_a_link_comes_back() -> None:
     async def scene(here: Peers, there: str, silent: str) -> None:
         nobody = silent[:-1] + "4"
