--- a/coralvale/cluster/consensus/state.py
+++ b/coralvale/cluster/consensus/state.py
@@ -148,7 +148,7 @@
         """Whether this replica is, as far as it can know, on the side that goes on: a leader by broadcasts that
         a majority answered, another by its leader's messages."""
         if self.leading:
-            heard = {i for i, p in self.peers.items() if now - p.contact < self.timing.election}
+            heard = {i for i, p in self.peers.items() if now - p.contact < self.timing.silence}
             return self.voters.majority(heard | {self.me.id})
         return bool(self.leader) and now - self.heard < self.timing.election
 
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -9,7 +9,15 @@
 import msgspec
 import pytest
 
-from coralvale.cluster.configuration.history import NAMED, TAKEN_ALREADY, Change, ChangeHistory, follow, pack
+from coralvale.cluster.configuration.history import (
+    FORGOTTEN,
+    NAMED,
+    TAKEN_ALREADY,
+    Change,
+    ChangeHistory,
+    follow,
+    pack,
+)
 from coralvale.cluster.configuration.model import Configuration, survey
 from coralvale.cluster.errors import Kind, Problem
 
@@ -104,6 +112,26 @@
     return found if found is not None else history.deliver(pack(change))
 
 
+@pytest.mark.parametrize("restored", [False, True])
+def test_what_is_sent_again_is_known_and_beyond_what_is_remembered_nothing_is_refused(
+    restored: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("coralvale.cluster.configuration.history.REMEMBERED", 8)
+    history = ChangeHistory()
+    changes = [Change(0, True, body({**WHOLE, "Ver": 1}))]
+    changes += [Change(n, False, body({"Ver": n + 1, "Upsert": {}, "Remove": {}})) for n in range(1, 20)]
+    for change in changes:
+        assert history.deliver(pack(change))
+    if restored:
+        image, history = history.image(), ChangeHistory()
+        history.restore(image)
+    found = [history.consider(change) for change in changes]
+    assert found == [FORGOTTEN] * 12 + [TAKEN_ALREADY] * 8
+    never_taken = Change(15, False, body({"Ver": 16, "Upsert": {}, "Remove": {}, "Note": "another"}))
+    refused = history.consider(never_taken)
+    assert isinstance(refused, Problem) and refused.kind is Kind.OTHER_VERSION
+
+
 def test_of_two_on_one_version_one_wins_and_the_same_again_is_taken_already() -> None:
     history = ChangeHistory()
     first = Change(0, True, body(WHOLE))
