Carriers: as many of a zone as its work needs, shared by machines with a replica

At 300 gateways no link bears the whole of it within a fifth, so nobody carried, and all told all over links of 2 Mbit/s.

Ruled out as the main cause there: telling of hosts that leave (9 kB a second at its peak), membership (1 kB), the consensus (under 1 kB).

Change: up to eight carriers of a zone take turns, as many as bring 2.5 MB a second each; machines with a replica carry if their own part is within 0.3 of their link. At 96 gateways and below two carry as before.

--- a/coralvale/cluster/gates/tidings.py
+++ b/coralvale/cluster/gates/tidings.py
@@ -164,11 +164,13 @@
         """Whether this gateway brings the words of others to all in its zone."""
         near, _ = self.there.zones()
         link = self.ground.settings.Limits.NicMbps * 1e6 / 8
+        gateways, replica = self.there.swim.there, self.core.replica is not None
+        self.carriers.most = carts.wanted(gateways, len(near), PERIOD)
         return (
             self.there.large
             and self.is_ready()
             and not self.ground.stopping
-            and carts.bears(self.there.swim.there, len(near), link, PERIOD)
+            and carts.bears(gateways, len(near), link, PERIOD, replica)
         )
 
     def load(self, ip: str, whole: bytes, onward: bool) -> None:
--- a/tests/cluster/test_carts.py
+++ b/tests/cluster/test_carts.py
@@ -190,7 +190,7 @@
     carriers, ips = Carriers(), [f"10.0.0.{n}" for n in range(1, 9)]
     for ip in chance_order(ips):
         carriers.hear(1.0, ip, True)
-    assert carriers.of(1.5, ips, carts.NEAR) == ips[: carts.CARRIERS]
+    assert carriers.of(1.5, ips, carts.NEAR) == ips[: carts.FEWEST]
     carriers.hear(1.6, ips[0], False)
     assert carriers.of(1.6, ips, carts.NEAR) == ips[1:3]
     carriers.hear(2.5, ips[5], True)
@@ -199,6 +199,20 @@
     assert not carriers.heard
 
 
+def test_a_large_zone_has_more_carriers_and_only_wide_links_with_a_replica_share_its_work() -> None:
+    wide, narrow = 12.5e6, 0.25e6
+    assert [carts.wanted(n, n // 3, PERIOD) for n in (30, 96, 300, 3000)] == [2, 2, 7, carts.MOST]
+    for replica in (False, True):
+        assert carts.bears(96, 31, wide, PERIOD, replica) and not carts.bears(30, 10, narrow, PERIOD, replica)
+    assert carts.bears(300, 99, wide, PERIOD, True) and not carts.bears(300, 99, wide, PERIOD, False)
+    assert not carts.bears(300, 99, narrow, PERIOD, True) and not carts.bears(2300, 115, wide, PERIOD, True)
+    carriers, ips = Carriers(), [f"10.0.0.{n}" for n in range(1, 9)]
+    carriers.most = 5
+    for ip in ips:
+        carriers.hear(1.0, ip, True)
+    assert carriers.of(1.5, ips, carts.NEAR) == ips[:5]
+
+
 def chance_order(ips: list[str]) -> list[str]:
     return random.Random(1).sample(ips, len(ips))
 
