--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -5,8 +5,9 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from typing import Any
 
-from test_configuration import WHOLE
+from test_configuration import WHOLE, changed
 
 from coralvale.cluster.census.register import Register, Row
 from coralvale.cluster.configuration.model import Configuration, survey
@@ -28,7 +29,7 @@
 class Scene:
     """One gateway's edge, and as many scripted hosts as asked for."""
 
-    async def start(self, hosts: int) -> Scene:
+    async def start(self, hosts: int, config: dict[str, Any] | None = None) -> Scene:
         self.peers = [await Peer().start() for _ in range(hosts)]
         self.register = Register(1.5)
         clock = Clock()
@@ -38,10 +39,10 @@
         chance = random.Random(1)
         weir = Weir(Rule(5.0, 0.1, 20.0))
         harvest = Harvest(Bounds(RetryExtra=64), Copies(self.register, "z", chance), weir, lambda: 1, chance)
-        config = {**WHOLE, "Limits": {"BodyBytes": 1000}}
-        configuration = survey(config, Configuration())
+        configuration = survey(config or {**WHOLE, "Limits": {"BodyBytes": 1000}}, Configuration())
         assert isinstance(configuration, Configuration)
-        harvest.take_configuration(configuration)
+        if config != {}:
+            harvest.take_configuration(configuration)
         self.hosts = Hosts(clock, 0.5, 8.0, 100)
         self.edge = Edge(harvest, self.hosts, clock)
         self.server = EdgeServer(("127.0.0.1", 0), self.edge, 100, 1 << 20, clock)
@@ -78,9 +79,11 @@
     return answer(status, text, **{name.replace("-", "_"): value for name, value in named.items()})
 
 
-def play(hosts: int, scene: Callable[[Scene], Awaitable[None]]) -> None:
+def play(hosts: int, scene: Callable[[Scene], Awaitable[None]], config: dict[str, Any] | None = None) -> None:
+    """`config`: in place of the usual one; {}: none is known yet."""
+
     async def whole() -> None:
-        made = await Scene().start(hosts)
+        made = await Scene().start(hosts, config)
         try:
             await scene(made)
         finally:
@@ -306,3 +309,95 @@
         await until(lambda: not s.edge.open)
 
     play(1, scene)
+
+
+def test_one_that_knows_no_configuration_promises_and_denies_nothing() -> None:
+    async def scene(s: Scene) -> None:
+        found = await s.ask(BOOK)
+        assert found.status == 503 and float(found.headers[b"retry-after"]) > 0
+
+    play(1, scene, {})
+
+
+def test_a_request_is_answered_when_its_routes_time_is_over() -> None:
+    async def scene(s: Scene) -> None:
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        asked = asyncio.create_task(s.ask(BOOK, left=60_000))
+        arrived = await next_of(s)
+        assert int(arrived.message.headers[b"x-myrtlehatch-time-left"]) <= 300
+        assert (await asked).status == 504 and 0.2 < loop.time() - begun < 10.0
+
+    play(1, scene, changed(Routes__deep__TimeoutMs=300, Routes__deep__TargetMs=100))
+
+
+def test_a_second_host_is_told_what_is_left_by_then() -> None:
+    async def scene(s: Scene) -> None:
+        asked = asyncio.create_task(s.ask(READ, left=1500))
+        first = await next_of(s)
+        told = int(first.message.headers[b"x-myrtlehatch-time-left"])
+        before = asyncio.get_running_loop().time()
+        await until(lambda: asyncio.get_running_loop().time() - before > 0.2)
+        first.reset()
+        second = await next_of(s)
+        assert int(second.message.headers[b"x-myrtlehatch-time-left"]) <= told - 150
+        second.reply(reply("r-1"))
+        assert (await asked).status == 200
+
+    play(2, scene)
+
+
+def test_a_host_is_left_in_peace_when_the_client_of_a_repeatable_request_has_gone() -> None:
+    async def scene(s: Scene) -> None:
+        _, writer = await s.connect()
+        writer.write(request_bytes(READ, "r-1", b""))
+        await next_of(s)
+        assert not s.peers[0].closed
+        writer.transport.abort()
+        await until(lambda: s.peers[0].closed == 1)
+
+    play(1, scene)
+
+
+def test_a_hosts_failure_keeps_its_status_beside_its_seal() -> None:
+    async def scene(s: Scene) -> None:
+        for status in (500, 503):
+            asked = asyncio.create_task(s.ask(BOOK))
+            (await next_of(s)).reply(reply("r-1", b"no", status))
+            found = await asked
+            assert (found.status, found.headers[b"x-myrtlehatch-seal"], found.body) == (
+                status,
+                b"seal",
+                b"no",
+            )
+
+    play(1, scene)
+
+
+def test_a_connection_on_which_a_body_is_still_due_is_not_used_again() -> None:
+    """A host answers on the head of a long request, and reads no further."""
+
+    async def scene(s: Scene) -> None:
+        ended: list[bool] = []
+
+        async def early(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            writer.write(reply("r-1", b"enough"))
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            while await reader.read(1 << 16):
+                pass
+            ended.append(True)
+            writer.close()
+
+        server = await asyncio.start_server(early, "127.0.0.1", 0, limit=1 << 10)
+        port = server.sockets[0].getsockname()[1]
+        s.register.lives.clear()
+        s.register.by_service.clear()
+        s.register.take(Clock().monotonic(), Row("i-early", "s", "127.0.0.1", port, "z", "v", 4, 0, 0.0, 1))
+        _, writer = await s.connect()
+        writer.write(request_bytes(BOOK, "r-1", bytes(900_000)))
+        await until(lambda: bool(ended))
+        assert not any(pool.idle for pool in s.hosts.pools.values())
+        server.close()
+
+    play(1, scene)
