Quotas: nothing is reckoned for tenants that an ended process had said nothing of

Ruled out: the start of a new process alone (it takes under two seconds).

Change: what its last word told, and as much again as its last period, of the tenants that it told of. A process that has just started grants itself two even parts of the flow, for one.

--- a/coralvale/cluster/weir/sluice.py
+++ b/coralvale/cluster/weir/sluice.py
@@ -41,6 +41,7 @@
 SPIKE = 3.4  # s of its quota that a tenant may send until all hear of it: nine times its usual, for 0.6 s
 UNSURE = 2.0  # s from its start, at most, for which a gateway that has not heard all others knows too little
 FEWEST = 8  # gateways that are taken to serve until then, if no more are known of
+UNSURE_PARTS = 2.0  # even parts of the flow that it grants itself until then
 FREE = 8.0  # requests that a gateway may let through between two words while there is room for a spike
 MET = 1.2  # s after one was met, or came back, in which all words are whole: it is ready when it knows all
 WHOLE_EVERY = 4  # words of which one tells of all tenants; the others of those of whom there is news
@@ -128,7 +129,6 @@
     mine: float = 0.0  # a second, smoothed
     use: float = 0.0  # a second, all gateways', smoothed
     told: tuple[int, int] = (0, 0)
-    granted: float = 0.0  # requests that may be let through from one word to the next
     fill: float = 0.0  # of the whole fleet's bucket, as far as it has been told
 
 
@@ -244,14 +244,9 @@
         ends = other.heard + self.rule.window
         if ends <= now:
             return
-        for tenant in {*other.use, *self.tenants}:
-            window, newest = other.use.get(tenant, NOTHING)
-            self.ended.add(ends, tenant, window if other.left else window + max(newest, self._untold(tenant)))
-
-    def _untold(self, tenant: str) -> int:
-        """Requests that a gateway may have let through since its last word: as many as this one might."""
-        metered = self.tenants.get(tenant)
-        return math.ceil(metered.granted) if metered else 0
+        for tenant, (window, newest) in other.use.items():
+            # After its last word it may have let through as much as in the period before.
+            self.ended.add(ends, tenant, window if other.left else window + newest)
 
     def _take(self, other: Other, tenant: str, told: tuple[int, int]) -> None:
         before = other.use.get(tenant, NOTHING)
@@ -352,7 +347,9 @@
         """
         rule, plan = self.rule, metered.sluice.plan
         if self.unsure(now):
-            self._grant(now, metered, max(1.0, self._flow(plan) * PERIOD / max(self.count, FEWEST)))
+            self._grant(
+                now, metered, max(1.0, UNSURE_PARTS * self._flow(plan) * PERIOD / max(self.count, FEWEST))
+            )
             return
         most = self._most(plan)
         kept = self.missing / self.count * most
@@ -375,7 +372,6 @@
     def _grant(self, now: float, metered: Metered, part: float) -> None:
         """What this gateway may let through until the next word."""
         sluice = metered.sluice
-        metered.granted = part
         sluice.drain(now)
         sluice.level = sluice.fill + part
         # What was not used is kept, up to one request: of a small part the next period may have need.
