--- a/coralvale/cluster/weir/sluice.py
+++ b/coralvale/cluster/weir/sluice.py
@@ -347,9 +347,8 @@
         """
         rule, plan = self.rule, metered.sluice.plan
         if self.unsure(now):
-            self._grant(
-                now, metered, max(1.0, UNSURE_PARTS * self._flow(plan) * PERIOD / max(self.count, FEWEST))
-            )
+            even = self._flow(plan) * PERIOD / max(self.count, FEWEST)
+            self._grant(now, metered, max(1.0, UNSURE_PARTS * even))
             return
         most = self._most(plan)
         kept = self.missing / self.count * most
