In a large fleet a part of the words tells what ended processes let through

Ruled out: the carriers, which are two a zone there as before.

Change: about 16 gateways' words in a period tell it; up to 16 gateways all do, as before, so nothing changes in small fleets.

--- a/coralvale/cluster/gates/tidings.py
+++ b/coralvale/cluster/gates/tidings.py
@@ -57,6 +57,7 @@
 CARRIED_OUT_EVERY = 0.1  # s between them, at the least
 TOLD = (WORD, OUT, BLIGHT)  # kinds that carriers bring
 NEAR_ONLY = (OUT,)  # links between zones are dear: there, what is out is told in the other words
+ENDED_TOLD_BY = 16  # gateways, about, that tell in each period what ended processes let through
 CORE_NEWS = 2.0  # s for which a change of the core is told in each word
 
 
@@ -107,7 +108,7 @@
                 carries,
                 self.ground.settings.Region if whole else "",
                 self.ground.process if whole else 0,
-                pack_use(self.weir.ended.summary()),
+                pack_use(self.weir.ended.summary()) if self.tells_ended() else b"",
             )
             self.tell_all(WORD, encode(word))
             due = max(due + PERIOD, now + PERIOD / 2)
@@ -160,6 +161,11 @@
                 return
         self.ground.peers.cast_all(near, far, kind, data)
 
+    def tells_ended(self) -> bool:
+        """Whether this word is to tell what ended processes let through: all that several tell is the same, so
+        in a large fleet a part of the words is enough."""
+        return self.ground.chance.random() * self.weir.count < ENDED_TOLD_BY
+
     def carries(self, now: float) -> bool:
         """Whether this gateway brings the words of others to all in its zone."""
         near, _ = self.there.zones()
