--- a/coralvale/cluster/gates/tidings.py
+++ b/coralvale/cluster/gates/tidings.py
@@ -57,7 +57,8 @@
 CARRIED_OUT_EVERY = 0.1  # s between them, at the least
 TOLD = (WORD, OUT, BLIGHT)  # kinds that carriers bring
 NEAR_ONLY = (OUT,)  # links between zones are dear: there, what is out is told in the other words
-ENDED_TOLD_BY = 16  # gateways, about, that tell in each period what ended processes let through
+ALL_TELL_ENDED = 16  # gateways up to which each word tells what ended processes let through
+ENDED_TOLD_BY = 3  # gateways, about, that tell it in each period where there are more: 7 bytes a tenant
 CORE_NEWS = 2.0  # s for which a change of the core is told in each word
 
 
@@ -164,7 +165,8 @@
     def tells_ended(self) -> bool:
         """Whether this word is to tell what ended processes let through: all that several tell is the same, so
         in a large fleet a part of the words is enough."""
-        return self.ground.chance.random() * self.weir.count < ENDED_TOLD_BY
+        count = self.weir.count
+        return count <= ALL_TELL_ENDED or self.ground.chance.random() * count < ENDED_TOLD_BY
 
     def carries(self, now: float) -> bool:
         """Whether this gateway brings the words of others to all in its zone."""
