Tests: two bounds that were lower after a rewrite are raised again

Cause: with operators in place of bare proposals (some 4 changes a second for 20) a full disk had to let more than 10 through in 4 s, 20 before; the exploration asked for depth 2, 4 before. It reaches 4 and is held to it. A full disk must let more than 20 through again, in 8 s of its 10: 4 s gave 16 to 18 by this slower workload. The five tests pass.

--- a/tests/cluster/test_consensus.py
+++ b/tests/cluster/test_consensus.py
@@ -216,7 +216,7 @@
         world = whole(World(seed, 3))
         place = leader_of(world) if leads else others(world)[0]
         place.full_until = world.env.now + 10.0
-        assert ask(world, 4.0) > 10
+        assert ask(world, 8.0) > 20
         whole(world)  # and has all when it takes writes again
 
 
--- a/tests/cluster/test_explore.py
+++ b/tests/cluster/test_explore.py
@@ -201,7 +201,7 @@
 def test_around_changes_in_flight_nothing_is_lost_in_any_order(scene: Any) -> None:
     states, depth = explore_from(scene(Replica))
     print(f"explored from {scene.__name__}: {states} states, all to depth {depth - 1}")
-    assert states >= STATES and depth >= 2
+    assert states >= STATES and depth >= 4
 
 
 def after_the_acknowledgement(kind: type[Replica]) -> tuple[int, int]:
