--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -35,8 +35,8 @@
 from coralvale.cluster.gates.node import GatewayNode
 from coralvale.cluster.gates.peers import WORD, Datagrams
 from coralvale.cluster.gates.words import Told, Word, encode, framed, pack_out, pack_use
+from coralvale.cluster.rate_limit.limiter import PERIOD, RateLimiter, Rule
 from coralvale.cluster.settings import parse
-from coralvale.cluster.weir.sluice import PERIOD, Rule, Weir
 from coralvale.members.model import Member, State, Update
 from coralvale.members.swim import Known
 from coralvale.standins.cluster import PEERS, settings
@@ -111,7 +111,7 @@
     for n, ip in enumerate(ips[:-1]):
         member = Member(f"gateway-{n}", (ip, PEERS), n % 2)
         node.there.swim.known[member.name] = Known(Update(State.ALIVE, member, 1), now)
-        node.weir.know(now, ip)
+        node.limiter.know(now, ip)
     made = survey(configuration(100, 400), Configuration())
     assert isinstance(made, Configuration)
     fake: Any = node
@@ -159,7 +159,7 @@
         await asyncio.sleep(0.05)
         if time.monotonic() - stepped >= PERIOD:
             stepped = time.monotonic()
-            node.weir.step(node.ground.clock.monotonic())
+            node.limiter.step(node.ground.clock.monotonic())
     spent, took = time.process_time() - cpu, time.monotonic() - begun
     for child in children:
         child.join()
@@ -201,8 +201,8 @@
     return made
 
 
-def weir_of(count: int) -> Weir:
-    made = Weir(Rule(5.0, 0.1, 20.0))
+def limiter_of(count: int) -> RateLimiter:
+    made = RateLimiter(Rule(5.0, 0.1, 20.0))
     made.step(0.0)
     for name in names(count):
         made.wait(0.1, name, 100.0, 100.0)
@@ -253,7 +253,7 @@
     per = large - small
     return {
         "bytes_a_host": round(slope(register_of, 10, large)),
-        "bytes_a_tenant_metered": round(slope(weir_of, 10, large)),
+        "bytes_a_tenant_metered": round(slope(limiter_of, 10, large)),
         "bytes_a_route": round(slope(with_routes, 10, large)),
         "bytes_a_tenant_configured": round(slope(with_tenants, 10, large)),
         "change_us_a_route": round(1e3 * (many["change_ms"] - few["change_ms"]) / per, 3),
--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -45,8 +45,8 @@
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.home import Home
 from coralvale.cluster.harvest.way import Harvest, Job
+from coralvale.cluster.rate_limit.limiter import PERIOD, RateLimiter, Rule
 from coralvale.cluster.settings import Bounds
-from coralvale.cluster.weir.sluice import PERIOD, Rule, Weir
 from coralvale.standins.cluster import LocalCluster, configuration
 
 HOSTS, TENANTS, UDP = 30, 8, 28
@@ -85,10 +85,10 @@
     for n in range(HOSTS):
         register.take(0.0, Row(f"i-{n}", "s", "10.0.0.1", n + 1, "z", "v", 4, 0, 0.0, 1))
     chance = random.Random(1)
-    weir = Weir(RULE)
+    limiter = RateLimiter(RULE)
     home = Home("home", {"z": "home"})
     home.heard = 1e18
-    harvest = Harvest(Bounds(RetryExtra=64), Copies(register, "z", chance, home), weir, lambda: 12, chance)
+    harvest = Harvest(Bounds(RetryExtra=64), Copies(register, "z", chance, home), limiter, lambda: 12, chance)
     text = config(12)
     if bound:
         text["Svcs"]["s"]["Region"] = "home"
@@ -98,9 +98,9 @@
 
     def request() -> None:
         now[0] += 0.02
-        if now[0] - weir.stepped >= PERIOD:
-            weir.step(now[0])
-            weir.told(now[0])
+        if now[0] - limiter.stepped >= PERIOD:
+            limiter.step(now[0])
+            limiter.told(now[0])
         if home.routes:  # as the shell does, once the head is there
             harvest.head(now[0], "a.example", "/p3/x")
         job = harvest.enter(now[0], b"id", "a.example", "/p3/x", "k3", 1.5)
@@ -173,21 +173,21 @@
 
 def fleet(gateways: int, zones: int, quick: bool) -> dict[str, float]:
     """One gateway of many: 80 tenants, of whom each gateway has let through some; 2 copies a gateway."""
-    tenants, weir, chance = 80, Weir(RULE), random.Random(2)
+    tenants, limiter, chance = 80, RateLimiter(RULE), random.Random(2)
     use = {f"t{n}": (chance.randrange(1, 9), chance.randrange(3)) for n in range(tenants // 2)}
     others = [f"10.0.{n >> 8}.{n & 255}" for n in range(gateways - 1)]
     for other in others:
-        weir.hear(0.0, other, use)
+        limiter.hear(0.0, other, use)
     for n in range(tenants):
-        weir.wait(0.0, f"t{n}", 100.0, 100.0)
+        limiter.wait(0.0, f"t{n}", 100.0, 100.0)
     at = [0.0]
 
     def step() -> None:
         at[0] += PERIOD
-        weir.step(at[0])
+        limiter.step(at[0])
 
     def heard() -> None:
-        weir.hear(at[0], others[0], use, False)
+        limiter.hear(at[0], others[0], use, False)
 
     def word(told: dict[str, tuple[int, int]]) -> int:
         return len(encode(Word(9, 1 << 31, 5, "10.0.0.1", (), pack_use(told), False, [("i-7f3a91c2", 40)])))
--- a/coralvale/cluster/gates/figures.py
+++ b/coralvale/cluster/gates/figures.py
@@ -85,10 +85,10 @@
         leak = GaugeMetricFamily(
             "myrtlehatch_tenant_leak", "of its bucket here, requests a second", labels=["tenant"]
         )
-        for tenant, metered in o.weir.tenants.items():
+        for tenant, metered in o.limiter.tenants.items():
             used.add_metric([tenant, "here"], float(metered.mine))
             used.add_metric([tenant, "all"], float(metered.use))
-            leak.add_metric([tenant], float(metered.sluice.rate))
+            leak.add_metric([tenant], float(metered.bucket.rate))
         yield used
         yield leak
 
--- a/coralvale/cluster/gates/node.py
+++ b/coralvale/cluster/gates/node.py
@@ -37,10 +37,10 @@
 from coralvale.cluster.harvest.copies import Copies
 from coralvale.cluster.harvest.home import Home
 from coralvale.cluster.harvest.way import Harvest
+from coralvale.cluster.rate_limit.limiter import RateLimiter, Rule
 from coralvale.cluster.regions import Regions
 from coralvale.cluster.regions import read as read_regions
 from coralvale.cluster.settings import Settings, SettingsError, address, read
-from coralvale.cluster.weir.sluice import Rule, Weir
 from coralvale.members import wire as swim_wire
 from coralvale.members.model import MembersError
 from coralvale.net.clock import Clock
@@ -81,9 +81,9 @@
         self.unsure_told = False
         self.register = Register(settings.HeartbeatMs / 1000)
         self.copies = Copies(self.register, settings.Az, ground.chance, self.home)
-        self.weir = Weir(Rule(bounds.QuotaWindowS, bounds.QuotaExcess, bounds.QuotaSlack))
-        self.harvest = Harvest(bounds, self.copies, self.weir, self.gateways, ground.chance)
-        self.there = There(ground, self.weir)
+        self.limiter = RateLimiter(Rule(bounds.QuotaWindowS, bounds.QuotaExcess, bounds.QuotaSlack))
+        self.harvest = Harvest(bounds, self.copies, self.limiter, self.gateways, ground.chance)
+        self.there = There(ground, self.limiter)
         self.changes = Changes(ground, self.harvest, self._bound_clients)
         self.arrivals = Arrivals(ground, self.there, self.register, self._retire)
         self.core = Core(ground, self.changes.in_force, self.arrivals.remember)
@@ -94,7 +94,7 @@
             self.core,
             self.changes,
             self.arrivals,
-            self.weir,
+            self.limiter,
             self.copies,
             self.is_ready,
         )
@@ -246,7 +246,9 @@
                 and age < UNSETTLED
             ):
                 return False
-            if age < UNHEARD and not (self.register.lives and self.weir.others and self.weir.heard_all()):
+            if age < UNHEARD and not (
+                self.register.lives and self.limiter.others and self.limiter.heard_all()
+            ):
                 return False
             self.was_ready = True
             tell(
@@ -259,7 +261,7 @@
         return True
 
     def gateways(self) -> int:
-        return self.weir.entries(self.ground.clock.monotonic())
+        return self.limiter.entries(self.ground.clock.monotonic())
 
     # What is due
 
@@ -294,9 +296,9 @@
         for copy in self.copies.sweep():
             row = copy.life.row
             self._retire(row)
-        for tenant, count in self.weir.refused.items():
+        for tenant, count in self.limiter.refused.items():
             tell(Event.QUOTA, count=count, tenant=tenant)
-        self.weir.refused.clear()
+        self.limiter.refused.clear()
         if self.home.routes:
             self._tell_home(now)
         self.there.near = None  # who only talks may have come or gone
--- a/coralvale/cluster/gates/status.py
+++ b/coralvale/cluster/gates/status.py
@@ -11,12 +11,12 @@
 
 
 def status(o: GatewayNode) -> bytes:
-    now, weir = o.ground.clock.monotonic(), o.weir
+    now, limiter = o.ground.clock.monotonic(), o.limiter
     view, holder, core = o.core.known()
     sent: dict[str, float] = {}
     for copy in o.copies.copies.values():
         sent[copy.life.row.svc] = sent.get(copy.life.row.svc, 0.0) + copy.recent
-    heard = {name: now - other.heard for name, other in weir.others.items()}
+    heard = {name: now - other.heard for name, other in limiter.others.items()}
     hosts = []
     for life in o.register.lives.values():
         known = o.copies.copies.get(life.id)
@@ -39,15 +39,15 @@
             }
         )
     tenants = []
-    for name, metered in weir.tenants.items():
+    for name, metered in limiter.tenants.items():
         tenants.append(
             {
                 "name": name,
-                "quota": metered.sluice.plan.rate,
+                "quota": metered.bucket.plan.rate,
                 "here": metered.mine,
                 "all": metered.use,
-                "window": weir.elsewhere(name).window + metered.window.total(now),
-                "leak": metered.sluice.rate,
+                "window": limiter.elsewhere(name).window + metered.window.total(now),
+                "leak": metered.bucket.rate,
             }
         )
     found = {
--- a/coralvale/cluster/gates/tidings.py
+++ b/coralvale/cluster/gates/tidings.py
@@ -45,7 +45,7 @@
     unpack_use,
 )
 from coralvale.cluster.harvest.copies import SOON, Copies
-from coralvale.cluster.weir.sluice import MOST, PERIOD, Weir
+from coralvale.cluster.rate_limit.limiter import MOST, PERIOD, RateLimiter
 from coralvale.members import wire as swim_wire
 from coralvale.members.model import MembersError
 
@@ -70,12 +70,12 @@
         core: Core,
         changes: Changes,
         arrivals: Arrivals,
-        weir: Weir,
+        limiter: RateLimiter,
         copies: Copies,
         is_ready: Callable[[], bool],
     ) -> None:
         self.ground, self.there, self.core, self.changes = ground, there, core, changes
-        self.arrivals, self.weir, self.copies, self.is_ready = arrivals, weir, copies, is_ready
+        self.arrivals, self.limiter, self.copies, self.is_ready = arrivals, limiter, copies, is_ready
         self.register = arrivals.register
         self.out_in_words = False
         self.cart, self.carriers, self.carting = Cart(), Carriers(), False
@@ -86,11 +86,11 @@
         told_core: tuple[int, tuple[str, ...]] = (0, ())
         while True:
             now = self.ground.clock.monotonic()
-            self.weir.step(now)
+            self.limiter.step(now)
             self.copies.fade()
             self.tell_health(self.copies.weigh(now))
             view, holder, core = self.core.known()
-            use, whole = self.weir.told(now)
+            use, whole = self.limiter.told(now)
             if (view, core) != told_core:
                 told_core, told_at = (view, core), now
             carries = self.carries(now)
@@ -109,7 +109,7 @@
                 carries,
                 self.ground.settings.Region if whole else "",
                 self.ground.process if whole else 0,
-                pack_use(self.weir.ended.summary()) if self.tells_ended() else b"",
+                pack_use(self.limiter.ended.summary()) if self.tells_ended() else b"",
             )
             self.tell_all(WORD, encode(word))
             due = max(due + PERIOD, now + PERIOD / 2)
@@ -165,7 +165,7 @@
     def tells_ended(self) -> bool:
         """Whether this word is to tell what ended processes let through: all that several tell is the same, so
         in a large fleet a part of the words is enough."""
-        count = self.weir.count
+        count = self.limiter.count
         return count <= ALL_TELL_ENDED or self.ground.chance.random() * count < ENDED_TOLD_BY
 
     def carries(self, now: float) -> bool:
@@ -282,8 +282,8 @@
         if word.region and (strange := self.there.strange(ip, word.region)):
             tell(Event.REGION_OF_OTHER, **strange)
         self.carriers.hear(now, ip, word.carries)
-        self.weir.hear(now, ip, unpack_use(word.use, self.changes.tenants), word.whole, word.life)
-        self.weir.ended.hear(now, unpack_use(word.ended, self.changes.tenants))
+        self.limiter.hear(now, ip, unpack_use(word.use, self.changes.tenants), word.whole, word.life)
+        self.limiter.ended.hear(now, unpack_use(word.ended, self.changes.tenants))
         self.tell_health(self.copies.hear_blight(now, ip, unpack_blight(word.blight)))
         if word.out is not None:
             self.copies.hear(now, ip, unpack_out(word.out))
--- a/coralvale/cluster/gates/words.py
+++ b/coralvale/cluster/gates/words.py
@@ -16,7 +16,7 @@
 from coralvale.cluster.census.register import Row
 from coralvale.cluster.configuration.history import Change, News
 from coralvale.cluster.consensus.messages import Member, Message
-from coralvale.cluster.weir.sluice import Use
+from coralvale.cluster.rate_limit.limiter import Use
 
 FRAME = struct.Struct("!I")
 MOST = 96 * 1024 * 1024  # bytes of a frame
--- a/coralvale/cluster/harvest/way.py
+++ b/coralvale/cluster/harvest/way.py
@@ -1,7 +1,7 @@
 """A request's way through a gateway, without I/O: what is let in, where it goes, whether again, what is
 promised.
 
-On the ordinary path: route and key in the configuration's snapshot, the tenant's bucket (`weir`), a copy. A
+On the ordinary path: route and key in the configuration's snapshot, the tenant's bucket (`limiter`), a copy. A
 request that may run once is sent again, or refused with a promise, only while every earlier try is known not
 to have run.
 """
@@ -18,8 +18,8 @@
 from coralvale.cluster.harvest.budget import Budget
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.tries import ENDS
+from coralvale.cluster.rate_limit.limiter import RateLimiter
 from coralvale.cluster.settings import Bounds
-from coralvale.cluster.weir.sluice import Weir
 from coralvale.interface import Outcome
 
 ROOM = 0.025  # s before the client's time is up, for the answer to reach it
@@ -61,11 +61,11 @@
         self,
         bounds: Bounds,
         copies: Copies,
-        weir: Weir,
+        limiter: RateLimiter,
         gateways: Callable[[], int],
         chance: random.Random,
     ) -> None:
-        self.bounds, self.copies, self.weir = bounds, copies, weir
+        self.bounds, self.copies, self.limiter = bounds, copies, limiter
         self.gateways, self.chance = gateways, chance
         self.configuration, self.home = Configuration(), copies.home
         self.newest: tuple[Configuration, str, str, tuple[str, Route] | None] = NOTHING
@@ -127,7 +127,7 @@
         if job.ends <= now:
             return Problem(Kind.NOT_SENT_IN_TIME)
         if tenant and (terms := configuration.tenant(tenant)) and terms.RatePerS > 0:
-            if wait := self.weir.wait(now, tenant, terms.RatePerS, terms.Burst):
+            if wait := self.limiter.wait(now, tenant, terms.RatePerS, terms.Burst):
                 return Problem(Kind.OVER_QUOTA, tenant, retry_after=max(0.05, wait))
             job.charged = True
         return job
@@ -239,7 +239,7 @@
     def _refuse(self, job: Job, kind: Kind, why: str = "") -> Problem:
         if job.charged and not job.sent:
             job.charged = False
-            self.weir.refund(job.tenant)
+            self.limiter.refund(job.tenant)
         return Problem(kind, why, retry_after=AGAIN)
 
     def give_up(self, now: float, job: Job) -> Problem:
--- a/coralvale/cluster/weir/sluice.py
+++ b/coralvale/cluster/rate_limit/limiter.py
@@ -24,7 +24,7 @@
 from attrs import define, field, frozen
 
 from coralvale import interface as api
-from coralvale.cluster.weir.ended import EndedUse
+from coralvale.cluster.rate_limit.ended import EndedUse
 from coralvale.restrictor import Restrictor
 
 PERIOD = 0.5  # s between words of a gateway
@@ -59,7 +59,7 @@
     slack: float
 
 
-class Sluice(Restrictor):
+class TenantBucket(Restrictor):
     """One tenant's bucket, with a threshold that follows what is surely unused."""
 
     def __init__(self, plan: api.Plan, entries: int, now: float) -> None:
@@ -122,7 +122,7 @@
 class Metered:
     """One tenant's use."""
 
-    sluice: Sluice
+    bucket: TenantBucket
     window: Window  # of what was let through here
     passed: int = 0  # of it, since the last step
     newest: int = 0  # of it, in the period before that
@@ -132,7 +132,7 @@
     fill: float = 0.0  # of the whole fleet's bucket, as far as it has been told
 
 
-class Weir:
+class RateLimiter:
     """All tenants' metering at one gateway."""
 
     def __init__(self, rule: Rule) -> None:
@@ -155,17 +155,17 @@
         if rate <= 0:
             return 0.0
         metered = self._of(now, name, rate, burst)
-        sluice = metered.sluice
-        sluice.seen_at = now
-        sluice.drain(now)
-        wait = sluice.wait(1.0)
-        if not wait and sluice.credit < 1.0:
+        bucket = metered.bucket
+        bucket.seen_at = now
+        bucket.drain(now)
+        wait = bucket.wait(1.0)
+        if not wait and bucket.credit < 1.0:
             wait = max(0.05, self.stepped + PERIOD - now)
         if wait:
             self.refused[name] = self.refused.get(name, 0) + 1
             return wait
-        sluice.charge(1.0)
-        sluice.credit -= 1.0
+        bucket.charge(1.0)
+        bucket.credit -= 1.0
         metered.passed += 1
         metered.window.add(now, 1)
         return 0.0
@@ -174,27 +174,29 @@
         """What was charged for was sent to no host: the bucket has it back, the meter keeps to the safe
         side."""
         if metered := self.tenants.get(name):
-            metered.sluice.refund(1.0, 1.0)
-            metered.sluice.credit += 1.0
+            metered.bucket.refund(1.0, 1.0)
+            metered.bucket.credit += 1.0
 
     def _of(self, now: float, name: str, rate: float, burst: float) -> Metered:
         metered = self.tenants.get(name)
         entries = self.count
         if metered is None:
             plan = api.Plan(name, rate, max(1.0, burst), excess_cost=1.0)
-            metered = Metered(Sluice(plan, entries, now), Window(self.rule.window, self.rule.window / 50))
+            metered = Metered(
+                TenantBucket(plan, entries, now), Window(self.rule.window, self.rule.window / 50)
+            )
             self.tenants[name] = metered
             self._room(now, metered, self.elsewhere(name))
-        plan = metered.sluice.plan
+        plan = metered.bucket.plan
         if plan.rate != rate or plan.burst != max(1.0, burst):
-            sluice = metered.sluice
-            sluice.drain(now)
+            bucket = metered.bucket
+            bucket.drain(now)
             scale = rate / plan.rate
-            sluice.settle(api.Plan(name, rate, max(1.0, burst), excess_cost=1.0), entries)
-            sluice.rate = max(sluice.floor, min(sluice.rate * scale, rate))
+            bucket.settle(api.Plan(name, rate, max(1.0, burst), excess_cost=1.0), entries)
+            bucket.rate = max(bucket.floor, min(bucket.rate * scale, rate))
             self._room(now, metered, self.elsewhere(name))
-        elif metered.sluice.entries != entries:
-            metered.sluice.settle(plan, entries)
+        elif metered.bucket.entries != entries:
+            metered.bucket.settle(plan, entries)
         return metered
 
     # Others
@@ -304,19 +306,19 @@
         self.count, self.missing, self.late = self.entries(now), self.silent(now), self.silent(now, LATE)
         absent = self.missing / self.count
         for name, metered in list(self.tenants.items()):
-            sluice, sums = metered.sluice, self.elsewhere(name)
+            bucket, sums = metered.bucket, self.elsewhere(name)
             metered.newest, metered.passed = metered.passed, 0
             metered.mine += SMOOTH * (metered.newest / elapsed - metered.mine)
-            drained = self._flow(sluice.plan) * elapsed
+            drained = self._flow(bucket.plan) * elapsed
             metered.fill = max(0.0, metered.fill + metered.newest + sums.newest - drained)
             metered.use += SMOOTH * (metered.newest / elapsed + sums.newest / PERIOD - metered.use)
             if rates:
                 # What is kept for gateways that cannot be heard counts as used.
-                sluice.heard(now, metered.use / sluice.plan.rate + absent)
-                sluice.own_late = metered.mine  # as old as the reading is
-                sluice.step(now)
+                bucket.heard(now, metered.use / bucket.plan.rate + absent)
+                bucket.own_late = metered.mine  # as old as the reading is
+                bucket.step(now)
             self._room(now, metered, sums)
-            if now - sluice.seen_at > IDLE and not metered.window.total(now):
+            if now - bucket.seen_at > IDLE and not metered.window.total(now):
                 del self.tenants[name]
         for name in [n for n, sums in self.sums.items() if not (sums.window or sums.newest)]:
             del self.sums[name]
@@ -345,7 +347,7 @@
         it, nothing needs parting: a part of the few requests that one of many gateways sees of a small tenant
         would be less than one.
         """
-        rule, plan = self.rule, metered.sluice.plan
+        rule, plan = self.rule, metered.bucket.plan
         if self.unsure(now):
             even = self._flow(plan) * PERIOD / max(self.count, FEWEST)
             self._grant(now, metered, max(1.0, UNSURE_PARTS * even))
@@ -370,8 +372,8 @@
 
     def _grant(self, now: float, metered: Metered, part: float) -> None:
         """What this gateway may let through until the next word."""
-        sluice = metered.sluice
-        sluice.drain(now)
-        sluice.level = sluice.fill + part
+        bucket = metered.bucket
+        bucket.drain(now)
+        bucket.level = bucket.fill + part
         # What was not used is kept, up to one request: of a small part the next period may have need.
-        sluice.credit = part + min(1.0, max(0.0, sluice.credit))
+        bucket.credit = part + min(1.0, max(0.0, bucket.credit))
--- a/coralvale/lab/souring.py
+++ b/coralvale/lab/souring.py
@@ -30,8 +30,8 @@
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.home import Home
 from coralvale.cluster.harvest.way import Harvest, Job
+from coralvale.cluster.rate_limit.limiter import PERIOD, RateLimiter, Rule
 from coralvale.cluster.settings import Bounds
-from coralvale.cluster.weir.sluice import PERIOD, Rule, Weir
 from coralvale.interface import Outcome
 from coralvale.lab.model import LabError
 from coralvale.lab.world.engine import Engine
@@ -215,9 +215,9 @@
         chance = random.Random(f"{world.seed}/{number}")
         self.register = Register(1e6)
         self.copies = Copies(self.register, self.zone, chance, world.home(number))
-        weir = Weir(Rule(5.0, 0.1, 20.0))
+        limiter = RateLimiter(Rule(5.0, 0.1, 20.0))
         bounds = Bounds(RetryExtra=64.0)
-        self.harvest = Harvest(bounds, self.copies, weir, lambda: world.day.gateways, chance)
+        self.harvest = Harvest(bounds, self.copies, limiter, lambda: world.day.gateways, chance)
         self.harvest.take_configuration(plot)
 
     def ask(self, request: Request) -> None:
--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -15,8 +15,8 @@
 from coralvale.cluster.gates.hosts import Hosts
 from coralvale.cluster.harvest.copies import Copies
 from coralvale.cluster.harvest.way import Harvest
+from coralvale.cluster.rate_limit.limiter import RateLimiter, Rule
 from coralvale.cluster.settings import Bounds
-from coralvale.cluster.weir.sluice import Rule, Weir
 from coralvale.net.clock import Clock
 from coralvale.net.transport import Attempt
 from coralvale.net.upstream import Pool
@@ -37,8 +37,10 @@
         for n, peer in enumerate(self.peers):
             self.register.take(now, Row(f"i-{n}", "s", "127.0.0.1", peer.port, "z", "v", 4, 0, 0.0, 1))
         chance = random.Random(1)
-        weir = Weir(Rule(5.0, 0.1, 20.0))
-        harvest = Harvest(Bounds(RetryExtra=64), Copies(self.register, "z", chance), weir, lambda: 1, chance)
+        limiter = RateLimiter(Rule(5.0, 0.1, 20.0))
+        harvest = Harvest(
+            Bounds(RetryExtra=64), Copies(self.register, "z", chance), limiter, lambda: 1, chance
+        )
         configuration = survey(config or {**WHOLE, "Limits": {"BodyBytes": 1000}}, Configuration())
         assert isinstance(configuration, Configuration)
         if config != {}:
--- a/tests/cluster/test_harvest.py
+++ b/tests/cluster/test_harvest.py
@@ -14,8 +14,8 @@
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.tries import ENDS
 from coralvale.cluster.harvest.way import Harvest, Job
+from coralvale.cluster.rate_limit.limiter import RateLimiter, Rule
 from coralvale.cluster.settings import Bounds
-from coralvale.cluster.weir.sluice import Rule, Weir
 from coralvale.interface import Outcome
 
 BOUNDS = Bounds(RetryExtra=64)
@@ -26,7 +26,7 @@
     for n in range(hosts):
         register.take(0.0, Row(f"i-{n}", "s", "10.0.0.1", 80 + n, "z", "v", 4, 0, 0.0, 1))
     chance = random.Random(3)
-    made = Harvest(BOUNDS, Copies(register, "z", chance), Weir(Rule(5, 0.1, 20)), lambda: 1, chance)
+    made = Harvest(BOUNDS, Copies(register, "z", chance), RateLimiter(Rule(5, 0.1, 20)), lambda: 1, chance)
     configuration = survey(changed(**at), Configuration())
     assert isinstance(configuration, Configuration)
     assert made.take_configuration(configuration)
@@ -65,7 +65,7 @@
     assert kind(made.enter(1.0, b"i", "a.example", "/x/y/1", "", 1.0)) is Kind.NO_KEY
     assert enter(made, "/x/y/1", "k3").tenant == "u"
     assert enter(made, "/x/1", None).tenant == "" and enter(made, "/x/1", "k2").tenant == "t"
-    empty = Harvest(BOUNDS, made.copies, made.weir, lambda: 1, random.Random(1))
+    empty = Harvest(BOUNDS, made.copies, made.limiter, lambda: 1, random.Random(1))
     assert kind(empty.enter(1.0, b"i", "a.example", "/x/1", "k1", 1.0)) is Kind.NO_CONFIGURATION
 
 
--- a/tests/cluster/test_home.py
+++ b/tests/cluster/test_home.py
@@ -24,9 +24,9 @@
 from coralvale.cluster.harvest.copies import Copies
 from coralvale.cluster.harvest.home import Home
 from coralvale.cluster.harvest.way import Harvest, Job
+from coralvale.cluster.rate_limit.limiter import RateLimiter, Rule
 from coralvale.cluster.regions import parse
 from coralvale.cluster.settings import Bounds, SettingsError
-from coralvale.cluster.weir.sluice import Rule, Weir
 
 REGIONS = ("coast", "delta", "hills")
 ZONES = {f"{region}-{n}": region for region in REGIONS for n in (1, 2)}
@@ -49,7 +49,9 @@
         chance = random.Random(world.chance.random())
         # Which hosts are nearest is anyone's: it must not be what keeps a request at home.
         copies = Copies(register, chance.choice(list(ZONES)), chance, self.home)
-        self.harvest = Harvest(Bounds(RetryExtra=64), copies, Weir(Rule(5, 0.1, 20)), lambda: 6, chance)
+        self.harvest = Harvest(
+            Bounds(RetryExtra=64), copies, RateLimiter(Rule(5, 0.1, 20)), lambda: 6, chance
+        )
         self.cut = False
         self.late = chance.uniform(0.0, 1.2)  # that news takes to it
         self.restarted = 0.0  # one that starts has an old configuration, and has heard nothing
@@ -210,7 +212,7 @@
     home = Home(region, ZONES, rules)
     home.heard = heard
     copies = Copies(register, f"{region}-1", chance, home)
-    made = Harvest(Bounds(RetryExtra=64), copies, Weir(Rule(5, 0.1, 20)), lambda: 6, chance)
+    made = Harvest(Bounds(RetryExtra=64), copies, RateLimiter(Rule(5, 0.1, 20)), lambda: 6, chance)
     assert isinstance(configuration, Configuration) and made.take_configuration(configuration)
     return made
 
@@ -228,7 +230,7 @@
             assert ANSWERS[found.kind].promise is Promise.NOT_RUN and found.status == 421
         assert made.home.refused == {"coast": 2} and "secret" not in str(vars(made.home))
         assert "secret" not in str(made.newest)
-        assert not made.weir.tenants  # its quota is not charged abroad
+        assert not made.limiter.tenants  # its quota is not charged abroad
     assert at("coast", configuration).head(1.0, "a.example", "/x/1") is None
     assert at("delta", bound()).head(1.0, "a.example", "/x/1") is None
 
--- a/tests/cluster/test_weir.py
+++ b/tests/cluster/test_rate_limit.py
@@ -8,8 +8,8 @@
 import pytest
 import simpy
 
-from coralvale.cluster.weir.ended import BELIEVED_FOR, MOST_KEPT
-from coralvale.cluster.weir.sluice import MOST, PERIOD, Rule, Use, Weir
+from coralvale.cluster.rate_limit.ended import BELIEVED_FOR, MOST_KEPT
+from coralvale.cluster.rate_limit.limiter import MOST, PERIOD, RateLimiter, Rule, Use
 
 RULE = Rule(window=5.0, excess=0.1, slack=20.0)
 
@@ -20,52 +20,54 @@
     def __init__(self, seed: int, count: int, rate: float, burst: float) -> None:
         self.env, self.chance = simpy.Environment(), random.Random(seed)
         self.rate, self.burst = rate, burst
-        self.weirs = {f"g{n}": Weir(RULE) for n in range(count)}
+        self.limiters = {f"g{n}": RateLimiter(RULE) for n in range(count)}
         self.sides: dict[str, int] = {}
         self.passed: deque[float] = deque()
         self.asked = self.refused = self.lives = 0
         self.life: dict[str, int] = {}
         self.worst = 0
-        for name in list(self.weirs):
+        for name in list(self.limiters):
             self.begin(name)
 
     def begin(self, name: str) -> None:
-        weir = self.weirs[name] = Weir(RULE)
+        limiter = self.limiters[name] = RateLimiter(RULE)
         self.lives += 1
         self.life[name] = self.lives
-        for other in self.weirs:
+        for other in self.limiters:
             if other != name:
-                weir.know(self.env.now, other)
-                self.weirs[other].know(self.env.now, name)
-        self.env.process(self.words(name, weir))
+                limiter.know(self.env.now, other)
+                self.limiters[other].know(self.env.now, name)
+        self.env.process(self.words(name, limiter))
 
-    def words(self, name: str, weir: Weir) -> object:
+    def words(self, name: str, limiter: RateLimiter) -> object:
         yield self.env.timeout(PERIOD * self.chance.random())
-        while self.weirs.get(name) is weir:
-            weir.step(self.env.now)
-            told = weir.told(self.env.now)
-            for other in self.weirs:
+        while self.limiters.get(name) is limiter:
+            limiter.step(self.env.now)
+            told = limiter.told(self.env.now)
+            for other in self.limiters:
                 if other != name and self.chance.random() > 0.01:
-                    self.env.process(self.word(name, other, (*told, self.life[name]), weir.ended.summary()))
+                    self.env.process(
+                        self.word(name, other, (*told, self.life[name]), limiter.ended.summary())
+                    )
             yield self.env.timeout(PERIOD)
 
     def word(self, name: str, other: str, told: tuple[Use, bool, int], ended: Use) -> object:
         yield self.env.timeout(0.0005 + 0.04 * self.chance.random() ** 4)
-        if other in self.weirs and self.sides.get(name, 0) == self.sides.get(other, 0):
-            self.weirs[other].hear(self.env.now, name, *told)
-            self.weirs[other].ended.hear(self.env.now, ended)
+        if other in self.limiters and self.sides.get(name, 0) == self.sides.get(other, 0):
+            self.limiters[other].hear(self.env.now, name, *told)
+            self.limiters[other].ended.hear(self.env.now, ended)
 
     def clients(self, a_second: float, until: float) -> object:
         """Arrivals by chance, spread unevenly over the gateways."""
-        names = list(self.weirs)
+        names = list(self.limiters)
         weights = [0.3 + self.chance.random() for _ in names]
         while self.env.now < until:
             yield self.env.timeout(self.chance.expovariate(a_second))
             name = self.chance.choices(names, weights)[0]
-            if name not in self.weirs:
+            if name not in self.limiters:
                 continue
             self.asked += 1
-            if self.weirs[name].wait(self.env.now, "t", self.rate, self.burst):
+            if self.limiters[name].wait(self.env.now, "t", self.rate, self.burst):
                 self.refused += 1
                 continue
             self.passed.append(self.env.now)
@@ -79,7 +81,7 @@
 
     def kill(self, name: str, after: float, back: float) -> object:
         yield self.env.timeout(after)
-        del self.weirs[name]
+        del self.limiters[name]
         yield self.env.timeout(back)
         self.begin(name)
 
@@ -140,7 +142,7 @@
 
 
 def test_one_that_starts_knows_all_by_the_first_round_of_words() -> None:
-    old, new = Weir(RULE), Weir(RULE)
+    old, new = RateLimiter(RULE), RateLimiter(RULE)
     for n in range(600):
         if n % 50 == 0:
             old.step(n / 100)
@@ -153,36 +155,36 @@
     let = sum(not new.wait(6.0, "t", 100.0, 100.0) for _ in range(600))
     before = told[0]["t"][0]
     assert before + let <= (100.0 * 5 + 100.0) * 1.1 + 20
-    fresh = Weir(RULE)
+    fresh = RateLimiter(RULE)
     assert sum(not fresh.wait(6.0, "t", 100.0, 100.0) for _ in range(600)) > let
 
 
 def test_what_senders_of_words_can_grow_is_bounded() -> None:
-    weir = Weir(RULE)
+    limiter = RateLimiter(RULE)
     for n in range(MOST + 50):
-        weir.hear(0.0, f"a{n}", {})
-        weir.know(0.0, f"b{n}")
-    assert len(weir.others) == MOST
+        limiter.hear(0.0, f"a{n}", {})
+        limiter.know(0.0, f"b{n}")
+    assert len(limiter.others) == MOST
     for n in range(2 * MOST_KEPT):  # one that says with each word that it has begun anew
-        weir.hear(0.0, "a1", {"t": (1, 0)}, True, n + 1)
-    assert len(weir.ended.records) == MOST_KEPT
+        limiter.hear(0.0, "a1", {"t": (1, 0)}, True, n + 1)
+    assert len(limiter.ended.records) == MOST_KEPT
 
 
 def test_one_that_is_met_is_told_all_with_the_next_word() -> None:
-    weir = Weir(RULE)
-    weir.wait(0.0, "t", 100.0, 100.0)
-    assert weir.told(0.1)[1] and not weir.told(0.6)[1] and not weir.told(1.1)[1]
-    weir.know(1.2, "new")
-    assert weir.told(1.6) == ({"t": (1, 0)}, True)
+    limiter = RateLimiter(RULE)
+    limiter.wait(0.0, "t", 100.0, 100.0)
+    assert limiter.told(0.1)[1] and not limiter.told(0.6)[1] and not limiter.told(1.1)[1]
+    limiter.know(1.2, "new")
+    assert limiter.told(1.6) == ({"t": (1, 0)}, True)
 
 
 def test_what_is_kept_for_a_silent_gateway_goes_to_none_until_it_says_that_it_left() -> None:
-    weir = Weir(RULE)
-    weir.know(0.0, "a")
-    weir.know(0.0, "b")
-    assert weir.silent(10.0) == 2 and weir.entries(10.0) == 3
-    weir.left("a")
-    assert weir.silent(10.0) == 1 and weir.entries(10.0) == 2
+    limiter = RateLimiter(RULE)
+    limiter.know(0.0, "a")
+    limiter.know(0.0, "b")
+    assert limiter.silent(10.0) == 2 and limiter.entries(10.0) == 3
+    limiter.left("a")
+    assert limiter.silent(10.0) == 1 and limiter.entries(10.0) == 2
 
 
 def test_a_tenant_far_past_its_quota_gets_its_quota_all_the_while() -> None:
@@ -199,33 +201,33 @@
 
 
 def test_what_a_process_let_through_before_it_was_killed_counts_on() -> None:
-    def counted(weir: Weir) -> int:
-        return weir.elsewhere("t").window + weir.ended.of("t")
-
-    weir = Weir(RULE)
-    weir.hear(0.0, "a", {"t": (70, 9)}, True, 1)
-    weir.hear(0.5, "a", {"t": (80, 9)}, False, 0)  # a word that does not say whose it is changes nothing
-    assert counted(weir) == 80
-    weir.hear(1.5, "a", {"t": (2, 2)}, True, 2)
-    weir.step(1.5)
-    assert counted(weir) == 91  # 9 more: as many as in its last period
-    weir.hear(2.0, "a", {"t": (4, 2)}, True, 2)
-    weir.step(5.4)
-    assert counted(weir) == 93
-    weir.step(5.6)  # five seconds after the old one's last word
-    assert counted(weir) == 4
-    weir.hear(20.0, "a", {"t": (1, 1)}, True, 3)  # what is older than the window is nobody's
-    weir.step(20.1)
-    assert counted(weir) == 1
+    def counted(limiter: RateLimiter) -> int:
+        return limiter.elsewhere("t").window + limiter.ended.of("t")
+
+    limiter = RateLimiter(RULE)
+    limiter.hear(0.0, "a", {"t": (70, 9)}, True, 1)
+    limiter.hear(0.5, "a", {"t": (80, 9)}, False, 0)  # a word that does not say whose it is changes nothing
+    assert counted(limiter) == 80
+    limiter.hear(1.5, "a", {"t": (2, 2)}, True, 2)
+    limiter.step(1.5)
+    assert counted(limiter) == 91  # 9 more: as many as in its last period
+    limiter.hear(2.0, "a", {"t": (4, 2)}, True, 2)
+    limiter.step(5.4)
+    assert counted(limiter) == 93
+    limiter.step(5.6)  # five seconds after the old one's last word
+    assert counted(limiter) == 4
+    limiter.hear(20.0, "a", {"t": (1, 1)}, True, 3)  # what is older than the window is nobody's
+    limiter.step(20.1)
+    assert counted(limiter) == 1
 
 
 def test_a_process_that_starts_takes_the_most_that_any_other_keeps_of_ended_ones() -> None:
-    weir = Weir(RULE)
-    weir.ended.hear(1.0, {"t": (40, 0)})
-    weir.ended.hear(1.1, {"t": (25, 0)})  # one that missed a word keeps less
-    assert weir.ended.of("t") == 40
-    weir.ended.add(3.0, "t", 30)
-    weir.ended.expire(1.0 + BELIEVED_FOR + 0.01)
-    assert weir.ended.of("t") == 30
-    weir.ended.expire(3.0)
-    assert weir.ended.of("t") == 0 and not weir.ended.summary()
+    limiter = RateLimiter(RULE)
+    limiter.ended.hear(1.0, {"t": (40, 0)})
+    limiter.ended.hear(1.1, {"t": (25, 0)})  # one that missed a word keeps less
+    assert limiter.ended.of("t") == 40
+    limiter.ended.add(3.0, "t", 30)
+    limiter.ended.expire(1.0 + BELIEVED_FOR + 0.01)
+    assert limiter.ended.of("t") == 30
+    limiter.ended.expire(3.0)
+    assert limiter.ended.of("t") == 0 and not limiter.ended.summary()
--- a/tests/cluster/test_spread.py
+++ b/tests/cluster/test_spread.py
@@ -134,7 +134,7 @@
     async def whole() -> None:
         node = GatewayNode(parse(settings(0, IPS, 3, Path("/nowhere"), False)), "")
         for count, least, most in ((1, 400, 400), (16, 400, 400), (24, 20, 100), (100, 2, 40)):
-            node.weir.count = count
+            node.limiter.count = count
             assert least <= sum(node.tidings.tells_ended() for _ in range(400)) <= most, count
 
     asyncio.run(whole())
