--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -35,7 +35,9 @@
 from coralvale.cluster.gates.node import GatewayNode
 from coralvale.cluster.gates.peers import WORD, Datagrams
 from coralvale.cluster.gates.words import Told, Word, encode, framed, pack_out, pack_use
-from coralvale.cluster.rate_limit.limiter import PERIOD, RateLimiter, Rule
+from coralvale.cluster.rate_limit.limiter import RateLimiter
+from coralvale.cluster.rate_limit.quota import Rule
+from coralvale.cluster.rate_limit.usage import PERIOD
 from coralvale.cluster.settings import parse
 from coralvale.members.model import Member, State, Update
 from coralvale.members.swim import Known
@@ -111,7 +113,7 @@
     for n, ip in enumerate(ips[:-1]):
         member = Member(f"gateway-{n}", (ip, PEERS), n % 2)
         node.there.swim.known[member.name] = Known(Update(State.ALIVE, member, 1), now)
-        node.limiter.know(now, ip)
+        node.limiter.usage.know(now, ip)
     made = survey(configuration(100, 400), Configuration())
     assert isinstance(made, Configuration)
     fake: Any = node
@@ -202,10 +204,11 @@
 
 
 def limiter_of(count: int) -> RateLimiter:
-    made = RateLimiter(Rule(5.0, 0.1, 20.0))
+    made = RateLimiter(Rule(5.0, 0.1, 20.0), "alone")
+    made.holding.own_all()
     made.step(0.0)
     for name in names(count):
-        made.wait(0.1, name, 100.0, 100.0)
+        made.request(0.1, name, 100.0, 100.0)
     return made
 
 
--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -45,7 +45,9 @@
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.home import Home
 from coralvale.cluster.harvest.way import Harvest, Job
-from coralvale.cluster.rate_limit.limiter import PERIOD, RateLimiter, Rule
+from coralvale.cluster.rate_limit.limiter import RateLimiter
+from coralvale.cluster.rate_limit.quota import Rule
+from coralvale.cluster.rate_limit.usage import PERIOD
 from coralvale.cluster.settings import Bounds
 from coralvale.standins.cluster import LocalCluster, configuration
 
@@ -85,7 +87,8 @@
     for n in range(HOSTS):
         register.take(0.0, Row(f"i-{n}", "s", "10.0.0.1", n + 1, "z", "v", 4, 0, 0.0, 1))
     chance = random.Random(1)
-    limiter = RateLimiter(RULE)
+    limiter = RateLimiter(RULE, "alone")
+    limiter.holding.own_all()
     home = Home("home", {"z": "home"})
     home.heard = 1e18
     harvest = Harvest(Bounds(RetryExtra=64), Copies(register, "z", chance, home), limiter, lambda: 12, chance)
@@ -177,9 +180,9 @@
     use = {f"t{n}": (chance.randrange(1, 9), chance.randrange(3)) for n in range(tenants // 2)}
     others = [f"10.0.{n >> 8}.{n & 255}" for n in range(gateways - 1)]
     for other in others:
-        limiter.hear(0.0, other, use)
+        limiter.usage.hear(0.0, other, use)
     for n in range(tenants):
-        limiter.wait(0.0, f"t{n}", 100.0, 100.0)
+        limiter.request(0.0, f"t{n}", 100.0, 100.0)
     at = [0.0]
 
     def step() -> None:
@@ -187,7 +190,7 @@
         limiter.step(at[0])
 
     def heard() -> None:
-        limiter.hear(at[0], others[0], use, False)
+        limiter.usage.hear(at[0], others[0], use, False)
 
     def word(told: dict[str, tuple[int, int]]) -> int:
         return len(encode(Word(9, 1 << 31, 5, "10.0.0.1", (), pack_use(told), False, [("i-7f3a91c2", 40)])))
--- a/coralvale/cluster/configuration/history.py
+++ b/coralvale/cluster/configuration/history.py
@@ -50,6 +50,7 @@
     taken: tuple[tuple[int, bytes], ...]
     steps: tuple[Step, ...] = ()
     oldest_base: int = 0  # of the changes in `taken`
+    shares: bytes = b""  # the table of shares, as the rate limiter packs it
 
 
 class News(msgspec.Struct, frozen=True, array_like=True):
@@ -149,14 +150,17 @@
     def config(self) -> bytes:
         return msgspec.json.encode(self.configuration.raw)
 
-    def image(self) -> bytes:
+    def image(self, shares: bytes = b"") -> bytes:
+        """`shares`: the table of shares, which the same log keeps, and which is kept beside it."""
         taken = tuple((version, digest) for digest, version in self.taken.items())
-        return msgspec.msgpack.encode(Image(self.config(), taken, tuple(self.steps), self.oldest_base))
+        image = Image(self.config(), taken, tuple(self.steps), self.oldest_base, shares)
+        return msgspec.msgpack.encode(image)
 
-    def restore(self, body: bytes) -> None:
-        """Takes what `image` gave, at another member or before this process began."""
+    def restore(self, body: bytes) -> bytes:
+        """Takes what `image` gave, at another member or before this process began; returns the table of shares
+        that was kept beside it."""
         if not body:
-            return
+            return b""
         image = _image(body)
         raw = _json(image.config)
         configuration = survey(raw, Configuration()) if raw else Configuration()
@@ -169,6 +173,7 @@
         self.oldest_base = image.oldest_base
         self.steps = deque(image.steps, maxlen=STEPS)
         self.news.clear()
+        return image.shares
 
     def since(self, version: int) -> News | None:
         """What is newer than a version; None if nothing is."""
--- a/coralvale/cluster/events.py
+++ b/coralvale/cluster/events.py
@@ -56,6 +56,7 @@
         "host {id} is {after}, was {before}: {ill} of {all} ill, told by {reporters} gateways",
     )
     QUOTA = 501, "WARNING", "refused {count} requests of {tenant} past its quota"
+    SHARES = 503, "INFO", "owns {cells} cells of the quotas by table {version}"
     ANSWERS = 502, "INFO", "answers: {counts}"
     TAKEN = 511, "DEBUG", "request {id} on {route} of {tenant}"
     TRY = 512, "DEBUG", "request {id}: try {number} to host {host}"
--- a/coralvale/cluster/gates/arrivals.py
+++ b/coralvale/cluster/gates/arrivals.py
@@ -15,7 +15,7 @@
 from coralvale.cluster.gates.peers import LIFE
 from coralvale.cluster.gates.there import There
 from coralvale.cluster.gates.words import Pull, Rows, encode
-from coralvale.cluster.rate_limit.limiter import MOST, PERIOD
+from coralvale.cluster.rate_limit.usage import MOST, PERIOD
 
 DRAINED = 0.75  # s that gateways are given to note that a host leaves
 KEEP_HOSTS = 1.0  # s between looks whether the register on disk is old
--- a/coralvale/cluster/gates/core.py
+++ b/coralvale/cluster/gates/core.py
@@ -18,9 +18,13 @@
 from coralvale.cluster.gates.ground import Ground
 from coralvale.cluster.gates.words import ConsensusMessage, Nominate, Nominee
 from coralvale.cluster.orders import OrderAnswer, OrderDesk
+from coralvale.cluster.rate_limit.shares import ShareTable
+from coralvale.cluster.share_desk import ShareAnswer, ShareClaim, ShareDesk
 from coralvale.cluster.storage.store import Damaged, Store, StoreError, set_aside
 
 RETRY_DISK = 0.25  # s until a write that failed is tried again
+SHARES_LOOK = 0.2  # s between looks at whether the table of shares is to change
+Work = consensus.Action | OrderAnswer | ShareAnswer
 
 
 class Core:
@@ -35,15 +39,17 @@
         settings = ground.settings
         self.replica: Replica | None = None
         self.store: Store | None = None
-        self.history = ChangeHistory()
+        self.history, self.shares = ChangeHistory(), ShareTable()
         self.disk = ThreadPoolExecutor(1)
         self.writes: list[consensus.Write] = []
         self.writing = False
-        self.disk_failed = 0.0
+        self.disk_failed = self.shares_looked = 0.0
         self.answers: dict[int, asyncio.Future[OrderAnswer]] = {}
-        self.pending: deque[consensus.Action | OrderAnswer] = deque()
+        self.share_answers: dict[int, asyncio.Future[ShareAnswer]] = {}
+        self.pending: deque[Work] = deque()
         self.acting = False
         self.desk: OrderDesk | None = None
+        self.share_desk: ShareDesk | None = None
         self.founding = Founding(
             settings.Ip, tuple(settings.seeds), settings.Bootstrap, settings.holds_state, ground.born
         )
@@ -77,7 +83,7 @@
         """Whether the log of changes brings this gateway what is new."""
         return self.replica is not None and not self.replica.needs_seat(self.ground.clock.monotonic())
 
-    def act(self, actions: Sequence[consensus.Action | OrderAnswer]) -> None:
+    def act(self, actions: Sequence[Work]) -> None:
         """Carries out what the replica and the desk return, in order; what that leads to comes after it."""
         self.pending.extend(actions)
         if self.acting:
@@ -92,7 +98,7 @@
             self.writing = True
             self.ground.spawn(self._write())
 
-    def _carry_out(self, action: consensus.Action | OrderAnswer) -> None:
+    def _carry_out(self, action: Work) -> None:
         match action:
             case consensus.Send():
                 self.ground.peers.link(action.to.ip).send(ConsensusMessage(action.message, action.to.id))
@@ -101,15 +107,19 @@
             case consensus.Deliver():
                 self._deliver(action.entry)
             case consensus.Restore():
-                self.history.restore(action.snapshot.body)
+                self.shares.replace(ShareTable.restored(self.history.restore(action.snapshot.body)))
                 self.take_configuration(self.history.configuration)
             case consensus.Settled():
-                if self.desk:
-                    now = self.ground.clock.monotonic()
-                    self.pending.extend(self.desk.settled(now, action.token, action.accepted))
+                now = self.ground.clock.monotonic()
+                for desk in (self.desk, self.share_desk):
+                    if desk:
+                        self.pending.extend(desk.settled(now, action.token, action.accepted))
             case OrderAnswer():
                 if (future := self.answers.get(action.token)) and not future.done():
                     future.set_result(action)
+            case ShareAnswer():
+                if (answer := self.share_answers.get(action.token)) and not answer.done():
+                    answer.set_result(action)
 
     async def _write(self) -> None:
         """What is to be on disk goes there in order; a disk in trouble is tried until it takes it."""
@@ -136,6 +146,8 @@
     def _deliver(self, entry: consensus.Entry) -> None:
         if entry.kind == consensus.CHANGE and self.history.deliver(entry.body):
             self.take_configuration(self.history.configuration)
+        elif entry.kind == consensus.SHARES:
+            self.shares.deliver(entry.body)
 
     def tell_view(self) -> None:
         """Logs a new view, leader or set of voters, and takes a snapshot when one is due."""
@@ -150,7 +162,7 @@
             names = ", ".join(m.name for m in replica.voters.new)
             tell(Event.VOTERS, members=names + (" (changing)" if replica.voters.old else ""))
         if replica.due_for_snapshot():
-            self.act(replica.save(self.history.image()))
+            self.act(replica.save(self.history.image(self.shares.image())))
 
     async def open(self) -> None:
         s = self.ground.settings
@@ -186,6 +198,7 @@
         timing = Timing(least=2 * s.FaultBudget.Nodes + 1, spare=s.Bounds.SyncS)
         self.replica = Replica(me, state, timing, self.ground.chance, self.ground.clock.monotonic())
         self.desk = OrderDesk(self.replica, self.history)
+        self.share_desk = ShareDesk(self.replica, self.shares, self.ground.peers.next)
         self.act(self.replica.start(self.ground.clock.monotonic()))
 
     async def join(self) -> None:
@@ -238,6 +251,30 @@
         finally:
             self.answers.pop(token, None)
 
+    async def claim(self, address: str, version: int, left: bool, patience: float) -> ShareAnswer | None:
+        """By the leader: a gateway's claim to its shares. None: not answered within `patience` s."""
+        if self.share_desk is None:
+            return None
+        token, now = self.ground.peers.next(), self.ground.clock.monotonic()
+        future: asyncio.Future[ShareAnswer] = self.ground.loop.create_future()
+        self.share_answers[token] = future
+        try:
+            self.act(self.share_desk.claim(now, ShareClaim(token, address, version, left)))
+            async with asyncio.timeout(patience):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            self.share_answers.pop(token, None)
+
+    def tick(self, now: float) -> None:
+        """What is due at this replica, and at its desk of shares."""
+        assert self.replica and self.share_desk
+        self.act(self.replica.tick(now))
+        if now - self.shares_looked >= SHARES_LOOK:
+            self.shares_looked = now
+            self.act(self.share_desk.tick(now))
+
     def leave(self) -> None:
         """This process is being stopped: leadership and vote are handed on."""
         if self.replica:
--- a/coralvale/cluster/gates/edge.py
+++ b/coralvale/cluster/gates/edge.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -12,6 +13,7 @@
 from coralvale.cluster.gates.hosts import HostAnswer, HostAttempt, Hosts
 from coralvale.cluster.harvest.copies import Copy
 from coralvale.cluster.harvest.way import Harvest, Job
+from coralvale.cluster.rate_limit.limiter import Decided
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
@@ -85,8 +87,17 @@
 
     ready = True
 
-    def __init__(self, harvest: Harvest, hosts: Hosts, clock: Clock) -> None:
+    def __init__(
+        self,
+        harvest: Harvest,
+        hosts: Hosts,
+        clock: Clock,
+        carry_out_quotas: Callable[[], None] = lambda: None,
+    ) -> None:
+        """`carry_out_quotas`: sends what the rate limiter asks of other gateways, for requests that wait."""
         self.harvest, self.hosts, self.clock = harvest, hosts, clock
+        self.carry_out_quotas = carry_out_quotas
+        self.waiting: dict[Job, Request] = {}  # for a token of their tenant's quota
         self.loop = asyncio.get_running_loop()
         self.open: set[Request] = set()
         self.answers: dict[int, int] = {}
@@ -146,9 +157,26 @@
         request = exchange.held = Request(exchange, job, headers)
         self.open.add(request)
         request.timer = self.loop.call_later(job.ends - now, self._time_up, request)
-        self._try(request)
+        if job.waits:
+            self.waiting[job] = request
+            self.carry_out_quotas()
+        else:
+            self._try(request)
         return None
 
+    def decided(self, decision: Decided) -> None:
+        """What became of a request that waited for a token."""
+        job = decision.ticket
+        assert isinstance(job, Job)
+        request = self.waiting.pop(job, None)
+        problem = self.harvest.decided(job, decision.verdict)
+        if request is None or request.done:
+            self.harvest.abandon(job)
+        elif problem:
+            self._end(request, problem)
+        else:
+            self._try(request)
+
     def _say(self, exchange: Exchange, problem: Problem) -> None:
         status = problem.status
         self.answers[status] = self.answers.get(status, 0) + 1
--- a/coralvale/cluster/gates/node.py
+++ b/coralvale/cluster/gates/node.py
@@ -19,12 +19,14 @@
 from coralvale.cluster.gates.ground import TICK, Ground
 from coralvale.cluster.gates.hosts import Hosts
 from coralvale.cluster.gates.peers import Frames
+from coralvale.cluster.gates.shares import ShareClaims
 from coralvale.cluster.gates.status import status
 from coralvale.cluster.gates.there import There
 from coralvale.cluster.gates.tidings import Tidings
 from coralvale.cluster.gates.words import (
     Ask,
     Call,
+    ClaimShares,
     ConsensusMessage,
     Gossip,
     Nominate,
@@ -37,7 +39,8 @@
 from coralvale.cluster.harvest.copies import Copies
 from coralvale.cluster.harvest.home import Home
 from coralvale.cluster.harvest.way import Harvest
-from coralvale.cluster.rate_limit.limiter import RateLimiter, Rule
+from coralvale.cluster.rate_limit.limiter import RateLimiter
+from coralvale.cluster.rate_limit.quota import Rule
 from coralvale.cluster.regions import Regions
 from coralvale.cluster.regions import read as read_regions
 from coralvale.cluster.settings import Settings, SettingsError, address, read
@@ -56,6 +59,7 @@
 RESERVED = 300  # descriptors for files, peers and the loop
 HOSTS_PART = 0.45  # of the others, for connections to hosts
 UNHEARD = 2.0  # s for which one that starts waits until it knows hosts, and what all others let through
+GIVE_UP = 0.3  # s at the end for telling the leader that this gateway uses no shares any more
 UNSETTLED = 4.0  # s after which a member of the core that hears no majority serves what its disk has
 
 
@@ -81,13 +85,15 @@
         self.unsure_told = False
         self.register = Register(settings.HeartbeatMs / 1000)
         self.copies = Copies(self.register, settings.Az, ground.chance, self.home)
-        self.limiter = RateLimiter(Rule(bounds.QuotaWindowS, bounds.QuotaExcess, bounds.QuotaSlack))
+        rule = Rule(bounds.QuotaWindowS, bounds.QuotaExcess, bounds.QuotaSlack)
+        self.limiter = RateLimiter(rule, settings.Ip, ground.chance)
         self.harvest = Harvest(bounds, self.copies, self.limiter, self.gateways, ground.chance)
-        self.there = There(ground, self.limiter)
+        self.there = There(ground, self.limiter.usage)
         self.changes = Changes(ground, self.harvest, self._bound_clients)
         self.arrivals = Arrivals(ground, self.there, self.register, self._retire)
         self.core = Core(ground, self.changes.in_force, self.arrivals.remember)
         self.changes.core = self.arrivals.core = self.core
+        self.shares = ShareClaims(ground, self.core, self.limiter.holding)
         self.tidings = Tidings(
             ground,
             self.there,
@@ -95,6 +101,7 @@
             self.changes,
             self.arrivals,
             self.limiter,
+            self.shares,
             self.copies,
             self.is_ready,
         )
@@ -132,7 +139,8 @@
         most_hosts = int(descriptors * HOSTS_PART)
         bodies = int(limits.MemMb * 0.25 * 1e6)
         self.hosts = Hosts(self.ground.clock, CONNECT_TIMEOUT, HOST_IDLE / 0.8, most_hosts)
-        self.edge = Edge(self.harvest, self.hosts, self.ground.clock)
+        self.edge = Edge(self.harvest, self.hosts, self.ground.clock, self.tidings.quotas.carry_out)
+        self.tidings.quotas.decided = self.edge.decided
         self.control = Control(self)
         self.servers: list[Server] = []
         if settings.Listen.Edge:
@@ -160,6 +168,7 @@
             self.changes.follow,
             self._watch,
             self.core.join,
+            self.shares.follow,
             self.arrivals.keep_hosts,
         ):
             self.ground.spawn(self.ground.keep(work))
@@ -197,6 +206,7 @@
             await asyncio.sleep(0.02)
         if not self.core.may_end():
             tell(Event.ENDS_UNSAFE)
+        await self._give_up_shares()
         self.there.swim.leave(self.ground.clock.monotonic())
         for _ in range(4):
             self.there.carry()
@@ -204,6 +214,13 @@
         tell(Event.ENDED, open=len(self.edge.open))
         self.ended.set()
 
+    async def _give_up_shares(self) -> None:
+        try:
+            async with asyncio.timeout(GIVE_UP):
+                await self.shares.give_up()
+        except TimeoutError:
+            pass  # they are kept for this address until it is known to stay away
+
     def read_again(self) -> None:
         try:
             fresh = read(self.ground.path)
@@ -246,9 +263,7 @@
                 and age < UNSETTLED
             ):
                 return False
-            if age < UNHEARD and not (
-                self.register.lives and self.limiter.others and self.limiter.heard_all()
-            ):
+            if age < UNHEARD and not (self.register.lives and self._knows_others()):
                 return False
             self.was_ready = True
             tell(
@@ -260,8 +275,15 @@
             )
         return True
 
+    def _knows_others(self) -> bool:
+        """Whether all gateways that are known of have told of themselves, and the leader who owns what."""
+        usage = self.limiter.usage
+        return bool(usage.others) and usage.heard_all() and self.limiter.holding.version > 0
+
     def gateways(self) -> int:
-        return self.limiter.entries(self.ground.clock.monotonic())
+        """Gateways that a budget is divided over: those that may be serving, and all that own shares."""
+        owners = self.limiter.holding.owner_count
+        return max(self.limiter.usage.count(self.ground.clock.monotonic()), owners)
 
     # What is due
 
@@ -276,7 +298,7 @@
                 self.there.swim.tick(now)
             self.there.carry()
             if self.core.replica:
-                self.core.act(self.core.replica.tick(now))
+                self.core.tick(now)
                 self.core.tell_view()
             if now - swept > 1.0:
                 swept = now
@@ -302,6 +324,7 @@
         if self.home.routes:
             self._tell_home(now)
         self.there.near = None  # who only talks may have come or gone
+        self.limiter.near = frozenset(self.there.zones()[0])
         known = (
             {m.address[0] for m in self.there.others()}
             | set(self.core.known()[2])
@@ -372,6 +395,8 @@
             self.ground.spawn(self.changes.asked(frames, parcel))
         elif isinstance(parcel, Call):
             self.ground.spawn(self.changes.called(frames, parcel))
+        elif isinstance(parcel, ClaimShares):
+            self.ground.spawn(self.shares.claimed(frames, parcel))
         elif isinstance(parcel, Rows):
             self.arrivals.note(parcel.rows)
             frames.send(Noted(parcel.number))
--- /dev/null
+++ b/coralvale/cluster/gates/shares.py
@@ -0,0 +1,89 @@
+"""This gateway's claim to its parts of the tenants' quotas: made at the leader, and made anew in time."""
+
+from __future__ import annotations
+
+import asyncio
+
+from coralvale.cluster.events import Event, tell
+from coralvale.cluster.gates.core import Core
+from coralvale.cluster.gates.ground import Ground
+from coralvale.cluster.gates.peers import Frames
+from coralvale.cluster.gates.words import ClaimShares, Shares
+from coralvale.cluster.rate_limit.holding import Holding
+from coralvale.cluster.rate_limit.shares import ShareTable
+from coralvale.cluster.share_desk import ShareAnswer
+
+RENEW = 10.0  # s between claims while all is as it should be
+SOON = 0.25  # s until the next one where the last got no answer, or this gateway owns nothing yet
+PATIENCE = 1.0  # s for an answer
+SPREAD = 0.1  # s over which gateways that hear of a newer table at once spread their claims
+
+
+class ShareClaims:
+    def __init__(self, ground: Ground, core: Core, holding: Holding) -> None:
+        self.ground, self.core, self.holding = ground, core, holding
+        self.news = asyncio.Event()
+
+    def heard(self, version: int) -> None:
+        """Another gateway follows the table of this version."""
+        if version > self.holding.version:
+            self.news.set()
+
+    async def follow(self) -> None:
+        while True:
+            answered = await self._claim(left=False)
+            pause = RENEW if answered and self.holding.owns_any() else SOON
+            self.news.clear()
+            try:
+                async with asyncio.timeout(pause * (0.75 + 0.5 * self.ground.chance.random())):
+                    await self.news.wait()
+                await asyncio.sleep(SPREAD * self.ground.chance.random())
+            except TimeoutError:
+                continue
+
+    async def give_up(self) -> None:
+        """This process ends: its parts are nobody's from now on, and may go to others if it stays away."""
+        self.holding.give_up()
+        await self._claim(left=True)
+
+    async def _claim(self, left: bool) -> bool:
+        """One claim; whether it was answered."""
+        asked_at = self.ground.clock.monotonic()
+        answer = await self._ask(left)
+        if answer is None or not answer.settled:
+            return False
+        if left:
+            return True
+        try:
+            table = ShareTable.restored(answer.table) if answer.table else None
+        except ValueError as error:
+            tell(Event.FAILED, reason=str(error))
+            return False
+        now = self.ground.clock.monotonic()
+        if self.holding.take(now, asked_at, table):
+            cells = self.holding.table.owners.count(self.holding.address)
+            tell(Event.SHARES, version=self.holding.version, cells=cells)
+        return True
+
+    async def _ask(self, left: bool) -> Shares | None:
+        number, version = self.ground.peers.next(), self.holding.version
+        if self.core.leads():
+            answer = await self.core.claim(self.ground.settings.Ip, version, left, PATIENCE)
+            return _told(number, answer)
+        leader = self.core.known()[1]
+        if not leader or leader == self.ground.settings.Ip:
+            return None
+        link = self.ground.peers.link(leader)
+        told = await link.request(number, ClaimShares(number, version, left), PATIENCE)
+        return told if isinstance(told, Shares) else None
+
+    async def claimed(self, frames: Frames, claim: ClaimShares) -> None:
+        """Another gateway's claim, at the leader."""
+        answer = await self.core.claim(frames.ip, claim.version, claim.left, PATIENCE)
+        frames.send(_told(claim.number, answer))
+
+
+def _told(number: int, answer: ShareAnswer | None) -> Shares:
+    if answer is None:
+        return Shares(number, settled=False)
+    return Shares(number, answer.settled, answer.table)
--- a/coralvale/cluster/gates/status.py
+++ b/coralvale/cluster/gates/status.py
@@ -12,11 +12,12 @@
 
 def status(o: GatewayNode) -> bytes:
     now, limiter = o.ground.clock.monotonic(), o.limiter
+    usage, holding = limiter.usage, limiter.holding
     view, holder, core = o.core.known()
     sent: dict[str, float] = {}
     for copy in o.copies.copies.values():
         sent[copy.life.row.svc] = sent.get(copy.life.row.svc, 0.0) + copy.recent
-    heard = {name: now - other.heard for name, other in limiter.others.items()}
+    heard = {name: now - other.heard for name, other in usage.others.items()}
     hosts = []
     for life in o.register.lives.values():
         known = o.copies.copies.get(life.id)
@@ -46,7 +47,9 @@
                 "quota": metered.bucket.plan.rate,
                 "here": metered.mine,
                 "all": metered.use,
-                "window": limiter.elsewhere(name).window + metered.window.total(now),
+                "window": usage.elsewhere(name).window + metered.window.total(now),
+                "share": metered.owned / metered.quota.parts,
+                "tokens": metered.escrow.available(now),
                 "leak": metered.bucket.rate,
             }
         )
@@ -67,6 +70,11 @@
         "holder": holder,
         "core": list(core),
         "replica": o.core.role(),
+        "shares": {
+            "version": holding.version,
+            "cells": holding.table.owners.count(holding.address),
+            "lease": max(0.0, holding.until - now),
+        },
         "gateways": [
             {
                 "name": m.name,
--- a/coralvale/cluster/gates/there.py
+++ b/coralvale/cluster/gates/there.py
@@ -6,7 +6,7 @@
 from coralvale.cluster.gates.ground import Ground
 from coralvale.cluster.gates.peers import SWIM
 from coralvale.cluster.gates.words import Gossip
-from coralvale.cluster.rate_limit.limiter import MOST, RateLimiter
+from coralvale.cluster.rate_limit.usage import MOST, FleetUsage
 from coralvale.members import wire as swim_wire
 from coralvale.members.model import Changed, Stalled
 from coralvale.members.model import Member as Gateway
@@ -22,8 +22,8 @@
 
 
 class There:
-    def __init__(self, ground: Ground, limiter: RateLimiter) -> None:
-        self.ground, self.limiter = ground, limiter
+    def __init__(self, ground: Ground, usage: FleetUsage) -> None:
+        self.ground, self.usage = ground, usage
         self.large = False
         self.talks: dict[str, float] = {}  # by address, when a word of theirs came
         self.near: list[str] | None = None  # addresses of the others in this zone; None: to be looked up
@@ -90,9 +90,9 @@
                 if event.before is not state and state is not There_.SUSPECT:
                     tell(Event.MEMBER, name=member.name, state=state.name.lower())
                 if state is There_.LEFT:
-                    self.limiter.left(member.address[0])
+                    self.usage.left(member.address[0])
                 elif state is There_.ALIVE:
-                    self.limiter.know(now, member.address[0])
+                    self.usage.know(now, member.address[0])
             elif isinstance(event, Stalled):
                 tell(Event.STALLED, seconds=event.seconds)
 
--- a/coralvale/cluster/gates/tidings.py
+++ b/coralvale/cluster/gates/tidings.py
@@ -11,7 +11,7 @@
 
 from coralvale.cluster.blight.watch import Change as Verdict
 from coralvale.cluster.events import Event, tell
-from coralvale.cluster.gates import carts
+from coralvale.cluster.gates import carts, quotas
 from coralvale.cluster.gates.arrivals import Arrivals
 from coralvale.cluster.gates.carts import Carriers, Cart
 from coralvale.cluster.gates.changes import Changes
@@ -31,6 +31,8 @@
     SWIM,
     WORD,
 )
+from coralvale.cluster.gates.quotas import QuotaExchange
+from coralvale.cluster.gates.shares import ShareClaims
 from coralvale.cluster.gates.there import LARGE_FLEET, MANY, SMALL_FLEET, There
 from coralvale.cluster.gates.words import (
     Word,
@@ -45,7 +47,8 @@
     unpack_use,
 )
 from coralvale.cluster.harvest.copies import SOON, Copies
-from coralvale.cluster.rate_limit.limiter import MOST, PERIOD, RateLimiter
+from coralvale.cluster.rate_limit.limiter import RateLimiter
+from coralvale.cluster.rate_limit.usage import MOST, PERIOD
 from coralvale.members import wire as swim_wire
 from coralvale.members.model import MembersError
 
@@ -57,8 +60,6 @@
 CARRIED_OUT_EVERY = 0.1  # s between them, at the least
 TOLD = (WORD, OUT, BLIGHT)  # kinds that carriers bring
 NEAR_ONLY = (OUT,)  # links between zones are dear: there, what is out is told in the other words
-ALL_TELL_ENDED = 16  # gateways up to which each word tells what ended processes let through
-ENDED_TOLD_BY = 3  # gateways, about, that tell it in each period where there are more: 7 bytes a tenant
 CORE_NEWS = 2.0  # s for which a change of the core is told in each word
 
 
@@ -71,11 +72,13 @@
         changes: Changes,
         arrivals: Arrivals,
         limiter: RateLimiter,
+        shares: ShareClaims,
         copies: Copies,
         is_ready: Callable[[], bool],
     ) -> None:
         self.ground, self.there, self.core, self.changes = ground, there, core, changes
         self.arrivals, self.limiter, self.copies, self.is_ready = arrivals, limiter, copies, is_ready
+        self.shares, self.quotas = shares, QuotaExchange(ground, changes, limiter)
         self.register = arrivals.register
         self.out_in_words = False
         self.cart, self.carriers, self.carting = Cart(), Carriers(), False
@@ -108,8 +111,7 @@
                 pack_out(self.copies.out()) if self.out_in_words else None,
                 carries,
                 self.ground.settings.Region if whole else "",
-                self.ground.process if whole else 0,
-                pack_use(self.limiter.ended.summary()) if self.tells_ended() else b"",
+                shares=self.limiter.holding.version,
             )
             self.tell_all(WORD, encode(word))
             due = max(due + PERIOD, now + PERIOD / 2)
@@ -162,12 +164,6 @@
                 return
         self.ground.peers.cast_all(near, far, kind, data)
 
-    def tells_ended(self) -> bool:
-        """Whether this word is to tell what ended processes let through: all that several tell is the same, so
-        in a large fleet a part of the words is enough."""
-        count = self.limiter.count
-        return count <= ALL_TELL_ENDED or self.ground.chance.random() * count < ENDED_TOLD_BY
-
     def carries(self, now: float) -> bool:
         """Whether this gateway brings the words of others to all in its zone."""
         near, _ = self.there.zones()
@@ -230,6 +226,8 @@
                 self._said(ip, body[:1], body[1:])
         elif kind in (CARRY, CARRIED):
             self._carried(ip, kind, body)
+        elif kind in quotas.KINDS:
+            self.quotas.datagram(ip, kind, body)
         else:
             self._said(ip, kind, body)
 
@@ -282,8 +280,8 @@
         if word.region and (strange := self.there.strange(ip, word.region)):
             tell(Event.REGION_OF_OTHER, **strange)
         self.carriers.hear(now, ip, word.carries)
-        self.limiter.hear(now, ip, unpack_use(word.use, self.changes.tenants), word.whole, word.life)
-        self.limiter.ended.hear(now, unpack_use(word.ended, self.changes.tenants))
+        self.limiter.usage.hear(now, ip, unpack_use(word.use, self.changes.tenants), word.whole, word.version)
+        self.shares.heard(word.shares)
         self.tell_health(self.copies.hear_blight(now, ip, unpack_blight(word.blight)))
         if word.out is not None:
             self.copies.hear(now, ip, unpack_out(word.out))
--- a/coralvale/cluster/gates/words.py
+++ b/coralvale/cluster/gates/words.py
@@ -16,7 +16,7 @@
 from coralvale.cluster.census.register import Row
 from coralvale.cluster.configuration.history import Change, News
 from coralvale.cluster.consensus.messages import Member, Message
-from coralvale.cluster.rate_limit.limiter import Use
+from coralvale.cluster.rate_limit.usage import Use
 
 FRAME = struct.Struct("!I")
 MOST = 96 * 1024 * 1024  # bytes of a frame
@@ -102,8 +102,38 @@
     id: str
 
 
-Parcel = ConsensusMessage | Gossip | Ask | Told | Call | Reply | Rows | Noted | Pull | Nominate | Nominee
-Answer = Told | Reply | Rows | Noted | Nominee
+class ClaimShares(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """To the leader: which table of shares the sender follows. `left`: it ends, and uses no share any more."""
+
+    number: int
+    version: int
+    left: bool = False
+
+
+class Shares(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """`settled`: False where the one that was asked cannot answer. `table`: empty where there is no newer one."""
+
+    number: int
+    settled: bool
+    table: bytes = b""
+
+
+Parcel = (
+    ConsensusMessage
+    | Gossip
+    | Ask
+    | Told
+    | Call
+    | Reply
+    | Rows
+    | Noted
+    | Pull
+    | Nominate
+    | Nominee
+    | ClaimShares
+    | Shares
+)
+Answer = Told | Reply | Rows | Noted | Nominee | Shares
 
 
 class Word(msgspec.Struct, frozen=True, array_like=True):
@@ -123,8 +153,9 @@
     )
     carries: bool = False  # it brings words to all in its zone
     region: str = ""  # that its settings name; in whole words
-    life: int = 0  # of its process, another at each start; in whole words
-    ended: bytes = b""  # what processes that have ended let through, as far as it counts: `pack_use`
+    life: int = 0  # of its process; told by earlier versions
+    ended: bytes = b""  # what ended processes let through; told by earlier versions
+    shares: int = 0  # version of the table of shares that it follows
 
 
 encode = msgspec.msgpack.Encoder().encode
--- a/coralvale/cluster/harvest/way.py
+++ b/coralvale/cluster/harvest/way.py
@@ -18,12 +18,14 @@
 from coralvale.cluster.harvest.budget import Budget
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.tries import ENDS
-from coralvale.cluster.rate_limit.limiter import RateLimiter
+from coralvale.cluster.rate_limit.limiter import Admitted, RateLimiter, Refused, Source, Waiting
 from coralvale.cluster.settings import Bounds
 from coralvale.interface import Outcome
 
 ROOM = 0.025  # s before the client's time is up, for the answer to reach it
 SPARE_TRIES = 2  # beyond the route's, for tries of which no byte was sent
+LONGEST_WAIT = 0.15  # s that a request waits for a token of its tenant's quota
+WAIT_PART = 0.22  # of its route's aim, at most: refused within a quarter of it, it can be served in time yet
 AGAIN = 0.25  # s after which a client may come back when no host is there
 LEARNING = 0.05  # weight of the newest delay of a route
 FIRST = 0.3  # of a route's aim that an answer is taken to need until some have come
@@ -50,12 +52,25 @@
     arrived: float
     ends: float  # when its client, or the operator, waits no longer
     charged: bool = False  # its tenant's bucket was charged
+    token: Source = Source.NONE  # what it was charged to
+    waits: bool = False  # for a token
     tries: int = 0
     maybe: bool = False  # a try may have run
     sent: bool = False  # a try reached a host, that turned it away or not
     tried: set[str] = field(factory=set)
 
 
+def changed_terms(before: Configuration, after: Configuration) -> dict[str, tuple[float, float]]:
+    """Rate and burst that tenants had before, of those that have others now."""
+    found: dict[str, tuple[float, float]] = {}
+    for name, (_, now) in after.tenants().items():
+        if then := before.tenant(name):
+            terms = (then.RatePerS, then.Burst)
+            if terms != (now.RatePerS, now.Burst):
+                found[name] = terms
+    return found
+
+
 class Harvest:
     def __init__(
         self,
@@ -78,6 +93,7 @@
         """A newer configuration is in force from now on; an older one never is again."""
         if configuration.version <= self.configuration.version:
             return False
+        self.limiter.terms_change(configuration.version, changed_terms(self.configuration, configuration))
         self.configuration = configuration
         self.home.take_configuration(configuration)
         self.copies.lists.clear()  # what binds a service may have changed
@@ -127,11 +143,29 @@
         if job.ends <= now:
             return Problem(Kind.NOT_SENT_IN_TIME)
         if tenant and (terms := configuration.tenant(tenant)) and terms.RatePerS > 0:
-            if wait := self.limiter.wait(now, tenant, terms.RatePerS, terms.Burst):
-                return Problem(Kind.OVER_QUOTA, tenant, retry_after=max(0.05, wait))
-            job.charged = True
+            aim = (route.TargetMs or route.TimeoutMs) / 1000
+            patience = min(LONGEST_WAIT, WAIT_PART * aim, job.ends - now)
+            verdict = self.limiter.request(now, tenant, terms.RatePerS, terms.Burst, job, patience)
+            if isinstance(verdict, Waiting):
+                job.waits = True
+            elif problem := self.decided(job, verdict):
+                return problem
         return job
 
+    def decided(self, job: Job, verdict: Admitted | Refused) -> Problem | None:
+        """What the limiter says of a request, at once or after it waited for a token."""
+        job.waits = False
+        if isinstance(verdict, Refused):
+            return Problem(Kind.OVER_QUOTA, job.tenant, retry_after=verdict.wait)
+        job.charged, job.token = True, verdict.source
+        return None
+
+    def abandon(self, job: Job) -> None:
+        """A request that waited for a token was given up before it had one."""
+        if job.charged:
+            job.charged = False
+            self.limiter.refund(job.tenant, job.token)
+
     def _found(self, host: str, path: str) -> tuple[str, Route] | None:
         """The route; looked for once where a request's head and then the request are asked about."""
         configuration, newest = self.configuration, self.newest
@@ -239,7 +273,7 @@
     def _refuse(self, job: Job, kind: Kind, why: str = "") -> Problem:
         if job.charged and not job.sent:
             job.charged = False
-            self.limiter.refund(job.tenant)
+            self.limiter.refund(job.tenant, job.token)
         return Problem(kind, why, retry_after=AGAIN)
 
     def give_up(self, now: float, job: Job) -> Problem:
--- /dev/null
+++ b/coralvale/cluster/rate_limit/escrow.py
@@ -0,0 +1,91 @@
+"""The part of one tenant's quota that this gateway owns: a token bucket that begins empty.
+
+Nothing here depends on what other gateways say: whatever is late, lost or cut off, the sum of what all such
+buckets let through stays within the quota's rule (`quota`). A process that starts knows nothing of what the one
+before it let through, so its bucket begins empty, and fills as the one before it did.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from attrs import define
+
+from coralvale.cluster.rate_limit.quota import Quota
+
+
+class Escrow:
+    """`share`: the part of the quota that is owned here, 0 to 1."""
+
+    def __init__(self, now: float, since: float) -> None:
+        """`since`: since when what is owned here has been owned here, by this process."""
+        self.at = min(now, since)
+        self.depth = self.fill = self.tokens = 0.0
+        self.begun = False
+
+    def settle(self, now: float, quota: Quota, share: float) -> None:
+        """The quota or the share is another from now on. Less of it takes tokens along, more of it
+        brings none."""
+        if self.begun:
+            self._refill(now)
+        self.begun = True
+        depth = quota.depth * share
+        if depth < self.depth:
+            self.tokens *= depth / self.depth
+        self.depth, self.fill = depth, quota.fill * share
+
+    def _refill(self, now: float) -> None:
+        if now > self.at:
+            self.tokens = min(self.depth, self.tokens + self.fill * (now - self.at))
+            self.at = now
+
+    def available(self, now: float) -> float:
+        self._refill(now)
+        return self.tokens
+
+    def take(self, now: float, most: int) -> int:
+        """Takes up to `most` whole tokens out, to be used here or granted to another; how many."""
+        self._refill(now)
+        taken = min(most, int(self.tokens))
+        self.tokens -= taken
+        return taken
+
+    def put_back(self, count: int) -> None:
+        """Tokens that were taken out and not used."""
+        self.tokens = min(self.depth, self.tokens + count)
+
+    def wait(self) -> float:
+        """Seconds until a whole token is there, from the last refill on; inf where none ever is."""
+        if self.depth < 1 or not self.fill:
+            return float("inf")
+        return max(0.0, (1 - self.tokens) / self.fill)
+
+
+@define
+class Granted:
+    """Tokens that another gateway granted, until they end."""
+
+    until: float
+    count: int
+
+
+class Stock:
+    """Granted tokens that nobody has used yet; those that end first go first."""
+
+    def __init__(self) -> None:
+        self.granted: deque[Granted] = deque()
+
+    def add(self, until: float, count: int) -> None:
+        if count > 0:
+            self.granted.append(Granted(until, count))
+
+    def take(self, now: float) -> bool:
+        """Uses one; whether there was one."""
+        while self.granted:
+            first = self.granted[0]
+            if first.until <= now or not first.count:
+                self.granted.popleft()
+                continue
+            first.count -= 1
+            return True
+        return False
--- /dev/null
+++ b/coralvale/cluster/rate_limit/holding.py
@@ -0,0 +1,66 @@
+"""What one gateway owns of the tenants' quotas, by the newest table of shares that it was told."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+
+from coralvale.cluster.rate_limit.quota import cells_of
+from coralvale.cluster.rate_limit.shares import LEASE, NOBODY, ShareTable, even_table
+
+
+class Holding:
+    """Owns nothing until the leader has answered a claim, and from `LEASE` after the last answer on."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.table = ShareTable()
+        self.until = -math.inf  # end of the lease
+        self.since = math.inf  # when the newest cells came to be owned here
+        self.owner_count = 0  # gateways that own something
+        self.changes = 0  # of the table, counted here: what was worked out from another is void
+
+    @property
+    def version(self) -> int:
+        return self.table.version
+
+    def take(self, now: float, asked_at: float, table: ShareTable | None) -> bool:
+        """The leader's answer to a claim that was sent at `asked_at`; None: the table is the one known here.
+        Whether there is another table now."""
+        self.until = max(self.until, asked_at + LEASE)
+        if table is None or table.version <= self.table.version:
+            return False
+        before = self._usable()
+        self.table = table
+        self.owner_count = len(set(table.owners) - {NOBODY})
+        self.changes += 1
+        if self._usable() - before:
+            self.since = now
+        return True
+
+    def _usable(self) -> set[int]:
+        return {cell for cell, owner in enumerate(self.table.owners) if owner == self.address} - set(
+            self.table.moves
+        )
+
+    def own_all(self) -> None:
+        """Takes all for owned here since ever: a gateway that is alone, without a log, for laboratories."""
+        self.take(0.0, math.inf, even_table([self.address]))
+        self.since = -math.inf
+
+    def give_up(self) -> None:
+        """This process ends: it uses nothing from now on."""
+        self.until = -math.inf
+
+    def is_valid(self, now: float) -> bool:
+        return now < self.until
+
+    def owns_any(self) -> bool:
+        return self.address in self.table.owners
+
+    def owners(self, tenant: str, parts: int) -> Counter[str]:
+        """How many of a tenant's parts each gateway owns."""
+        table = self.table
+        found = Counter(table.usable(cell) for cell in cells_of(tenant, parts))
+        found.pop(NOBODY, None)
+        return found
--- a/coralvale/cluster/rate_limit/limiter.py
+++ b/coralvale/cluster/rate_limit/limiter.py
@@ -1,379 +1,415 @@
-"""The restrictor of a tenant at one gateway, and what the gateways' metering feeds to it.
-
-The design's bucket (NICC ND1621, `coralvale.restrictor`): it drains at the leak rate, is charged one a
-request, and refuses past a threshold that no class may fill beyond the burst; each second the leak rate
-becomes what was let through times the quota over metered use, no lower than the quota split over the
-tenant's gateways, rising by a bound at most. There is no store: each gateway tells all others what it has
-let through in the rule's window, and at which rate lately, so that what is lost or comes twice does no harm,
-and one that has just started knows all of it by its first round of words.
-
-What keeps all gateways together within the quota while the meter is nought, late or cut off:
-
-- The threshold is the burst's part by the leak rate. It is more only by this gateway's part of the room that
-  is left in the window of the rule, as the newest words of all tell it, and that part is spent once between
-  two words.
-- A gateway that says nothing, and did not say that it leaves, may be serving behind a cut: its even part of
-  the quota is kept for it, and is room for nobody else.
+"""The limit of tenants at one gateway, without I/O: what is let in, and what gateways ask of each other for it.
+
+The ordinary path is the design's restrictor (NICC ND1621, `coralvale.restrictor`): a bucket for each tenant
+that is charged one a request, refuses past a threshold that no class may fill beyond the burst, and whose leak
+rate becomes, each second, what was let through times the quota over metered use, no lower than the quota split
+over the gateways and rising by a bound at most.
+
+What holds all gateways together within the quota is beside it, and rests on no reading and on no clock but
+each gateway's own: a request needs a token. Tokens come from this gateway's own part of the quota (`escrow`),
+or were granted by another owner out of its part. Parts are divided by a table that the replicated log keeps
+(`shares`). The invariant, and the arithmetic: docs/design/quotas.md.
 """
 
 from __future__ import annotations
 
 import math
-from collections import deque
+import random
+from enum import Enum, unique
 
-from attrs import define, field, frozen
+from attrs import frozen
 
 from coralvale import interface as api
-from coralvale.cluster.rate_limit.ended import EndedUse
-from coralvale.restrictor import Restrictor
-
-PERIOD = 0.5  # s between words of a gateway
-NOTHING = (0, 0)  # told of a tenant: let through in the window, and since the word before
-LATE = 1.3  # s without a word after which what a gateway said of its use is too old to part the room by
-SILENT = 2.2  # s without a word after which a gateway may be behind a cut
-KEPT_FOR = 60.0  # s for which its part is kept for it
-TAIL = 1e-6
-MOST = 2000  # gateways known at once, as membership has it; words of further ones are left out
-MARGIN = 0.97  # of what the rule allows
-PART = 0.4  # of what the fleet's bucket has left, parted between two words, beside what it drains meanwhile
-GUARD = 0.6  # of the room that the rule's window has left, that may be parted between two words
-UNHEARD = 0.75  # of what others let through in their newest period: taken to have been let through since
-SPIKE = 3.4  # s of its quota that a tenant may send until all hear of it: nine times its usual, for 0.6 s
-UNSURE = 2.0  # s from its start, at most, for which a gateway that has not heard all others knows too little
-FEWEST = 8  # gateways that are taken to serve until then, if no more are known of
-UNSURE_PARTS = 2.0  # even parts of the flow that it grants itself until then
-FREE = 8.0  # requests that a gateway may let through between two words while there is room for a spike
-MET = 1.2  # s after one was met, or came back, in which all words are whole: it is ready when it knows all
+from coralvale.cluster.rate_limit.escrow import Escrow
+from coralvale.cluster.rate_limit.holding import Holding
+from coralvale.cluster.rate_limit.quota import GRANT_LIFE, Quota, Rule
+from coralvale.cluster.rate_limit.tenant import Ask, Tenant, TenantBucket, Waiter
+from coralvale.cluster.rate_limit.usage import PERIOD, FleetUsage, Use, Window
+
 WHOLE_EVERY = 4  # words of which one tells of all tenants; the others of those of whom there is news
-SMOOTH = 0.5  # weight of the newest half second in a rate
-IDLE = 60.0  # s without a request after which a tenant's bucket is forgotten
+MET = 1.2  # s after a gateway was met, or came back, in which all words are whole: it is ready when it knows all
+IDLE = 60.0  # s without a request after which a tenant's state is forgotten
 RATED = 0.95  # s between new leak rates, less what timers go off early
+LONGEST_STEP = 2.0  # s of a period that rates are worked out from, at most
+MOST_ASKED = 64  # tokens asked for at once
+MOST_WAITING = 64  # requests of a tenant that wait for tokens
+MOST_LATE = 8  # asks of a tenant that were given up and may still be answered
+AHEAD = 0.1  # s of what is asked for here, that is asked for beside those that wait
+LEAST_TIMEOUT, MOST_TIMEOUT = 0.015, 0.05  # s that a lender has to answer until another is asked as well
+ROUND_TRIPS = 2.0  # usual round trips that it has
+FIRST_ROUND_TRIP = 0.01  # s, taken for usual until there was one
+LEARNING = 0.2  # weight of the newest round trip
+SILENT = 1.0  # s for which a lender that did not answer is not asked
+EMPTY, BUSY = 0.25, 1.0  # s for which an empty lender is not asked; the same where it needs all for itself
+MOST_PAUSE = 2.0  # s, of these and of what a client is told, at most
+LEAST_PAUSE = 0.05  # s that a client is told to wait, at least
+
+
+@unique
+class Source(Enum):
+    """Where the token of a request came from."""
+
+    OWN = "own part"
+    GRANTED = "granted by another"
+    NONE = "no limit"
 
 
 @frozen
-class Rule:
-    """The quota's rule: in any `window` seconds at most (rate x window + burst) x (1 + excess) + slack."""
+class Admitted:
+    source: Source
 
-    window: float
-    excess: float
-    slack: float
 
+@frozen
+class Refused:
+    """`wait`: s after which the client may come back."""
 
-class TenantBucket(Restrictor):
-    """One tenant's bucket, with a threshold that follows what is surely unused."""
+    wait: float
 
-    def __init__(self, plan: api.Plan, entries: int, now: float) -> None:
-        self.level = 0.0  # up to where the room that is left lets the bucket be filled, until the next word
-        self.credit = 0.0  # requests that may be let through until then, whatever the bucket says
-        super().__init__(plan, entries, now, now)
 
-    def threshold(self, units: float) -> float:
-        part = self.plan.burst * min(1.0, self.rate / max(self.plan.rate, TAIL))
-        return max(units, part, min(self.plan.burst, self.level))
+@frozen
+class Waiting:
+    """A token is being asked for: a `Decided` follows."""
 
 
-Use = dict[str, tuple[int, int]]  # by tenant: requests let through in the window, and since the word before
+Verdict = Admitted | Refused | Waiting
 
 
-@define
-class Other:
-    """What another gateway has said that it let through."""
+@frozen
+class Decided:
+    """What becomes of a request that waited, by the ticket that it was entered with."""
 
-    use: Use = field(factory=dict)
-    heard: float = 0.0
-    spoke: bool = False
-    left: bool = False
-    life: int = 0  # of the process that said so
+    ticket: object
+    verdict: Admitted | Refused
 
 
-@define
-class Elsewhere:
-    """What all others let through of one tenant: in the window, and in their newest periods."""
+@frozen
+class AskTokens:
+    """To be sent to another owner."""
 
-    window: int = 0
-    newest: int = 0
+    to: str
+    number: int
+    tenant: str
+    count: int
 
 
-class Window:
-    """A running sum over the last seconds, in steps."""
+@frozen
+class GrantTokens:
+    """The answer to an ask. `wait`: s for which it is of no use to ask again, where fewer are granted."""
 
-    def __init__(self, length: float, step: float) -> None:
-        self.length, self.step = length, step
-        self.steps: deque[tuple[float, int]] = deque()
-        self.sum = 0
+    to: str
+    number: int
+    tenant: str
+    count: int
+    wait: float
 
-    def add(self, now: float, count: int) -> None:
-        if count <= 0:
-            return
-        self.sum += count
-        if self.steps and now - self.steps[-1][0] < self.step:
-            at, before = self.steps[-1]
-            self.steps[-1] = (at, before + count)
-        else:
-            self.steps.append((now, count))
 
-    def total(self, now: float) -> int:
-        while self.steps and now - self.steps[0][0] > self.length:
-            self.sum -= self.steps.popleft()[1]
-        return self.sum
+@frozen
+class ReturnTokens:
+    """Granted tokens that were not used and never will be. `number`: of the ask that they were granted for."""
 
+    to: str
+    number: int
+    tenant: str
+    count: int
 
-@define
-class Metered:
-    """One tenant's use."""
 
-    bucket: TenantBucket
-    window: Window  # of what was let through here
-    passed: int = 0  # of it, since the last step
-    newest: int = 0  # of it, in the period before that
-    mine: float = 0.0  # a second, smoothed
-    use: float = 0.0  # a second, all gateways', smoothed
-    told: tuple[int, int] = (0, 0)
-    fill: float = 0.0  # of the whole fleet's bucket, as far as it has been told
+Action = Decided | AskTokens | GrantTokens | ReturnTokens
 
 
 class RateLimiter:
-    """All tenants' metering at one gateway."""
+    """All tenants at one gateway. Call `take_actions` after each call that may have led to some, and `expire`
+    no later than `due`."""
 
-    def __init__(self, rule: Rule) -> None:
+    def __init__(self, rule: Rule, address: str = "", chance: random.Random | None = None) -> None:
         self.rule = rule
-        self.tenants: dict[str, Metered] = {}
-        self.others: dict[str, Other] = {}
-        self.sums: dict[str, Elsewhere] = {}
-        self.ended = EndedUse()
-        self.stepped = self.rated = -math.inf
-        self.begun = -math.inf  # the first step
+        self.holding = Holding(address)
+        self.usage = FleetUsage(rule.window)
+        self.tenants: dict[str, Tenant] = {}
         self.refused: dict[str, int] = {}
-        self.words, self.met = 0, -math.inf
-        self.count, self.missing = 1, 0  # gateways that may be serving, this one too; of them, the silent
-        self.late = 0  # and those that are late, the silent among them
+        self.count = 1  # gateways that may be serving, this one too
+        self.near: frozenset[str] = frozenset()  # addresses in this zone: asked first
+        self.version = 0  # of the configuration that the terms are of
+        self.changed: dict[str, list[Quota]] = {}  # by tenant, quotas of versions that others may go by
+        self.stepped = self.rated = -math.inf
+        self.words = 0
+        self.actions: list[Action] = []
+        self.asking: dict[str, Tenant] = {}
+        # Numbers go on from one of this process's own: an answer to the one before it is nobody's.
+        self.number = (chance or random.Random()).getrandbits(24) << 8
+        self.round_trip = FIRST_ROUND_TRIP
 
     # The request's path
 
-    def wait(self, now: float, name: str, rate: float, burst: float) -> float:
-        """Seconds until a request of the tenant may pass, 0 if it may and is charged for it."""
+    def request(
+        self, now: float, name: str, rate: float, burst: float, ticket: object = None, patience: float = 0.0
+    ) -> Verdict:
+        """`patience`: s that the request may wait for a token; without it only those that are here count."""
         if rate <= 0:
-            return 0.0
-        metered = self._of(now, name, rate, burst)
-        bucket = metered.bucket
+            return Admitted(Source.NONE)
+        tenant = self._of(now, name, rate, burst)
+        tenant.asked += 1
+        bucket = tenant.bucket
         bucket.seen_at = now
         bucket.drain(now)
-        wait = bucket.wait(1.0)
-        if not wait and bucket.credit < 1.0:
-            wait = max(0.05, self.stepped + PERIOD - now)
-        if wait:
-            self.refused[name] = self.refused.get(name, 0) + 1
-            return wait
-        bucket.charge(1.0)
-        bucket.credit -= 1.0
-        metered.passed += 1
-        metered.window.add(now, 1)
-        return 0.0
-
-    def refund(self, name: str) -> None:
-        """What was charged for was sent to no host: the bucket has it back, the meter keeps to the safe
-        side."""
-        if metered := self.tenants.get(name):
-            metered.bucket.refund(1.0, 1.0)
-            metered.bucket.credit += 1.0
-
-    def _of(self, now: float, name: str, rate: float, burst: float) -> Metered:
-        metered = self.tenants.get(name)
-        entries = self.count
-        if metered is None:
-            plan = api.Plan(name, rate, max(1.0, burst), excess_cost=1.0)
-            metered = Metered(
-                TenantBucket(plan, entries, now), Window(self.rule.window, self.rule.window / 50)
-            )
-            self.tenants[name] = metered
-            self._room(now, metered, self.elsewhere(name))
-        plan = metered.bucket.plan
-        if plan.rate != rate or plan.burst != max(1.0, burst):
-            bucket = metered.bucket
-            bucket.drain(now)
-            scale = rate / plan.rate
-            bucket.settle(api.Plan(name, rate, max(1.0, burst), excess_cost=1.0), entries)
-            bucket.rate = max(bucket.floor, min(bucket.rate * scale, rate))
-            self._room(now, metered, self.elsewhere(name))
-        elif metered.bucket.entries != entries:
-            metered.bucket.settle(plan, entries)
-        return metered
-
-    # Others
-
-    def entries(self, now: float) -> int:
-        """Gateways that serve, or may be serving behind a cut, this one as well."""
-        return 1 + sum(not o.left and now - o.heard < KEPT_FOR for o in self.others.values())
-
-    def silent(self, now: float, since: float = SILENT) -> int:
-        """Of them, those that have not been heard of lately."""
-        return sum(not o.left and since <= now - o.heard < KEPT_FOR for o in self.others.values())
-
-    def know(self, now: float, name: str) -> None:
-        """Another gateway is there, though it has said nothing of tenants yet."""
-        self.met = now
-        if name not in self.others and len(self.others) < MOST:
-            self.others[name] = Other(heard=now)
-            self.count = self.entries(now)
-
-    def left(self, name: str) -> None:
-        """A gateway has said that it ends."""
-        if other := self.others.get(name):
-            other.left = True
-
-    def hear(self, now: float, name: str, use: Use, whole: bool = True, life: int = 0) -> None:
-        """Another gateway's word: of all tenants, or of those of whom it has something else to say. `life`: of
-        its process, 0 where it is not told. What one that was killed let through is in the window still."""
-        other = self.others.get(name)
-        if other is None:
-            if len(self.others) >= MOST:
-                return
-            other = self.others[name] = Other()
-            self.count += 1
-        if life and other.life and life != other.life:
-            self._process_ended(now, other)
-        other.life = life or other.life
-        if whole:
-            for tenant in [t for t in other.use if t not in use]:
-                self._take(other, tenant, (0, 0))
-            other.spoke = True
-        for tenant, told in use.items():
-            self._take(other, tenant, told)
-        other.heard, other.left = now, False
-
-    def _process_ended(self, now: float, other: Other) -> None:
-        """What a process that is no more let through stays in the window, by its last word and after it."""
-        ends = other.heard + self.rule.window
-        if ends <= now:
+        bucket.level = bucket.fill + max(1.0, tenant.escrow.available(now))
+        if wait := bucket.wait(1.0):
+            return self._refuse(tenant, wait)
+        if (source := self._take(now, tenant)) is not None:
+            tenant.charge(now)
+            return Admitted(source)
+        if patience <= 0 or len(tenant.waiting) >= MOST_WAITING:
+            return self._refuse(tenant, tenant.escrow.wait())
+        if tenant.ask is None and self._lender(now, tenant) is None:
+            return self._refuse(tenant, tenant.escrow.wait())
+        tenant.waiting.append(Waiter(ticket, now + patience))
+        self._ask(now, tenant)
+        return Waiting()
+
+    def _refuse(self, tenant: Tenant, wait: float) -> Refused:
+        self.refused[tenant.name] = self.refused.get(tenant.name, 0) + 1
+        return Refused(min(MOST_PAUSE, max(LEAST_PAUSE, wait)))
+
+    def _take(self, now: float, tenant: Tenant) -> Source | None:
+        """A token that is here: granted ones first, they end soon."""
+        if tenant.stock.take(now):
+            return Source.GRANTED
+        if self.holding.is_valid(now) and tenant.escrow.take(now, 1):
+            return Source.OWN
+        return None
+
+    def refund(self, name: str, source: Source) -> None:
+        """A request that was let in was sent to no host: the bucket has it back, the meter keeps to the safe
+        side. A granted token is not given back: its owner counts it as used."""
+        if tenant := self.tenants.get(name):
+            tenant.bucket.refund(1.0, 1.0)
+            if source is Source.OWN:
+                tenant.escrow.put_back(1)
+
+    # Terms and parts
+
+    def terms_change(self, version: int, before: dict[str, tuple[float, float]]) -> None:
+        """A newer configuration is in force; `before`: rate and burst that tenants had whose terms it changes."""
+        self.version = version
+        for name, (rate, burst) in before.items():
+            if rate > 0:
+                self.changed.setdefault(name, []).append(Quota.of(self.rule, rate, burst))
+
+    def _of(self, now: float, name: str, rate: float, burst: float) -> Tenant:
+        tenant = self.tenants.get(name)
+        if tenant is None:
+            tenant = self._begin(now, name, rate, burst)
+        elif tenant.rate != rate or tenant.burst != burst:
+            self._change_terms(now, tenant, rate, burst)
+        elif tenant.bucket.entries != self.count:
+            tenant.bucket.settle(tenant.bucket.plan, self.count)
+        if tenant.table != self.holding.changes:
+            self._divide(now, tenant)
+        return tenant
+
+    def _begin(self, now: float, name: str, rate: float, burst: float) -> Tenant:
+        plan = api.Plan(name, rate, max(1.0, burst), excess_cost=1.0)
+        tenant = self.tenants[name] = Tenant(
+            name,
+            rate,
+            burst,
+            TenantBucket(plan, self.count, now),
+            Quota.of(self.rule, rate, burst),
+            Escrow(now, self.holding.since),
+            Window(self.rule.window, self.rule.window / 50),
+        )
+        return tenant
+
+    def _change_terms(self, now: float, tenant: Tenant, rate: float, burst: float) -> None:
+        bucket, scale = tenant.bucket, rate / tenant.rate
+        bucket.drain(now)
+        bucket.settle(api.Plan(tenant.name, rate, max(1.0, burst), excess_cost=1.0), self.count)
+        bucket.rate = max(bucket.floor, min(bucket.rate * scale, rate))
+        tenant.rate, tenant.burst = rate, burst
+        tenant.quota = Quota.of(self.rule, rate, burst)
+        tenant.table = -1
+
+    def _divide(self, now: float, tenant: Tenant) -> None:
+        """What is owned here of a tenant's quota. Gateways that have not heard of new terms divide it into
+        other parts: until all have, a part counts only as far as it is owned by the old and the new division."""
+        holding, quota = self.holding, tenant.quota
+        owners = holding.owners(tenant.name, quota.parts)
+        tenant.owned = owners.pop(holding.address, 0)
+        tenant.lenders = sorted(owners)
+        share = tenant.owned / quota.parts
+        for before in self.changed.get(tenant.name, ()):
+            owned = holding.owners(tenant.name, before.parts)[holding.address]
+            share = min(share, owned / before.parts)
+        tenant.escrow.settle(now, quota, share)
+        tenant.quiet.clear()
+        tenant.table = holding.changes
+
+    def _confirm_terms(self) -> None:
+        """Forgets the divisions before this version once every owner has told that it has it."""
+        if not self.changed:
             return
-        for tenant, (window, newest) in other.use.items():
-            # After its last word it may have let through as much as in the period before.
-            self.ended.add(ends, tenant, window if other.left else window + newest)
-
-    def _take(self, other: Other, tenant: str, told: tuple[int, int]) -> None:
-        before = other.use.get(tenant, NOTHING)
-        if told == before:
+        owners = set(self.holding.table.owners) - {self.holding.address, ""}
+        if all(self.usage.version_of(owner) >= self.version for owner in owners):
+            for name in self.changed:
+                if tenant := self.tenants.get(name):
+                    tenant.table = -1
+            self.changed = {}
+
+    # Tokens of others
+
+    def _lender(self, now: float, tenant: Tenant) -> str | None:
+        reachable = [name for name in tenant.lenders if self.usage.in_reach(now, name)]
+        near = [name for name in reachable if name in self.near]
+        return tenant.lender(now, self.number, near) or tenant.lender(now, self.number, reachable)
+
+    def _ask(self, now: float, tenant: Tenant) -> None:
+        """Asks the next lender for what the waiting need; where there is none they are refused."""
+        if tenant.ask is not None or not tenant.waiting:
+            return
+        lender = self._lender(now, tenant)
+        if lender is None:
+            while tenant.waiting:
+                self._give_up(tenant, tenant.waiting.popleft())
+            return
+        self.number = (self.number + 1) & 0xFFFFFFFF
+        count = min(MOST_ASKED, len(tenant.waiting) + int(tenant.demand * AHEAD))
+        tenant.ask = Ask(self.number, lender, count, now)
+        self.asking[tenant.name] = tenant
+        self.actions.append(AskTokens(lender, self.number, tenant.name, count))
+
+    def _give_up(self, tenant: Tenant, waiter: Waiter) -> None:
+        self.actions.append(Decided(waiter.ticket, self._refuse(tenant, tenant.escrow.wait())))
+
+    def asked(
+        self, now: float, sender: str, number: int, name: str, rate: float, burst: float, count: int
+    ) -> None:
+        """Another gateway asks for tokens out of what is owned here."""
+        if rate <= 0:
+            return
+        tenant = self._of(now, name, rate, burst)
+        tenant.bucket.seen_at = now
+        granted, wait = 0, BUSY
+        if self.holding.is_valid(now):
+            granted = tenant.escrow.take(now, min(count, MOST_ASKED))
+            if granted == count:
+                wait = 0.0
+            elif tenant.demand <= tenant.escrow.fill:
+                wait = max(EMPTY, tenant.escrow.wait())
+        if granted:
+            tenant.lend(sender, number, granted)
+        self.actions.append(GrantTokens(sender, number, name, granted, min(MOST_PAUSE, wait)))
+
+    def returned(self, sender: str, number: int, name: str, count: int) -> None:
+        """Tokens granted out of what is owned here come back: once for each grant, and no more than it had."""
+        if (tenant := self.tenants.get(name)) and (lent := tenant.lent.pop((sender, number), 0)):
+            tenant.escrow.put_back(min(count, lent))
+
+    def granted(self, now: float, sender: str, number: int, name: str, count: int, wait: float) -> None:
+        """The answer to an ask. What was not asked for, comes twice, or is from another, is passed over."""
+        tenant = self.tenants.get(name)
+        if tenant is None:
+            return
+        ask = tenant.ask if tenant.ask and tenant.ask.number == number else tenant.late.pop(number, None)
+        if ask is None or ask.to != sender:
             return
-        if (sums := self.sums.get(tenant)) is None:
-            sums = self.sums[tenant] = Elsewhere()
-        sums.window += told[0] - before[0]
-        sums.newest += told[1] - before[1]
-        if told != NOTHING:
-            other.use[tenant] = told
+        if ask is tenant.ask:
+            tenant.ask = None
+            self.round_trip += LEARNING * (now - ask.sent_at - self.round_trip)
+        if count < ask.count:
+            tenant.quiet[sender] = now + min(MOST_PAUSE, max(0.0, wait))
         else:
-            other.use.pop(tenant, None)
-
-    def heard_all(self) -> bool:
-        """Whether each gateway that is known of has told its use: until then this one knows too little."""
-        return all(o.spoke or o.left for o in self.others.values())
-
-    def unsure(self, now: float) -> bool:
-        """Whether this gateway has just started and does not know yet what the others let through."""
-        return now - self.begun < UNSURE and not (self.others and self.heard_all())
+            tenant.quiet.pop(sender, None)
+        if now < ask.sent_at + GRANT_LIFE:
+            self._use(now, tenant, ask, min(count, ask.count))
+        self._ask(now, tenant)
+        self._rest(tenant)
+
+    def _use(self, now: float, tenant: Tenant, ask: Ask, count: int) -> None:
+        """Serves those that wait; of what is left is kept what will be asked for before it ends."""
+        kept = min(count, len(tenant.waiting) + int(tenant.demand * GRANT_LIFE))
+        tenant.stock.add(ask.sent_at + GRANT_LIFE, kept)
+        if count > kept:
+            self.actions.append(ReturnTokens(ask.to, ask.number, tenant.name, count - kept))
+        self._serve(now, tenant)
+
+    def _serve(self, now: float, tenant: Tenant) -> None:
+        while tenant.waiting and (source := self._take(now, tenant)) is not None:
+            tenant.charge(now)
+            self.actions.append(Decided(tenant.waiting.popleft().ticket, Admitted(source)))
+
+    def _rest(self, tenant: Tenant) -> None:
+        if tenant.ask is None and not tenant.waiting:
+            self.asking.pop(tenant.name, None)
+
+    def timeout(self) -> float:
+        """Seconds that a lender has to answer."""
+        return min(MOST_TIMEOUT, max(LEAST_TIMEOUT, ROUND_TRIPS * self.round_trip))
+
+    def due(self) -> float:
+        """When `expire` has something to do; inf while nothing is awaited."""
+        moments = [math.inf]
+        for tenant in self.asking.values():
+            if tenant.ask:
+                moments.append(tenant.ask.sent_at + self.timeout())
+            if tenant.waiting:
+                moments.append(tenant.waiting[0].until)
+        return min(moments)
+
+    def expire(self, now: float) -> None:
+        """Lenders that did not answer are passed over, and requests that waited long enough are refused."""
+        for tenant in list(self.asking.values()):
+            if tenant.ask and now >= tenant.ask.sent_at + self.timeout():
+                self._pass_over(now, tenant, tenant.ask)
+            self._serve(now, tenant)
+            while tenant.waiting and now >= tenant.waiting[0].until:
+                self._give_up(tenant, tenant.waiting.popleft())
+            self._ask(now, tenant)
+            self._rest(tenant)
+
+    def _pass_over(self, now: float, tenant: Tenant, ask: Ask) -> None:
+        """It may still answer: what it grants then is of use until it ends."""
+        tenant.ask = None
+        tenant.quiet[ask.to] = now + SILENT
+        self.round_trip += LEARNING * (now - ask.sent_at - self.round_trip)
+        tenant.late[ask.number] = ask
+        while len(tenant.late) > MOST_LATE:
+            del tenant.late[next(iter(tenant.late))]
+
+    def take_actions(self) -> list[Action]:
+        """What is to be done, each once."""
+        actions, self.actions = self.actions, []
+        return actions
+
+    # Words
 
     def told(self, now: float) -> tuple[Use, bool]:
         """What this gateway says of itself, to be told to all; whether it is whole, or only what has
         changed."""
-        whole = self.words % WHOLE_EVERY == 0 or now - self.met < MET
+        whole = self.words % WHOLE_EVERY == 0 or now - self.usage.met < MET
         self.words += 1
         use: Use = {}
-        for name, metered in self.tenants.items():
-            newest = (metered.window.total(now), metered.newest)
-            if newest != metered.told if not whole else newest != (0, 0):
+        for name, tenant in self.tenants.items():
+            newest = (tenant.window.total(now), tenant.newest)
+            if newest != tenant.told if not whole else newest != (0, 0):
                 use[name] = newest
-            metered.told = newest
+            tenant.told = newest
         return use, whole
 
-    def elsewhere(self, name: str) -> Elsewhere:
-        """What all others let through, as far as they have told it."""
-        return self.sums.get(name) or Elsewhere()
-
-    # Time
-
     def step(self, now: float) -> None:
-        """Before a word is sent: new leak rates, and parts of the room that is left."""
-        if self.begun == -math.inf:
-            self.begun = now
-        elapsed = min(2.0, now - self.stepped) if self.stepped > -math.inf else PERIOD
+        """Before a word is sent: new leak rates."""
+        elapsed = min(LONGEST_STEP, now - self.stepped) if self.stepped > -math.inf else PERIOD
         self.stepped = now
         rates = now - self.rated >= RATED
         self.rated = now if rates else self.rated
-        for other in self.others.values():
-            if other.use and now - other.heard > self.rule.window:
-                for tenant in list(other.use):
-                    self._take(other, tenant, (0, 0))
-        self.ended.expire(now)
-        self.count, self.missing, self.late = self.entries(now), self.silent(now), self.silent(now, LATE)
-        absent = self.missing / self.count
-        for name, metered in list(self.tenants.items()):
-            bucket, sums = metered.bucket, self.elsewhere(name)
-            metered.newest, metered.passed = metered.passed, 0
-            metered.mine += SMOOTH * (metered.newest / elapsed - metered.mine)
-            drained = self._flow(bucket.plan) * elapsed
-            metered.fill = max(0.0, metered.fill + metered.newest + sums.newest - drained)
-            metered.use += SMOOTH * (metered.newest / elapsed + sums.newest / PERIOD - metered.use)
+        self.usage.forget_old(now)
+        self.count = self.usage.count(now)
+        self._confirm_terms()
+        for name, tenant in list(self.tenants.items()):
+            tenant.step(elapsed, self.usage.elsewhere(name).newest)
+            bucket = tenant.bucket
             if rates:
-                # What is kept for gateways that cannot be heard counts as used.
-                bucket.heard(now, metered.use / bucket.plan.rate + absent)
-                bucket.own_late = metered.mine  # as old as the reading is
+                bucket.heard(now, tenant.use / bucket.plan.rate)
+                bucket.own_late = tenant.mine  # as old as the reading is
                 bucket.step(now)
-            self._room(now, metered, sums)
-            if now - bucket.seen_at > IDLE and not metered.window.total(now):
+            if now - bucket.seen_at > IDLE and not tenant.waiting and not tenant.window.total(now):
                 del self.tenants[name]
-        for name in [n for n, sums in self.sums.items() if not (sums.window or sums.newest)]:
-            del self.sums[name]
-
-    def _most(self, plan: api.Plan) -> float:
-        """Requests that all may let through in the rule's window, less a margin."""
-        rule = self.rule
-        return ((plan.rate * rule.window + plan.burst) * (1 + rule.excess) + rule.slack) * MARGIN
-
-    def _flow(self, plan: api.Plan) -> float:
-        """Requests a second that use the window up beside the burst; the quota, and a little more."""
-        rule = self.rule
-        burst = plan.burst * (1 + rule.excess) + rule.slack / 2
-        return max(0.0, self._most(plan) - burst) / rule.window
-
-    def _room(self, now: float, metered: Metered, sums: Elsewhere) -> None:
-        """This gateway's part of what all may let through until the next word.
-
-        All together are held to one bucket: of the quota's burst, and of the rate that uses the rule's window up
-        beside it. What it drains until the next word is parted whole, of what it has left a `PART`: what others
-        let through since their last word is not known here, it is taken to be as much as in the period before,
-        and room that is seen late is approached and not overshot (a delayed integrator does not while its gain
-        times its delay is under 1/e). Without the bucket the window's whole room went in a second, and the tenant
-        got a third of its quota for the four after that. The window itself may not be passed, and bounds all.
-        While even a tenant that sends `SPIKE` times its quota at once could not fill the room before all hear of
-        it, nothing needs parting: a part of the few requests that one of many gateways sees of a small tenant
-        would be less than one.
-        """
-        rule, plan = self.rule, metered.bucket.plan
-        if self.unsure(now):
-            even = self._flow(plan) * PERIOD / max(self.count, FEWEST)
-            self._grant(now, metered, max(1.0, UNSURE_PARTS * even))
-            return
-        most = self._most(plan)
-        kept = self.missing / self.count * most
-        unknown = sums.newest * UNHEARD
-        used = sums.window + self.ended.of(plan.name) + metered.window.total(now)
-        room = max(0.0, most - kept - used - unknown)
-        even = 1 / self.count
-        share = 0.5 * even + 0.5 * (metered.mine / metered.use if metered.use > 0 else even)
-        # The less is heard of the others the more even: two sides of a cut would each take the use for theirs.
-        share += min(1.0, 2 * self.late * even) * (even - share)
-        burst = plan.burst * (1 + rule.excess) + rule.slack / 2
-        left = burst - metered.fill - unknown
-        flow = max(0.0, self._flow(plan) * PERIOD + PART * left)
-        part = min(GUARD * room, flow) * min(1.0, share)
-        free = room - SPIKE * plan.rate
-        if free > 0 and left > burst / 2:
-            part = max(part, min(free, FREE))
-        self._grant(now, metered, part)
-
-    def _grant(self, now: float, metered: Metered, part: float) -> None:
-        """What this gateway may let through until the next word."""
-        bucket = metered.bucket
-        bucket.drain(now)
-        bucket.level = bucket.fill + part
-        # What was not used is kept, up to one request: of a small part the next period may have need.
-        bucket.credit = part + min(1.0, max(0.0, bucket.credit))
+                self.asking.pop(name, None)
--- /dev/null
+++ b/coralvale/cluster/rate_limit/usage.py
@@ -0,0 +1,144 @@
+"""Metered use of tenants: what this gateway let through, and what the others tell of themselves.
+
+Each gateway tells all others, every `PERIOD`, what it let through in the rule's window and since the word
+before, so that what is lost or comes twice does no harm. The readings feed the leak rates of the restrictors;
+no limit rests on them.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+from attrs import define, field
+
+PERIOD = 0.5  # s between words of a gateway
+NOTHING = (0, 0)  # told of a tenant: let through in the window, and since the word before
+LATE = 1.3  # s without a word after which a gateway is taken to be out of reach
+KEPT_FOR = 60.0  # s without a word after which a gateway counts as gone
+MOST = 2400  # gateways known at once, as membership has it; words of further ones are left out
+
+Use = dict[str, tuple[int, int]]  # by tenant: requests let through in the window, and since the word before
+
+
+@define
+class Other:
+    """What another gateway has said. `version`: of the configuration that it has."""
+
+    use: Use = field(factory=dict)
+    heard: float = -math.inf
+    version: int = 0
+    spoke: bool = False
+    left: bool = False
+
+
+@define
+class Elsewhere:
+    """What all others let through of one tenant: in the window, and in their newest periods."""
+
+    window: int = 0
+    newest: int = 0
+
+
+class Window:
+    """A running sum over the last seconds, in steps."""
+
+    def __init__(self, length: float, step: float) -> None:
+        self.length, self.step = length, step
+        self.steps: deque[tuple[float, int]] = deque()
+        self.sum = 0
+
+    def add(self, now: float, count: int) -> None:
+        if count <= 0:
+            return
+        self.sum += count
+        if self.steps and now - self.steps[-1][0] < self.step:
+            at, before = self.steps[-1]
+            self.steps[-1] = (at, before + count)
+        else:
+            self.steps.append((now, count))
+
+    def total(self, now: float) -> int:
+        while self.steps and now - self.steps[0][0] > self.length:
+            self.sum -= self.steps.popleft()[1]
+        return self.sum
+
+
+class FleetUsage:
+    """What the other gateways tell, and which of them are there."""
+
+    def __init__(self, window: float) -> None:
+        self.window = window
+        self.others: dict[str, Other] = {}
+        self.sums: dict[str, Elsewhere] = {}
+        self.met = -math.inf  # when another gateway was met last
+
+    def know(self, now: float, name: str) -> None:
+        """Another gateway is there, though it has said nothing of tenants yet."""
+        self.met = now
+        if name not in self.others and len(self.others) < MOST:
+            self.others[name] = Other(heard=now)
+
+    def left(self, name: str) -> None:
+        """A gateway has said that it ends."""
+        if other := self.others.get(name):
+            other.left = True
+
+    def hear(self, now: float, name: str, use: Use, whole: bool = True, version: int = 0) -> None:
+        """Another gateway's word: of all tenants, or of those of whom it has something else to say."""
+        other = self.others.get(name)
+        if other is None:
+            if len(self.others) >= MOST:
+                return
+            other = self.others[name] = Other()
+        if whole:
+            for tenant in [t for t in other.use if t not in use]:
+                self._take(other, tenant, NOTHING)
+            other.spoke = True
+        for tenant, told in use.items():
+            self._take(other, tenant, told)
+        other.heard, other.left, other.version = now, False, version
+
+    def _take(self, other: Other, tenant: str, told: tuple[int, int]) -> None:
+        before = other.use.get(tenant, NOTHING)
+        if told == before:
+            return
+        if (sums := self.sums.get(tenant)) is None:
+            sums = self.sums[tenant] = Elsewhere()
+        sums.window += told[0] - before[0]
+        sums.newest += told[1] - before[1]
+        if told != NOTHING:
+            other.use[tenant] = told
+        else:
+            other.use.pop(tenant, None)
+
+    def elsewhere(self, tenant: str) -> Elsewhere:
+        """What all others let through, as far as they have told it."""
+        return self.sums.get(tenant) or Elsewhere()
+
+    def count(self, now: float) -> int:
+        """Gateways that serve, or may be serving behind a cut, this one as well."""
+        return 1 + sum(not o.left and now - o.heard < KEPT_FOR for o in self.others.values())
+
+    def in_reach(self, now: float, name: str) -> bool:
+        """Whether another gateway's words come."""
+        other = self.others.get(name)
+        return other is not None and not other.left and now - other.heard < LATE
+
+    def heard_all(self) -> bool:
+        """Whether each gateway that is known of has told its use."""
+        return all(o.spoke or o.left for o in self.others.values())
+
+    def version_of(self, name: str) -> int:
+        """Of the configuration that a gateway told last."""
+        other = self.others.get(name)
+        return other.version if other else 0
+
+    def forget_old(self, now: float) -> None:
+        """What was told longer ago than the window is in no window any more."""
+        for other in self.others.values():
+            if other.use and now - other.heard > self.window:
+                for tenant in list(other.use):
+                    self._take(other, tenant, NOTHING)
+        for name in [n for n, sums in self.sums.items() if not (sums.window or sums.newest)]:
+            del self.sums[name]
--- a/coralvale/cluster/storage/keeper.py
+++ b/coralvale/cluster/storage/keeper.py
@@ -15,6 +15,7 @@
     CHANGE,
     OPENING,
     READ,
+    SHARES,
     VOTERS,
     Member,
     Snapshot,
@@ -22,11 +23,12 @@
     Write,
 )
 from coralvale.cluster.consensus.voters import unpack_voters
+from coralvale.cluster.rate_limit.shares import ShareTable
 from coralvale.cluster.storage.store import NAME, Store, StoreError
 
 FORMAT = 1  # of an export
 LATER = 1000  # views by which a restored core is ahead of the one that was lost
-KINDS = {OPENING: "opening", CHANGE: "change", VOTERS: "voters", READ: "read"}
+KINDS = {OPENING: "opening", CHANGE: "change", VOTERS: "voters", READ: "read", SHARES: "shares"}
 _change = msgspec.msgpack.Decoder(Change).decode
 
 
@@ -52,10 +54,10 @@
         raise KeeperError(str(error)) from None
     finally:
         store.close()
-    history, snapshot = ChangeHistory(), state.snapshot
+    history, shares, snapshot = ChangeHistory(), ShareTable(), state.snapshot
     voters = snapshot.voters if snapshot else VoterSet(())
     if snapshot:
-        history.restore(snapshot.body)
+        shares = ShareTable.restored(history.restore(snapshot.body))
     entries = []
     for entry in state.entries:
         row: dict[str, Any] = {"seq": entry.seq, "view": entry.view, "kind": KINDS.get(entry.kind, "?")}
@@ -68,6 +70,8 @@
             if (snapshot.seq if snapshot else 0) < entry.seq <= state.commit:
                 row["taken"] = history.deliver(entry.body)
                 row["version"] = history.configuration.version
+        elif entry.kind == SHARES and (snapshot.seq if snapshot else 0) < entry.seq <= state.commit:
+            row["taken"] = shares.deliver(entry.body)
         entries.append(row)
     return {
         "file": str(folder / NAME),
@@ -82,7 +86,7 @@
         "version": history.configuration.version,
         "routes": len(history.configuration.items.get("Routes", {})),
         "config": history.configuration.raw,
-        "image": base64.b64encode(history.image()).decode(),
+        "image": base64.b64encode(history.image(shares.image())).decode(),
     }
 
 
--- a/coralvale/lab/souring.py
+++ b/coralvale/lab/souring.py
@@ -30,7 +30,9 @@
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.home import Home
 from coralvale.cluster.harvest.way import Harvest, Job
-from coralvale.cluster.rate_limit.limiter import PERIOD, RateLimiter, Rule
+from coralvale.cluster.rate_limit.limiter import RateLimiter
+from coralvale.cluster.rate_limit.quota import Rule
+from coralvale.cluster.rate_limit.usage import PERIOD
 from coralvale.cluster.settings import Bounds
 from coralvale.interface import Outcome
 from coralvale.lab.model import LabError
@@ -215,7 +217,8 @@
         chance = random.Random(f"{world.seed}/{number}")
         self.register = Register(1e6)
         self.copies = Copies(self.register, self.zone, chance, world.home(number))
-        limiter = RateLimiter(Rule(5.0, 0.1, 20.0))
+        limiter = RateLimiter(Rule(5.0, 0.1, 20.0), "alone")
+        limiter.holding.own_all()
         bounds = Bounds(RetryExtra=64.0)
         self.harvest = Harvest(bounds, self.copies, limiter, lambda: world.day.gateways, chance)
         self.harvest.take_configuration(plot)
--- /dev/null
+++ b/tests/cluster/quota_world.py
@@ -0,0 +1,373 @@
+"""Many gateways' limiters on a virtual clock, with what can go wrong between them, and schedules of it.
+
+    PYTHONPATH=. python tests/cluster/quota_world.py --seeds 250 --first 0 --jobs 6
+
+plays that many schedules of each kind and prints the worst window as a part of the rule's bound; exit code 1
+if one passed it. A schedule is a seed and a kind: the same two play the same again.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterator
+from multiprocessing import Pool
+
+import simpy
+from attrs import frozen
+
+from coralvale.cluster.rate_limit.limiter import (
+    Action,
+    Admitted,
+    AskTokens,
+    Decided,
+    GrantTokens,
+    RateLimiter,
+    Refused,
+    ReturnTokens,
+)
+from coralvale.cluster.rate_limit.quota import Rule
+from coralvale.cluster.rate_limit.share_planner import SharePlanner
+from coralvale.cluster.rate_limit.shares import ShareTable, pack_change
+from coralvale.cluster.rate_limit.usage import PERIOD, Use
+
+RULE = Rule(window=5.0, excess=0.1, slack=20.0)
+FOUNDED = 4.0  # s until all gateways of a new fleet own their parts
+PATIENCE = 0.06  # s that a request waits for a token
+COMMIT = 0.02  # s that an entry of the log takes
+CLAIM_EVERY, CLAIM_SOON = 2.0, 0.3  # s between claims of a gateway; where it has something to learn
+TENANT = "t"
+
+
+def alone() -> RateLimiter:
+    """A gateway's limiter that owns all quotas, full."""
+    limiter = RateLimiter(RULE, "alone")
+    limiter.holding.own_all()
+    return limiter
+
+
+class QuotaWorld:
+    """Words and asks take half a millisecond to 40 ms, and `slow` s more; `loss` of them are lost. The core is
+    on side 0 of a cut, and keeps the table of shares on disk; its leader may be lost."""
+
+    def __init__(
+        self, seed: int, count: int, rate: float, burst: float, slow: float = 0.0, loss: float = 0.01
+    ) -> None:
+        self.env, self.chance = simpy.Environment(), random.Random(seed)
+        self.rate, self.burst, self.slow, self.loss = rate, burst, slow, loss
+        self.terms: dict[str, tuple[float, float]] = {}  # of gateways that have not heard of new ones
+        self.limiters: dict[str, RateLimiter] = {}
+        self.sides: dict[str, int] = {}
+        self.frozen: set[str] = set()
+        self.queues: dict[str, int] = defaultdict(int)  # requests in the sockets of a frozen gateway
+        self.inboxes: dict[str, list[Callable[[RateLimiter], None]]] = defaultdict(list)
+        self.passed: deque[float] = deque()
+        self.asked = self.refused = self.worst = 0
+        self.table = ShareTable()
+        self.planner: SharePlanner | None = SharePlanner(self.table, 0.0)
+        for n in range(count):
+            self.begin(f"g{n}")
+        self.env.process(self.core())
+        self.env.run(FOUNDED)
+
+    @property
+    def most(self) -> float:
+        return RULE.most(self.rate, self.burst)
+
+    # Gateways
+
+    def begin(self, name: str) -> None:
+        limiter = self.limiters[name] = RateLimiter(RULE, name, random.Random(self.chance.random()))
+        for other, theirs in self.limiters.items():
+            if other != name:
+                limiter.usage.know(self.env.now, other)
+                theirs.usage.know(self.env.now, name)
+        self.env.process(self.words(name, limiter))
+        self.env.process(self.claims(name, limiter))
+
+    def alive(self, name: str, limiter: RateLimiter) -> Iterator[simpy.Event]:
+        """Waits while it stands still."""
+        while name in self.frozen and self.limiters.get(name) is limiter:
+            yield self.env.timeout(0.02)
+
+    def words(self, name: str, limiter: RateLimiter) -> Iterator[simpy.Event]:
+        yield self.env.timeout(PERIOD * self.chance.random())
+        while self.limiters.get(name) is limiter:
+            yield from self.alive(name, limiter)
+            limiter.step(self.env.now)
+            self.tell(name, *limiter.told(self.env.now))
+            yield self.env.timeout(PERIOD)
+
+    def tell(self, name: str, use: Use, whole: bool) -> None:
+        for other in self.limiters:
+            if other != name:
+                self.send(name, other, lambda to: to.usage.hear(self.env.now, name, use, whole))
+
+    def claims(self, name: str, limiter: RateLimiter) -> Iterator[simpy.Event]:
+        yield self.env.timeout(0.2 * self.chance.random())
+        while self.limiters.get(name) is limiter:
+            yield from self.alive(name, limiter)
+            if self.sides.get(name, 0) == 0:
+                self.env.process(self.claim(name, limiter, limiter.holding.version))
+            behind = limiter.holding.version < self.table.version or not limiter.holding.owns_any()
+            yield self.env.timeout(CLAIM_SOON if behind else CLAIM_EVERY)
+
+    def claim(self, name: str, limiter: RateLimiter, version: int) -> Iterator[simpy.Event]:
+        asked_at = self.env.now
+        yield self.env.timeout(self.delay())
+        if self.planner is None or self.sides.get(name, 0) or self.chance.random() < self.loss:
+            return
+        self.planner.claim(self.env.now, name, version)
+        image = self.table.image()
+
+        def answered(to: RateLimiter) -> None:
+            if to is limiter:
+                to.holding.take(self.env.now, asked_at, ShareTable.restored(image))
+
+        self.send("core", name, answered)
+
+    def core(self) -> Iterator[simpy.Event]:
+        """The leader's part: one change of the table after the other."""
+        while True:
+            yield self.env.timeout(0.1)
+            if self.planner and (change := self.planner.next_change(self.env.now)):
+                yield self.env.timeout(COMMIT)
+                self.table.deliver(pack_change(change))
+
+    def lose_leader(self, after: float, back: float) -> Iterator[simpy.Event]:
+        """What a leader knows beside the table is lost with it."""
+        yield self.env.timeout(after)
+        self.planner = None
+        yield self.env.timeout(back)
+        self.planner = SharePlanner(self.table, self.env.now)
+
+    # Messages
+
+    def delay(self) -> float:
+        return 0.0005 + (0.04 + self.slow) * self.chance.random() ** (1 if self.slow else 4)
+
+    def send(self, sender: str, to: str, take: Callable[[RateLimiter], None]) -> None:
+        if self.chance.random() >= self.loss:
+            self.env.process(self.bring(sender, to, take))
+
+    def bring(self, sender: str, to: str, take: Callable[[RateLimiter], None]) -> Iterator[simpy.Event]:
+        yield self.env.timeout(self.delay())
+        if to not in self.limiters or self.sides.get(sender, 0) != self.sides.get(to, 0):
+            return
+        if to in self.frozen:
+            self.inboxes[to].append(take)
+            return
+        take(self.limiters[to])
+        self.carry_out(to)
+
+    def carry_out(self, name: str) -> None:
+        """What a gateway's limiter has to send, and its decisions."""
+        limiter = self.limiters[name]
+        for action in limiter.take_actions():
+            self.carry_out_one(name, action)
+        if (due := limiter.due()) < float("inf"):
+            self.env.process(self.expire(name, limiter, max(0.0, due - self.env.now)))
+
+    def carry_out_one(self, name: str, action: Action) -> None:
+        match action:
+            case AskTokens():
+                a = action
+
+                def asked(to: RateLimiter) -> None:
+                    terms = self.terms.get(a.to, (self.rate, self.burst))
+                    to.asked(self.env.now, name, a.number, a.tenant, *terms, a.count)
+
+                self.send(name, a.to, asked)
+            case GrantTokens():
+                g = action
+                self.send(
+                    name,
+                    g.to,
+                    lambda to: to.granted(self.env.now, name, g.number, g.tenant, g.count, g.wait),
+                )
+            case ReturnTokens():
+                r = action
+                self.send(name, r.to, lambda to: to.returned(name, r.number, r.tenant, r.count))
+            case Decided():
+                self.decided(isinstance(action.verdict, Admitted))
+
+    def expire(self, name: str, limiter: RateLimiter, wait: float) -> Iterator[simpy.Event]:
+        yield self.env.timeout(wait + 0.001)
+        yield from self.alive(name, limiter)
+        if self.limiters.get(name) is limiter:
+            limiter.expire(self.env.now)
+            self.carry_out(name)
+
+    # Clients
+
+    def arrive(self, name: str) -> None:
+        limiter = self.limiters.get(name)
+        if limiter is None:
+            return
+        if name in self.frozen:
+            self.queues[name] += 1
+            return
+        self.asked += 1
+        terms = self.terms.get(name, (self.rate, self.burst))
+        verdict = limiter.request(self.env.now, TENANT, *terms, None, PATIENCE)
+        if isinstance(verdict, Admitted | Refused):
+            self.decided(isinstance(verdict, Admitted))
+        self.carry_out(name)
+
+    def decided(self, admitted: bool) -> None:
+        if not admitted:
+            self.refused += 1
+            return
+        self.passed.append(self.env.now)
+        while self.env.now - self.passed[0] > RULE.window:
+            self.passed.popleft()
+        self.worst = max(self.worst, len(self.passed))
+
+    def clients(self, a_second: float, until: float) -> Iterator[simpy.Event]:
+        """Arrivals by chance, spread unevenly over the gateways."""
+        names = list(self.limiters)
+        weights = [0.3 + self.chance.random() for _ in names]
+        while self.env.now < until:
+            yield self.env.timeout(self.chance.expovariate(a_second))
+            self.arrive(self.chance.choices(names, weights)[0])
+
+    def play(self, a_second: float, seconds: float) -> None:
+        self.env.run(self.env.process(self.clients(a_second, self.env.now + seconds)))
+
+    # Troubles
+
+    def kill(self, name: str, after: float, back: float) -> Iterator[simpy.Event]:
+        yield self.env.timeout(after)
+        if name not in self.limiters:
+            return
+        del self.limiters[name]
+        self.inboxes.pop(name, None)
+        self.queues.pop(name, None)
+        self.frozen.discard(name)
+        yield self.env.timeout(back)
+        self.begin(name)
+
+    def cut(self, names: set[str], after: float, lasts: float) -> Iterator[simpy.Event]:
+        yield self.env.timeout(after)
+        self.sides = dict.fromkeys(names, 1)
+        yield self.env.timeout(lasts)
+        self.sides = {}
+
+    def freeze(self, name: str, after: float, lasts: float) -> Iterator[simpy.Event]:
+        """At the thaw what waits in its sockets is served first: requests, then messages."""
+        yield self.env.timeout(after)
+        if name not in self.limiters:
+            return
+        self.frozen.add(name)
+        yield self.env.timeout(lasts)
+        self.frozen.discard(name)
+        for _ in range(min(200, self.queues.pop(name, 0))):
+            self.arrive(name)
+        for take in self.inboxes.pop(name, []):
+            if name in self.limiters:
+                take(self.limiters[name])
+        if name in self.limiters:
+            self.carry_out(name)
+
+    def join(self, name: str, after: float) -> Iterator[simpy.Event]:
+        """A gateway at an address that is new."""
+        yield self.env.timeout(after)
+        self.begin(name)
+
+
+@frozen
+class Played:
+    seed: int
+    kind: str
+    count: int
+    rate: float
+    worst: float  # window, as a part of the rule's bound
+
+
+KINDS = (
+    "none",
+    "slow",
+    "loss",
+    "kill",
+    "cut",
+    "freeze",
+    "kill cut",
+    "kill freeze",
+    "kill slow",
+    "cut freeze",
+    "kill twice",
+    "kill cut freeze loss",
+    "leader kill twice cut join",
+    "leader kill join slow loss",
+)
+MILD = 8.0  # s of the usual load before the troubles
+LENGTH = 12.0  # s of a tenant that sends many times its quota, with the troubles
+
+
+def play(seed: int, kind: str, sizes: tuple[int, ...] = (12, 24, 68)) -> Played:
+    """One schedule."""
+    chance = random.Random(seed)
+    count, rate = chance.choice(sizes), chance.choice((5.0, 20.0, 60.0, 110.0))
+    burst = rate * chance.choice((1, 1.5))
+    slow = 0.5 if "slow" in kind else 0.1 if count > 16 else 0.0
+    world = QuotaWorld(seed, count, rate, burst, slow, 0.1 if "loss" in kind else 0.01)
+    world.play(rate / 1.6, MILD)
+    names = list(world.limiters)
+    chance.shuffle(names)
+    for trouble in troubles(world, kind, names, chance):
+        world.env.process(trouble)
+    world.play(rate * chance.choice((3, 4.7, 7.5)), LENGTH)
+    return Played(seed, kind, count, rate, round(world.worst / world.most, 3))
+
+
+def troubles(
+    world: QuotaWorld, kind: str, names: list[str], chance: random.Random
+) -> Iterator[Iterator[simpy.Event]]:
+    count = len(names)
+    if "kill" in kind:
+        share, at = chance.choice((0.2, 0.6, 0.9, 1.0)), chance.uniform(0, 4)
+        for name in names[: int(share * count)]:
+            yield world.kill(name, at + chance.uniform(0, 0.1), chance.uniform(0.5, 2.5))
+            if "twice" in kind:
+                yield world.kill(name, at + 3.5, chance.uniform(0.5, 1))
+    if "cut" in kind:
+        cut = set(names[: int(count * chance.choice((0.2, 0.5)))])
+        yield world.cut(cut, chance.uniform(0, 4), chance.uniform(2, 8))
+    if "freeze" in kind:
+        at = chance.uniform(0, 4)
+        for name in names[-max(1, int(count * 0.2)) :]:
+            yield world.freeze(name, at, chance.choice((4.0, 8.0)))
+    if "leader" in kind:
+        yield world.lose_leader(chance.uniform(0, 4), chance.uniform(0.5, 2))
+    if "join" in kind:
+        for n in range(chance.choice((1, 3))):
+            yield world.join(f"new{n}", chance.uniform(0, 5))
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--seeds", type=int, default=12)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--jobs", type=int, default=4)
+    options = parser.parse_args()
+    schedules = [
+        (seed, kind) for kind in KINDS for seed in range(options.first, options.first + options.seeds)
+    ]
+    with Pool(options.jobs) as pool:
+        played = pool.starmap(play, schedules, chunksize=1)
+    broken = [p for p in played if p.worst > 1]
+    for kind in KINDS:
+        worst = max(p.worst for p in played if p.kind == kind)
+        print(f"{kind}: worst {worst}, broken {sum(p.kind == kind for p in broken)} of {options.seeds}")
+    for p in broken[:20]:
+        print(f"broken: play({p.seed}, {p.kind!r}): {p.count} gateways, rate {p.rate}: {p.worst}")
+    print(f"{len(played)} schedules, {len(broken)} broken")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/cluster/test_carts.py
+++ b/tests/cluster/test_carts.py
@@ -18,7 +18,7 @@
 from coralvale.cluster.gates.peers import CARRY, LOAD, OUT, WORD
 from coralvale.cluster.gates.tidings import NEAR_ONLY
 from coralvale.cluster.gates.words import Word, encode, pack_out
-from coralvale.cluster.rate_limit.limiter import PERIOD
+from coralvale.cluster.rate_limit.usage import PERIOD
 from coralvale.cluster.settings import parse
 from coralvale.members.model import Member, State, Update
 from coralvale.members.swim import Known
--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from quota_world import alone
 from test_configuration import WHOLE, changed
 
 from coralvale.cluster.census.register import Register, Row
@@ -15,7 +16,6 @@
 from coralvale.cluster.gates.hosts import Hosts
 from coralvale.cluster.harvest.copies import Copies
 from coralvale.cluster.harvest.way import Harvest
-from coralvale.cluster.rate_limit.limiter import RateLimiter, Rule
 from coralvale.cluster.settings import Bounds
 from coralvale.net.clock import Clock
 from coralvale.net.transport import Attempt
@@ -37,7 +37,7 @@
         for n, peer in enumerate(self.peers):
             self.register.take(now, Row(f"i-{n}", "s", "127.0.0.1", peer.port, "z", "v", 4, 0, 0.0, 1))
         chance = random.Random(1)
-        limiter = RateLimiter(Rule(5.0, 0.1, 20.0))
+        limiter = alone()
         harvest = Harvest(
             Bounds(RetryExtra=64), Copies(self.register, "z", chance), limiter, lambda: 1, chance
         )
--- a/tests/cluster/test_grown.py
+++ b/tests/cluster/test_grown.py
@@ -11,7 +11,8 @@
 from coralvale.cluster.census.register import Register, Row
 from coralvale.cluster.gates.words import MOST_BLIGHT, MOST_OUT, Word, encode, pack_blight, pack_out, pack_use
 from coralvale.cluster.harvest.copies import Copies
-from coralvale.cluster.rate_limit.limiter import RateLimiter, Rule
+from coralvale.cluster.rate_limit.limiter import Admitted, RateLimiter, Source
+from coralvale.cluster.rate_limit.quota import Rule
 from coralvale.standins.wire import answer
 
 DATAGRAM = 1472  # bytes that go through in one piece
@@ -134,11 +135,12 @@
     """What grows with the fleet: words of a fixed size, sent to near ones and to one of each other zone."""
     sizes = {}
     for gateways, tenants in ((12, 8), (96, 88), (500, 160)):
-        limiter = RateLimiter(Rule(5.0, 0.1, 20.0))
+        limiter = RateLimiter(Rule(5.0, 0.1, 20.0), "10.0.0.0")
+        limiter.holding.own_all()
         for n in range(gateways):
-            limiter.know(0.0, f"10.0.{n // 250}.{n % 250}")
+            limiter.usage.know(0.0, f"10.0.{n // 250}.{n % 250}")
         for n in range(tenants):
-            limiter.wait(1.0, f"tenant-{n}", 60.0, 60.0)
+            assert limiter.request(1.0, f"tenant-{n}", 60.0, 60.0) == Admitted(Source.OWN)
         use, whole = limiter.told(1.0)
         assert whole
         beats = [(f"i-{n:08x}", n) for n in range(4)]  # those heard here in half a second: not of the fleet
--- a/tests/cluster/test_harvest.py
+++ b/tests/cluster/test_harvest.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+from quota_world import alone
 from test_configuration import changed
 
 from coralvale.cluster.census.register import Register, Row
@@ -14,7 +15,6 @@
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.tries import ENDS
 from coralvale.cluster.harvest.way import Harvest, Job
-from coralvale.cluster.rate_limit.limiter import RateLimiter, Rule
 from coralvale.cluster.settings import Bounds
 from coralvale.interface import Outcome
 
@@ -26,7 +26,7 @@
     for n in range(hosts):
         register.take(0.0, Row(f"i-{n}", "s", "10.0.0.1", 80 + n, "z", "v", 4, 0, 0.0, 1))
     chance = random.Random(3)
-    made = Harvest(BOUNDS, Copies(register, "z", chance), RateLimiter(Rule(5, 0.1, 20)), lambda: 1, chance)
+    made = Harvest(BOUNDS, Copies(register, "z", chance), alone(), lambda: 1, chance)
     configuration = survey(changed(**at), Configuration())
     assert isinstance(configuration, Configuration)
     assert made.take_configuration(configuration)
--- a/tests/cluster/test_rate_limit.py
+++ b/tests/cluster/test_rate_limit.py
@@ -1,102 +1,45 @@
-"""Quotas with no store: many gateways that know of each other by words alone."""
+"""Quotas with no store: many gateways that own parts of them, and grant each other tokens."""
 
 from __future__ import annotations
 
+import math
 import random
-from collections import deque
+from itertools import pairwise
 
 import pytest
-import simpy
-
-from coralvale.cluster.rate_limit.ended import BELIEVED_FOR, MOST_KEPT
-from coralvale.cluster.rate_limit.limiter import MOST, PERIOD, RateLimiter, Rule, Use
-
-RULE = Rule(window=5.0, excess=0.1, slack=20.0)
-
-
-class Gateways:
-    """Words take half a millisecond to 40 ms; one in a hundred is lost."""
-
-    def __init__(self, seed: int, count: int, rate: float, burst: float) -> None:
-        self.env, self.chance = simpy.Environment(), random.Random(seed)
-        self.rate, self.burst = rate, burst
-        self.limiters = {f"g{n}": RateLimiter(RULE) for n in range(count)}
-        self.sides: dict[str, int] = {}
-        self.passed: deque[float] = deque()
-        self.asked = self.refused = self.lives = 0
-        self.life: dict[str, int] = {}
-        self.worst = 0
-        for name in list(self.limiters):
-            self.begin(name)
-
-    def begin(self, name: str) -> None:
-        limiter = self.limiters[name] = RateLimiter(RULE)
-        self.lives += 1
-        self.life[name] = self.lives
-        for other in self.limiters:
-            if other != name:
-                limiter.know(self.env.now, other)
-                self.limiters[other].know(self.env.now, name)
-        self.env.process(self.words(name, limiter))
-
-    def words(self, name: str, limiter: RateLimiter) -> object:
-        yield self.env.timeout(PERIOD * self.chance.random())
-        while self.limiters.get(name) is limiter:
-            limiter.step(self.env.now)
-            told = limiter.told(self.env.now)
-            for other in self.limiters:
-                if other != name and self.chance.random() > 0.01:
-                    self.env.process(
-                        self.word(name, other, (*told, self.life[name]), limiter.ended.summary())
-                    )
-            yield self.env.timeout(PERIOD)
-
-    def word(self, name: str, other: str, told: tuple[Use, bool, int], ended: Use) -> object:
-        yield self.env.timeout(0.0005 + 0.04 * self.chance.random() ** 4)
-        if other in self.limiters and self.sides.get(name, 0) == self.sides.get(other, 0):
-            self.limiters[other].hear(self.env.now, name, *told)
-            self.limiters[other].ended.hear(self.env.now, ended)
-
-    def clients(self, a_second: float, until: float) -> object:
-        """Arrivals by chance, spread unevenly over the gateways."""
-        names = list(self.limiters)
-        weights = [0.3 + self.chance.random() for _ in names]
-        while self.env.now < until:
-            yield self.env.timeout(self.chance.expovariate(a_second))
-            name = self.chance.choices(names, weights)[0]
-            if name not in self.limiters:
-                continue
-            self.asked += 1
-            if self.limiters[name].wait(self.env.now, "t", self.rate, self.burst):
-                self.refused += 1
-                continue
-            self.passed.append(self.env.now)
-            while self.env.now - self.passed[0] > RULE.window:
-                self.passed.popleft()
-            self.worst = max(self.worst, len(self.passed))
-
-    @property
-    def most(self) -> float:
-        return (self.rate * RULE.window + self.burst) * (1 + RULE.excess) + RULE.slack
-
-    def kill(self, name: str, after: float, back: float) -> object:
-        yield self.env.timeout(after)
-        del self.limiters[name]
-        yield self.env.timeout(back)
-        self.begin(name)
-
-    def cut(self, names: set[str], after: float, lasts: float) -> object:
-        yield self.env.timeout(after)
-        self.sides = dict.fromkeys(names, 1)
-        yield self.env.timeout(lasts)
-        self.sides = {}
+from quota_world import KINDS, RULE, QuotaWorld, alone, play
+
+from coralvale.cluster.rate_limit import limiter as limits
+from coralvale.cluster.rate_limit.escrow import Escrow, Stock
+from coralvale.cluster.rate_limit.limiter import (
+    MOST_LATE,
+    MOST_WAITING,
+    Admitted,
+    AskTokens,
+    Decided,
+    GrantTokens,
+    RateLimiter,
+    Refused,
+    ReturnTokens,
+    Source,
+    Waiting,
+)
+from coralvale.cluster.rate_limit.quota import GRANT_LIFE, Quota, Rule, cells_of
+from coralvale.cluster.rate_limit.shares import CELLS, LEASE, even_table
+from coralvale.cluster.rate_limit.tenant import MOST_LENT
+from coralvale.cluster.rate_limit.usage import KEPT_FOR, MOST, FleetUsage
+
+OWN = Admitted(Source.OWN)
+
+
+# The rule, for whole fleets
 
 
 def test_within_the_quota_almost_nothing_is_refused() -> None:
     for rate, most in ((5.0, 0.03), (17.0, 0.02), (60.0, 0.02)):
         for count in (3, 14):
-            world = Gateways(count, count, rate, rate)
-            world.env.run(world.env.process(world.clients(rate / 1.6, 40.0)))
+            world = QuotaWorld(count, count, rate, rate)
+            world.play(rate / 1.6, 40.0)
             assert world.refused <= most * world.asked, (rate, count, world.refused, world.asked)
 
 
@@ -104,130 +47,410 @@
     for seed, (count, rate) in enumerate(
         ((3, 110.0), (12, 15.0), (12, 110.0), (14, 60.0), (14, 5.0), (68, 17.0))
     ):
-        world = Gateways(seed, count, rate, rate)
-        world.env.run(world.env.process(world.clients(rate / 1.6, 10.0)))
-        world.env.run(world.env.process(world.clients(rate / 1.6 * 9, 20.0)))
+        world = QuotaWorld(seed, count, rate, rate)
+        world.play(rate / 1.6, 10.0)
+        world.play(rate / 1.6 * 9, 10.0)
         assert world.worst <= world.most, (count, rate, world.worst, world.most)
         assert len(world.passed) >= rate * RULE.window * 0.9
 
 
 def test_of_many_gateways_each_sees_next_to_nothing_of_a_tenant_and_refuses_next_to_nothing() -> None:
     for rate, most in ((5.0, 0.01), (17.0, 0.02), (60.0, 0.06)):
-        world = Gateways(1, 68, rate, rate)
-        world.env.run(world.env.process(world.clients(rate / 1.6, 12.0)))
+        world = QuotaWorld(1, 68, rate, rate)
+        world.play(rate / 1.6, 12.0)
         assert world.refused <= most * world.asked, (rate, world.refused, world.asked)
 
 
 def test_the_rule_holds_while_gateways_die_come_back_and_are_cut_off() -> None:
     for seed in range(8):
         rate = (20.0, 110.0)[seed % 2]
-        world = Gateways(seed, 12, rate, rate)
-        world.env.run(world.env.process(world.clients(rate / 1.6, 8.0)))
+        world = QuotaWorld(seed, 12, rate, rate)
+        world.play(rate / 1.6, 8.0)
         world.env.process(world.kill("g0", 0.7, 0.8))
         world.env.process(world.kill("g1", 1.7, 3.0))
         world.env.process(world.cut({f"g{n}" for n in range(2, 2 + 2 * (seed % 4))}, 2.0, 6.0))
-        world.env.run(world.env.process(world.clients(rate * 5, 20.0)))
+        world.play(rate * 5, 12.0)
         assert world.worst <= world.most, (seed, rate, world.worst, world.most)
 
 
 @pytest.mark.parametrize("rate", [45.0, 150.0])
 def test_the_rule_holds_when_most_gateways_are_killed_as_a_tenant_turns_hot(rate: float) -> None:
     for seed in range(12):
-        world = Gateways(seed, 12, rate, rate)
-        world.env.run(world.env.process(world.clients(rate / 1.6, 8.0)))
+        world = QuotaWorld(seed, 12, rate, rate)
+        world.play(rate / 1.6, 8.0)
         for n in range(8):
             world.env.process(world.kill(f"g{n}", 0.2 + 0.05 * seed, 0.4 + 0.02 * n))
-        world.env.run(world.env.process(world.clients(rate * 6, 14.0)))
+        world.play(rate * 6, 6.0)
         assert world.worst <= world.most, (seed, rate, world.worst, world.most)
 
 
-def test_one_that_starts_knows_all_by_the_first_round_of_words() -> None:
-    old, new = RateLimiter(RULE), RateLimiter(RULE)
-    for n in range(600):
-        if n % 50 == 0:
-            old.step(n / 100)
-        old.wait(n / 100, "t", 100.0, 100.0)
-    new.know(6.0, "old")
-    assert not new.heard_all()
-    told = old.told(6.0)
-    new.hear(6.0, "old", *told)
-    assert new.heard_all()
-    let = sum(not new.wait(6.0, "t", 100.0, 100.0) for _ in range(600))
-    before = told[0]["t"][0]
-    assert before + let <= (100.0 * 5 + 100.0) * 1.1 + 20
-    fresh = RateLimiter(RULE)
-    assert sum(not fresh.wait(6.0, "t", 100.0, 100.0) for _ in range(600)) > let
-
-
-def test_what_senders_of_words_can_grow_is_bounded() -> None:
-    limiter = RateLimiter(RULE)
-    for n in range(MOST + 50):
-        limiter.hear(0.0, f"a{n}", {})
-        limiter.know(0.0, f"b{n}")
-    assert len(limiter.others) == MOST
-    for n in range(2 * MOST_KEPT):  # one that says with each word that it has begun anew
-        limiter.hear(0.0, "a1", {"t": (1, 0)}, True, n + 1)
-    assert len(limiter.ended.records) == MOST_KEPT
-
-
-def test_one_that_is_met_is_told_all_with_the_next_word() -> None:
-    limiter = RateLimiter(RULE)
-    limiter.wait(0.0, "t", 100.0, 100.0)
-    assert limiter.told(0.1)[1] and not limiter.told(0.6)[1] and not limiter.told(1.1)[1]
-    limiter.know(1.2, "new")
-    assert limiter.told(1.6) == ({"t": (1, 0)}, True)
-
-
-def test_what_is_kept_for_a_silent_gateway_goes_to_none_until_it_says_that_it_left() -> None:
-    limiter = RateLimiter(RULE)
-    limiter.know(0.0, "a")
-    limiter.know(0.0, "b")
-    assert limiter.silent(10.0) == 2 and limiter.entries(10.0) == 3
-    limiter.left("a")
-    assert limiter.silent(10.0) == 1 and limiter.entries(10.0) == 2
+@pytest.mark.parametrize("kind", KINDS)
+def test_no_schedule_of_troubles_passes_the_rule(kind: str) -> None:
+    """Some of each kind; `quota_world.py` plays thousands. The four of `kill` broke the rule before quotas were
+    divided by the log (by up to 1.5 of its bound)."""
+    for seed in (2, 7, 9, 11):
+        played = play(seed, kind, (12, 24))
+        assert played.worst <= 1, played
 
 
 def test_a_tenant_far_past_its_quota_gets_its_quota_all_the_while() -> None:
     """It got the window's whole room in a second, and then a third of its quota for four: 0.67 of its worth."""
     for seed, (count, rate) in enumerate(((14, 112.0), (12, 60.0), (68, 60.0))):
-        world = Gateways(seed, count, rate, rate)
-        world.env.run(world.env.process(world.clients(rate / 1.6, 8.0)))
-        world.env.run(world.env.process(world.clients(rate / 1.6 * 8, 9.0)))
+        world = QuotaWorld(seed, count, rate, rate)
+        world.play(rate / 1.6, 8.0)
+        world.play(rate / 1.6 * 8, 1.0)
         before = world.asked - world.refused
-        world.env.run(world.env.process(world.clients(rate / 1.6 * 8, 13.0)))
+        world.play(rate / 1.6 * 8, 4.0)
         let = world.asked - world.refused - before
         assert let >= 0.85 * 4 * rate, (count, rate, let)
         assert world.worst <= world.most
 
 
-def test_what_a_process_let_through_before_it_was_killed_counts_on() -> None:
-    def counted(limiter: RateLimiter) -> int:
-        return limiter.elsewhere("t").window + limiter.ended.of("t")
-
-    limiter = RateLimiter(RULE)
-    limiter.hear(0.0, "a", {"t": (70, 9)}, True, 1)
-    limiter.hear(0.5, "a", {"t": (80, 9)}, False, 0)  # a word that does not say whose it is changes nothing
-    assert counted(limiter) == 80
-    limiter.hear(1.5, "a", {"t": (2, 2)}, True, 2)
-    limiter.step(1.5)
-    assert counted(limiter) == 91  # 9 more: as many as in its last period
-    limiter.hear(2.0, "a", {"t": (4, 2)}, True, 2)
-    limiter.step(5.4)
-    assert counted(limiter) == 93
-    limiter.step(5.6)  # five seconds after the old one's last word
-    assert counted(limiter) == 4
-    limiter.hear(20.0, "a", {"t": (1, 1)}, True, 3)  # what is older than the window is nobody's
-    limiter.step(20.1)
-    assert counted(limiter) == 1
-
-
-def test_a_process_that_starts_takes_the_most_that_any_other_keeps_of_ended_ones() -> None:
-    limiter = RateLimiter(RULE)
-    limiter.ended.hear(1.0, {"t": (40, 0)})
-    limiter.ended.hear(1.1, {"t": (25, 0)})  # one that missed a word keeps less
-    assert limiter.ended.of("t") == 40
-    limiter.ended.add(3.0, "t", 30)
-    limiter.ended.expire(1.0 + BELIEVED_FOR + 0.01)
-    assert limiter.ended.of("t") == 30
-    limiter.ended.expire(3.0)
-    assert limiter.ended.of("t") == 0 and not limiter.ended.summary()
+def test_the_schedules_find_a_process_that_begins_with_a_full_bucket(monkeypatch: pytest.MonkeyPatch) -> None:
+    def full(self: Escrow, now: float, since: float) -> None:
+        begin(self, now, -math.inf)
+
+    begin = Escrow.__init__
+    monkeypatch.setattr(Escrow, "__init__", full)
+    assert any(play(seed, "kill twice", (12, 24)).worst > 1 for seed in range(12))
+
+
+def test_the_schedules_find_an_owner_that_does_not_charge_what_it_grants(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def free(self: RateLimiter, now: float, sender: str, number: int, name: str, *terms: float) -> None:
+        self.actions.append(GrantTokens(sender, number, name, int(terms[-1]), 0.0))
+
+    monkeypatch.setattr(RateLimiter, "asked", free)
+    assert any(play(seed, "none", (12, 24)).worst > 1 for seed in range(4))
+
+
+def test_all_come_back_at_once_and_the_tenant_is_served_within_the_rule() -> None:
+    for rate in (20.0, 110.0):
+        world = QuotaWorld(3, 12, rate, rate)
+        world.play(rate / 1.6, 6.0)
+        for name in list(world.limiters):
+            world.env.process(world.kill(name, 0.1, 1.0))
+        world.env.process(world.lose_leader(0.1, 2.0))
+        world.play(rate * 5, 4.0)
+        before = world.asked - world.refused
+        world.play(rate / 1.6, 6.0)
+        assert world.worst <= world.most
+        assert world.asked - world.refused - before >= 0.9 * 6 * rate / 1.6
+
+
+def test_one_that_is_cut_off_lets_through_what_it_owns_and_no_more() -> None:
+    world = QuotaWorld(5, 12, 60.0, 60.0)
+    world.sides = {"g0": 1}
+    world.env.run(world.env.now + 2.0)
+    limiter = world.limiters["g0"]
+    let = 0
+    for n in range(2000):  # 10 s of a load that is far past all of the quota
+        now = world.env.now + n / 200
+        let += isinstance(limiter.request(now, "t", 60.0, 60.0, None, 0.06), Admitted)
+        limiter.expire(now)
+        limiter.take_actions()
+    quota = Quota.of(RULE, 60.0, 60.0)
+    share = limiter.tenants["t"].owned / quota.parts
+    assert 0 < share < 0.3
+    assert share * quota.fill * 9 <= let <= share * (quota.depth + quota.fill * 10) + 1
+
+
+# The arithmetic
+
+
+def test_a_quotas_bucket_keeps_within_the_rule_whatever_the_terms() -> None:
+    for rule in (RULE, Rule(5.0, 0.0, 0.0), Rule(10.0, 0.1, 5.0), Rule(1.0, 0.2, 0.0)):
+        for rate in (0.1, 1.0, 5.0, 60.0, 500.0, 20_000.0):
+            for burst in (0.0, 1.0, rate, 3 * rate):
+                quota = Quota.of(rule, rate, burst)
+                assert quota.depth > 0
+                assert quota.depth + quota.fill * (rule.window + GRANT_LIFE) <= rule.most(rate, burst)
+                if rule is RULE:
+                    assert quota.fill >= 0.9 * rate
+                assert quota.parts == 1 or quota.depth / quota.parts >= 4
+                assert CELLS % quota.parts == 0
+
+
+def test_the_parts_of_a_tenant_are_spread_over_the_fleet_and_fewer_are_among_more() -> None:
+    table = even_table([f"10.0.0.{n}" for n in range(12)])
+    sizes = [len(cells) for cells in table.cells_by_owner().values()]
+    assert sum(sizes) == CELLS and max(sizes) - min(sizes) <= 3
+    for tenant in ("a", "tenant-7", "x" * 40):
+        owners = [table.owners[cell] for cell in cells_of(tenant, 64)]
+        assert len(set(owners)) == 12 and max(owners.count(o) for o in set(owners)) <= 10
+        for few, more in pairwise((1, 2, 8, 64, 1024)):
+            assert set(cells_of(tenant, few)) < set(cells_of(tenant, more))
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_escrows_of_one_part_keep_the_bound_over_any_lives_changes_and_returns(seed: int) -> None:
+    """What is taken out in any window is at most depth + fill x window, over kills at any moment."""
+    chance, now = random.Random(seed), 0.0
+    quota = Quota(10.0, 4.0, 8)
+    escrow = Escrow(now, now)
+    escrow.settle(now, quota, 0.5)
+    taken: list[tuple[float, int]] = []
+    for _ in range(4000):
+        now += chance.expovariate(20.0)
+        if chance.random() < 0.02:  # another process, that knows nothing
+            escrow = Escrow(now + 1.0, now)
+            escrow.settle(now, quota, 0.5)
+        if chance.random() < 0.05:  # less for a while
+            escrow.settle(now, quota, 0.25)
+            escrow.settle(now, quota, 0.5)
+        count = escrow.take(now, chance.randrange(4))
+        if count and chance.random() < 0.2:
+            escrow.put_back(count)  # it was not used
+        elif count:
+            taken.append((now, count))
+    for first, (begin, _) in enumerate(taken):
+        window = sum(count for at, count in taken[first : first + 60] if at < begin + 5.0)
+        assert window <= 0.5 * (quota.depth + quota.fill * 5.0) + 1e-6
+
+
+def test_a_granted_token_ends() -> None:
+    stock = Stock()
+    stock.add(1.0, 1)
+    stock.add(2.0, 1)
+    assert stock.take(1.5) and not stock.take(1.5)
+    stock.add(2.0, 3)
+    assert not stock.take(2.0)
+
+
+# One gateway
+
+
+def asked_of(limiter: RateLimiter) -> AskTokens:
+    (ask,) = [a for a in limiter.take_actions() if isinstance(a, AskTokens)]
+    return ask
+
+
+def test_asks_and_grants_between_two_gateways() -> None:
+    table = even_table(["a", "b"])
+    parts = Quota.of(RULE, 60.0, 60.0).parts
+    a, b = RateLimiter(RULE, "a"), RateLimiter(RULE, "b")
+    for limiter, other in ((a, "b"), (b, "a")):
+        limiter.holding.take(0.0, 0.0, table)
+        limiter.usage.hear(100.0, other, {})
+    now = 100.0
+    while a.request(now, "t", 60.0, 60.0) == OWN:
+        pass  # all that it owns
+    assert a.holding.owners("t", parts)["a"] > 0
+    a.tenants["t"].bucket.fill = 0.0  # the restrictor has room: only tokens are missing
+    assert a.request(now, "t", 60.0, 60.0, "r", 0.1) == Waiting()
+    ask = asked_of(a)
+    assert ask.to == "b" and ask.count == 1
+    b.asked(now, "a", ask.number, "t", 60.0, 60.0, ask.count)
+    (grant,) = b.take_actions()
+    assert isinstance(grant, GrantTokens) and grant.count == 1
+    a.granted(now + 0.01, "c", grant.number, "t", 1, 0.0)  # another's answer is passed over
+    assert a.take_actions() == []
+    a.granted(now + 0.01, "b", grant.number, "t", 1, 0.0)
+    assert a.take_actions() == [Decided("r", Admitted(Source.GRANTED))]
+    a.granted(now + 0.01, "b", grant.number, "t", 1, 0.0)  # it comes twice
+    assert a.take_actions() == [] and not a.tenants["t"].stock.granted[0].count
+
+
+def test_what_is_granted_too_late_or_not_needed_goes_back_once() -> None:
+    a, b = alone(), RateLimiter(RULE, "b")
+    b.holding.take(0.0, 0.0, even_table(["alone"]))
+    b.usage.hear(100.0, "alone", {})
+    now = 100.0
+    assert b.request(now, "t", 60.0, 60.0, "r", 0.02) == Waiting()
+    ask = asked_of(b)
+    b.expire(now + 0.021)
+    assert [x for x in b.take_actions() if isinstance(x, Decided)] == [
+        Decided("r", Refused(limits.MOST_PAUSE))
+    ]
+    a.asked(now, "b", ask.number, "t", 60.0, 60.0, 1)
+    tokens = a.tenants["t"].escrow.tokens
+    b.granted(now + 0.05, "alone", ask.number, "t", 1, 0.0)
+    assert b.take_actions() == [ReturnTokens("alone", ask.number, "t", 1)]
+    for _ in range(2):
+        a.returned("b", ask.number, "t", 1)
+    assert a.tenants["t"].escrow.tokens == tokens + 1
+    a.returned("b", ask.number + 1, "t", 50)  # what was never granted
+    assert a.tenants["t"].escrow.tokens == tokens + 1
+
+
+def test_a_lender_that_is_silent_or_empty_is_passed_over() -> None:
+    limiter = RateLimiter(RULE, "me")
+    limiter.holding.take(0.0, 0.0, even_table(["x", "y"]))
+    now = 100.0
+    assert isinstance(limiter.request(now, "t", 60.0, 60.0, "r", 0.1), Refused)  # no words of any: cut off
+    for name in "xy":
+        limiter.usage.hear(now, name, {})
+    assert limiter.request(now, "t", 60.0, 60.0, "r", 0.2) == Waiting()
+    first = asked_of(limiter)
+    limiter.expire(now + limiter.timeout())
+    second = asked_of(limiter)
+    assert {first.to, second.to} == {"x", "y"}
+    limiter.granted(now + 0.1, second.to, second.number, "t", 0, 0.5)
+    assert limiter.take_actions() == [Decided("r", Refused(limits.MOST_PAUSE))]
+    assert isinstance(limiter.request(now + 0.1, "t", 60.0, 60.0, "r", 0.2), Refused)
+    assert not limiter.take_actions()
+
+
+def test_a_refund_gives_back_what_was_owned_and_not_what_was_granted() -> None:
+    limiter = alone()
+    assert limiter.request(100.0, "t", 60.0, 60.0) == OWN
+    tenant = limiter.tenants["t"]
+    before = tenant.escrow.tokens
+    limiter.refund("t", Source.GRANTED)
+    assert tenant.escrow.tokens == before
+    for _ in range(3):  # never beyond the depth
+        limiter.refund("t", Source.OWN)
+    assert tenant.escrow.tokens == tenant.escrow.depth
+
+
+def test_the_restrictor_refuses_past_the_burst_though_tokens_are_there() -> None:
+    limiter = alone()
+    let = sum(limiter.request(100.0, "t", 10.0, 3.0) == OWN for _ in range(20))
+    assert let == 3
+    assert limiter.tenants["t"].escrow.available(100.0) > 1
+
+
+# Who owns what
+
+
+def test_a_process_that_starts_owns_nothing_until_it_is_told_and_begins_empty() -> None:
+    limiter = RateLimiter(RULE, "a")
+    assert isinstance(limiter.request(100.0, "t", 60.0, 60.0), Refused)
+    limiter.holding.take(100.0, 99.9, even_table(["a"]))
+    assert isinstance(limiter.request(100.0, "t", 60.0, 60.0), Refused)
+    assert limiter.request(100.5, "t", 60.0, 60.0) == OWN
+    let = sum(limiter.request(100.5, "t", 60.0, 60.0) == OWN for _ in range(100))
+    assert let <= 0.5 * 60.0 * 1.05
+
+
+def test_what_is_owned_ends_with_its_lease_and_with_the_process() -> None:
+    limiter = RateLimiter(RULE, "a")
+    limiter.holding.take(10.0, 9.0, even_table(["a"]))
+    assert limiter.request(9.0 + LEASE - 0.1, "t", 60.0, 60.0) == OWN
+    assert isinstance(limiter.request(9.0 + LEASE, "t", 60.0, 60.0), Refused)
+    limiter.asked(9.0 + LEASE, "b", 1, "t", 60.0, 60.0, 5)
+    assert limiter.take_actions() == [GrantTokens("b", 1, "t", 0, limits.BUSY)]
+    limiter.holding.take(9.0 + LEASE, 9.0 + LEASE, None)  # a claim was answered: nothing is new
+    assert limiter.request(10.0 + LEASE, "t", 60.0, 60.0) == OWN
+    limiter.holding.give_up()
+    assert isinstance(limiter.request(10.0 + LEASE, "t", 60.0, 60.0), Refused)
+
+
+def test_an_older_table_changes_nothing() -> None:
+    limiter = RateLimiter(RULE, "a")
+    newer = even_table(["b"])
+    newer.version = 7
+    limiter.holding.take(1.0, 1.0, newer)
+    assert not limiter.holding.take(2.0, 2.0, even_table(["a"]))
+    assert not limiter.holding.owns_any()
+
+
+def test_new_terms_that_divide_a_quota_otherwise_count_by_both_until_all_have_them() -> None:
+    """One that has not heard of new terms divides the quota by the old ones."""
+    table = even_table(["a", "b", "c"])
+    old, new = Quota.of(RULE, 5.0, 5.0), Quota.of(RULE, 500.0, 500.0)
+    assert old.parts < new.parts
+    shares = {}
+    limiter = RateLimiter(RULE, "a")
+    for name in "abc":
+        limiter = RateLimiter(RULE, name)
+        limiter.holding.take(0.0, 0.0, table)
+        limiter.terms_change(2, {"t": (5.0, 5.0)})
+        limiter.request(100.0, "t", 500.0, 500.0)
+        both = limiter.tenants["t"].escrow.fill / new.fill
+        shares[name] = limiter.holding.owners("t", old.parts)[name] / old.parts
+        assert both <= min(shares[name], limiter.holding.owners("t", new.parts)[name] / new.parts) + 1e-9
+    for other in "ab":
+        limiter.usage.hear(100.0, other, {}, True, 1)
+    limiter.step(100.0)
+    assert limiter.changed
+    for other in "ab":
+        limiter.usage.hear(100.5, other, {}, True, 2)
+    limiter.step(100.5)
+    limiter.request(101.0, "t", 500.0, 500.0)
+    own = limiter.holding.owners("t", new.parts)["c"] / new.parts
+    assert limiter.tenants["t"].escrow.fill == pytest.approx(own * new.fill)
+
+
+def test_a_limit_that_sinks_binds_each_gateway_that_has_it_at_once() -> None:
+    limiter = alone()
+    for _ in range(10):
+        limiter.request(100.0, "t", 100.0, 100.0)
+    limiter.terms_change(2, {"t": (100.0, 100.0)})
+    let = sum(limiter.request(100.0 + n / 100, "t", 5.0, 5.0) == OWN for n in range(500))
+    assert let <= RULE.most(5.0, 5.0)
+
+
+# Words, and bounds
+
+
+def test_what_others_can_grow_is_bounded() -> None:
+    usage = FleetUsage(5.0)
+    for n in range(MOST + 50):
+        usage.hear(0.0, f"a{n}", {})
+        usage.know(0.0, f"b{n}")
+    assert len(usage.others) == MOST
+    limiter = alone()
+    for n in range(2 * MOST_LENT):
+        limiter.asked(100.0 + n, "b", n, "t", 60.0, 60.0, 1)
+    assert len(limiter.tenants["t"].lent) == MOST_LENT
+    other = RateLimiter(RULE, "me")
+    other.holding.take(0.0, 0.0, even_table(["x"]))
+    other.usage.hear(100.0, "x", {})
+    verdicts = [other.request(100.0, "t", 600.0, 600.0, n, 1.0) for n in range(2 * MOST_WAITING)]
+    assert sum(v == Waiting() for v in verdicts) == MOST_WAITING
+    for n in range(3 * MOST_LATE):
+        other.usage.hear(101.0 + 3 * n, "x", {})
+        other.request(101.0 + 3 * n, "t", 600.0, 600.0, n, 0.1)
+        other.expire(102.0 + 3 * n)
+    assert len(other.tenants["t"].late) <= MOST_LATE and not other.asking
+
+
+def test_one_that_is_met_is_told_all_with_the_next_word() -> None:
+    limiter = alone()
+    assert limiter.request(0.0, "t", 100.0, 100.0) == OWN
+    assert limiter.told(0.1)[1] and not limiter.told(0.6)[1] and not limiter.told(1.1)[1]
+    limiter.usage.know(1.2, "new")
+    assert limiter.told(1.6) == ({"t": (1, 0)}, True)
+
+
+def test_a_silent_gateway_counts_until_it_says_that_it_left() -> None:
+    usage = FleetUsage(5.0)
+    usage.know(0.0, "a")
+    usage.know(0.0, "b")
+    assert not usage.heard_all()
+    assert usage.count(10.0) == 3 and not usage.in_reach(10.0, "a")
+    usage.left("a")
+    assert usage.count(10.0) == 2
+    assert usage.count(KEPT_FOR) == 1
+
+
+def test_metered_use_of_others_follows_their_newest_words() -> None:
+    usage = FleetUsage(5.0)
+    usage.hear(0.0, "a", {"t": (70, 9)})
+    usage.hear(0.5, "b", {"t": (5, 1)})
+    usage.hear(0.5, "a", {"t": (80, 9)}, False)
+    assert (usage.elsewhere("t").window, usage.elsewhere("t").newest) == (85, 10)
+    usage.hear(1.0, "a", {}, True)  # whole: it tells of nobody
+    assert usage.elsewhere("t").window == 5
+    usage.forget_old(5.6)
+    assert usage.elsewhere("t").window == 0 and not usage.sums
+
+
+def test_the_leak_rate_follows_metered_use_and_rises_by_a_bound() -> None:
+    limiter = alone()
+    for n in range(3):
+        limiter.usage.know(0.0, f"o{n}")
+    limiter.step(0.0)
+    rates = []
+    for n in range(1, 13):
+        for _ in range(20):
+            limiter.request(n / 2 - 0.01, "t", 100.0, 100.0)
+        for other in range(3):
+            limiter.usage.hear(n / 2 - 0.01, f"o{other}", {"t": (20, 2)})
+        limiter.step(n / 2)
+        rates.append(limiter.tenants["t"].bucket.rate)
+    assert rates[0] >= 25.0  # the quota split over four
+    assert 60.0 <= rates[-1] <= 100.0  # 40 of 52 a second
+    assert all(after <= before * 1.5 for before, after in pairwise(rates))
--- a/tests/cluster/test_spread.py
+++ b/tests/cluster/test_spread.py
@@ -128,13 +128,3 @@
         assert len(told) == 1
 
     asyncio.run(whole())
-
-
-def test_of_a_large_fleet_only_some_words_tell_what_ended_processes_let_through() -> None:
-    async def whole() -> None:
-        node = GatewayNode(parse(settings(0, IPS, 3, Path("/nowhere"), False)), "")
-        for count, least, most in ((1, 400, 400), (16, 400, 400), (24, 20, 100), (100, 2, 40)):
-            node.limiter.count = count
-            assert least <= sum(node.tidings.tells_ended() for _ in range(400)) <= most, count
-
-    asyncio.run(whole())
