Tests: the table of shares, the leader's plan, claims behind a barrier, a mutant of each

A random walk over gateways that follow old tables, die, come back and are replaced, and leaders that lose what they heard: no cell has two users. With the wait for the owner taken out it finds some.

--- /dev/null
+++ b/tests/cluster/test_shares.py
@@ -0,0 +1,289 @@
+"""Who owns which part of the quotas: the table in the log, the leader's plan, and claims behind a barrier."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections import Counter
+
+import pytest
+
+from coralvale.cluster.configuration.history import ChangeHistory
+from coralvale.cluster.consensus import messages as consensus
+from coralvale.cluster.consensus.replica import DurableState, Replica, Timing
+from coralvale.cluster.rate_limit.share_planner import GATHER, LEFT, MOST_CLAIMS, SharePlanner
+from coralvale.cluster.rate_limit.shares import (
+    CELLS,
+    NOBODY,
+    RELEASE,
+    CellsOf,
+    ShareChange,
+    ShareTable,
+    even_table,
+    pack_change,
+)
+from coralvale.cluster.share_desk import ShareAnswer, ShareClaim, ShareDesk
+
+
+def founded(*names: str) -> tuple[ShareTable, SharePlanner]:
+    table = ShareTable()
+    planner = SharePlanner(table, 0.0)
+    for name in names:
+        planner.claim(0.0, name, 0)
+    settle(planner, GATHER)
+    return table, planner
+
+
+def settle(planner: SharePlanner, now: float) -> int:
+    """Applies what the planner wants until it wants nothing more."""
+    for number in itertools.count():
+        change = planner.next_change(now)
+        if change is None:
+            return number
+        assert number < 10
+        assert planner.table.deliver(pack_change(change))
+    raise AssertionError
+
+
+def sizes(table: ShareTable) -> Counter[str]:
+    return Counter(table.owners)
+
+
+def test_gateways_that_start_together_get_even_parts_at_once() -> None:
+    planner = SharePlanner(ShareTable(), 0.0)
+    assert planner.next_change(5.0) is None
+    planner.claim(5.0, "a", 0)
+    assert planner.next_change(5.0 + GATHER / 2) is None
+    planner.claim(5.5, "b", 0)
+    planner.claim(5.5, "c", 0)
+    assert settle(planner, 5.0 + GATHER) == 1
+    assert set(sizes(planner.table)) == {"a", "b", "c"}
+    assert max(sizes(planner.table).values()) - min(sizes(planner.table).values()) <= 2
+
+
+def test_a_newcomer_gets_cells_only_when_their_owner_has_let_them_go() -> None:
+    table, planner = founded("a", "b", "c")
+    before = list(table.owners)
+    planner.claim(10.0, "new", 0)
+    for name in "abc":
+        planner.claim(10.0, name, table.version)
+    settle(planner, 10.0 + GATHER)
+    assert table.owners == before and len(table.moves) == CELLS // 4
+    assert all(table.usable(cell) == NOBODY for cell in table.moves)
+    planner.claim(12.0, "a", table.version)
+    planner.claim(12.0, "b", table.version - 1)  # it does not know yet
+    settle(planner, 12.0)
+    owned = {cell for cell, owner in enumerate(table.owners) if owner == "new"}
+    assert owned and {before[cell] for cell in owned} == {"a"}
+    for name in "abc":
+        planner.claim(12.5, name, table.version)
+    settle(planner, 12.5)
+    assert sizes(table)["new"] == CELLS // 4 and not table.moves
+
+
+def test_an_owner_that_is_silent_keeps_its_cells_until_its_lease_is_over() -> None:
+    table, planner = founded("a", "b")
+    alive = 10.0
+    while alive < RELEASE - 10:
+        alive += 20.0
+        planner.claim(alive, "a", table.version)
+        assert planner.next_change(alive) is None
+    planner.claim(RELEASE + 1, "a", table.version)
+    settle(planner, RELEASE + 1)
+    assert sizes(table) == {"a": CELLS}
+
+
+def test_a_new_leader_waits_for_the_lease_of_those_that_it_has_not_heard() -> None:
+    table, _ = founded("a", "b")
+    planner = SharePlanner(table, 1000.0)
+    planner.claim(1000.0 + RELEASE - 1, "a", table.version)
+    assert planner.next_change(1000.0 + RELEASE - 1) is None
+    assert planner.next_change(1000.0 + RELEASE + 1) is not None
+
+
+def test_one_that_said_that_it_ends_is_followed_soon_unless_it_comes_back() -> None:
+    table, planner = founded("a", "b", "c")
+    planner.claim(10.0, "a", table.version, True)
+    planner.claim(10.0, "b", table.version, True)
+    planner.claim(12.0, "b", 0)  # another process of it
+    planner.claim(10.0 + LEFT, "c", table.version)
+    assert planner.next_change(10.0 + LEFT) is None
+    planner.claim(11.0 + LEFT, "c", table.version)
+    settle(planner, 11.0 + LEFT)
+    assert sizes(table)["a"] == 0 and sizes(table)["b"] >= CELLS // 3 and sizes(table)["c"] >= CELLS // 3
+
+
+def test_machines_replaced_one_by_one_at_new_addresses_leave_nothing_behind() -> None:
+    names = [f"old{n}" for n in range(6)]
+    table, planner = founded(*names)
+    now = 10.0
+    for n in range(6):
+        planner.claim(now, names[n], table.version, True)
+        names[n] = f"new{n}"
+        for _ in range(30):
+            now += 1.0
+            for name in names:
+                planner.claim(now, name, table.version)
+            settle(planner, now)
+    assert set(sizes(table)) == set(names)
+    assert max(sizes(table).values()) <= 2 * min(sizes(table).values())
+
+
+def test_claims_are_bounded_and_more_gateways_than_cells_own_nothing() -> None:
+    planner = SharePlanner(ShareTable(), 0.0)
+    for n in range(MOST_CLAIMS + 10):
+        planner.claim(0.0, f"10.{n // 65536}.{n // 256 % 256}.{n % 256}", 0)
+    assert len(planner.claims) == MOST_CLAIMS
+    settle(planner, GATHER)
+    assert NOBODY not in sizes(planner.table)
+
+
+def test_a_change_made_for_another_version_has_no_effect() -> None:
+    table = even_table(["a", "b"])
+    before = table.image()
+    assert not table.deliver(pack_change(ShareChange(0, (CellsOf("c", (0, 1)),))))
+    assert table.image() == before
+
+
+def test_a_table_comes_back_from_its_image_and_what_is_none_is_refused() -> None:
+    table, planner = founded("a", "b")
+    for name in ("a", "b", "new"):
+        planner.claim(10.0, name, table.version)
+    settle(planner, 10.0 + GATHER)
+    assert table.moves
+    assert ShareTable.restored(table.image()) == table
+    assert ShareTable.restored(b"") == ShareTable()
+    for bad in (b"x", table.image()[:-3], b"\x94\x01\x90\xc4\x02\x00\x01\x90"):
+        with pytest.raises(ValueError, match="no table"):
+            ShareTable.restored(bad)
+
+
+def test_the_table_is_kept_beside_the_configuration_and_an_older_image_has_none() -> None:
+    history, table = ChangeHistory(), even_table(["a"])
+    assert ShareTable.restored(ChangeHistory().restore(history.image(table.image()))) == table
+    assert ChangeHistory().restore(history.image()) == b""
+
+
+def users_of_cells(seed: int) -> int:
+    """Gateways that follow old tables, die, come back and are replaced; leaders that know nothing of claims.
+
+    A gateway's claim tells the version that it goes by, and the leader's answer is taken late or never. Returns
+    the most users that a cell had at once."""
+    worst = 0
+    chance = random.Random(seed)
+    names = [f"g{n}" for n in range(5)]
+    table, planner = founded(*names)
+    follows = {name: ShareTable.restored(table.image()) for name in names}
+    now, changes = GATHER, 0
+    for _ in range(600):
+        now += chance.uniform(0.1, 1.0)
+        name = chance.choice(names)
+        match chance.randrange(10):
+            case 0:  # killed, and started again with nothing
+                follows[name] = ShareTable()
+            case 1 if len(names) < 12:
+                names.append(f"n{len(names)}")
+                follows[names[-1]] = ShareTable()
+            case 2 if chance.random() < 0.2:
+                planner = SharePlanner(table, now)
+            case 3 | 4:
+                change = planner.next_change(now)
+                if change and table.deliver(pack_change(change)):
+                    changes += 1
+            case _:
+                planner.claim(now, name, follows[name].version)
+                if chance.random() < 0.7:
+                    follows[name] = ShareTable.restored(table.image())
+        for cell in range(0, CELLS, 37):
+            users = [n for n, followed in follows.items() if followed.usable(cell) == n]
+            worst = max(worst, len(users))
+    assert changes > 5 and table.version > 5
+    return worst
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_no_cell_is_ever_used_by_two(seed: int) -> None:
+    assert users_of_cells(seed) == 1
+
+
+def test_a_planner_that_does_not_wait_for_the_owner_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    def at_once(self: SharePlanner, now: float) -> dict[str, list[int]]:
+        return {
+            to: [c for c, m in self.table.moves.items() if m.to == to]
+            for to in {move.to for move in self.table.moves.values()}
+        }
+
+    monkeypatch.setattr(SharePlanner, "_let_go", at_once)
+    assert any(users_of_cells(seed) > 1 for seed in range(4))
+
+
+# The desk
+
+
+class Alone:
+    """A replica that is the only voter, with a disk that takes all at once."""
+
+    def __init__(self) -> None:
+        me = consensus.Member("d1", "a", "10.0.0.1")
+        self.replica = Replica(me, DurableState(), Timing(least=1), random.Random(1), 0.0)
+        self.table = ShareTable()
+        self.desk = ShareDesk(self.replica, self.table, itertools.count(1000).__next__)
+        self.answers: list[ShareAnswer] = []
+        self.holds = False  # settled actions are kept back
+        self.kept: list[consensus.Settled] = []
+        self.do(0.0, list(self.replica.found(0.0)))
+
+    def do(self, now: float, actions: list[consensus.Action | ShareAnswer]) -> None:
+        while actions:
+            action = actions.pop(0)
+            match action:
+                case consensus.Write():
+                    actions += self.replica.wrote(now, action.number)
+                case consensus.Deliver() if action.entry.kind == consensus.SHARES:
+                    self.table.deliver(action.entry.body)
+                case consensus.Settled():
+                    if self.holds:
+                        self.kept.append(action)
+                    else:
+                        actions += self.desk.settled(now, action.token, action.accepted)
+                case ShareAnswer():
+                    self.answers.append(action)
+
+
+def test_claims_are_answered_behind_a_barrier_with_the_newest_table() -> None:
+    made = Alone()
+    made.do(1.0, made.desk.claim(1.0, ShareClaim(1, "a", 0)))
+    assert made.answers.pop() == ShareAnswer(1, True, b"")  # there is no newer one
+    made.do(3.0, made.desk.tick(3.0))
+    assert sizes(made.table) == {"a": CELLS}
+    made.holds = True
+    made.do(3.0, made.desk.claim(3.0, ShareClaim(2, "a", 0)))
+    made.do(3.0, made.desk.claim(3.1, ShareClaim(3, "b", 1)))
+    assert not made.answers  # the barrier is on its way
+    made.holds = False
+    (settled,) = made.kept
+    made.do(3.2, made.desk.settled(3.2, settled.token, True))
+    assert made.answers == [ShareAnswer(2, True, made.table.image()), ShareAnswer(3, True, b"")]
+
+
+def test_a_replica_that_does_not_lead_or_loses_its_majority_answers_nothing() -> None:
+    made = Alone()
+    made.holds = True
+    made.do(1.0, made.desk.claim(1.0, ShareClaim(1, "a", 0)))
+    made.do(1.0, made.desk.settled(1.0, made.kept[0].token, False))
+    assert made.answers == [ShareAnswer(1, settled=False)]
+    assert made.desk.planner is None or not made.desk.planner.claims
+    made.replica.leading = False
+    made.do(1.0, made.desk.claim(1.0, ShareClaim(2, "a", 0)))
+    assert made.answers[-1] == ShareAnswer(2, settled=False)
+    assert made.desk.tick(9.0) == []
+
+
+def test_one_change_of_the_table_is_on_its_way_at_a_time() -> None:
+    made = Alone()
+    made.do(1.0, made.desk.claim(1.0, ShareClaim(1, "a", 0)))
+    made.holds = True
+    made.do(3.0, made.desk.tick(3.0))
+    made.do(3.0, made.desk.claim(3.0, ShareClaim(2, "b", 1)))
+    made.table.version = 0  # as if it were not delivered yet
+    assert made.desk.tick(9.0) == []
