Leaving hosts: no acknowledgement without the core, nor of a host that only others know; splits by turns

A gateway that knew no core (just started, or cut off) acknowledged that a host leaves though nobody else had noted it; one that did not know the host acknowledged its end and told nobody; one that knew it to be gone acknowledged `draining` without telling it. Each is now told to all and acknowledged once a majority of the core has noted it.

Tests: each of the three cases, and the split over 300 requests from 20 starts.

--- a/coralvale/cluster/census/register.py
+++ b/coralvale/cluster/census/register.py
@@ -51,6 +51,11 @@
     age: float = 0.0
 
 
+def gone(name: str) -> Row:
+    """What is told of a life that ends and is not known here: enough for those that know it."""
+    return Row(name, "", "", 0, "", "", 0, int(State.GONE), 0.0, 0)
+
+
 @define(eq=False)
 class Life:
     row: Row
--- a/coralvale/cluster/gates/arrivals.py
+++ b/coralvale/cluster/gates/arrivals.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from coralvale.cluster.census.register import Register, Row
+from coralvale.cluster.census.register import Register, Row, gone
 from coralvale.cluster.events import Event, tell
 from coralvale.cluster.gates.core import Core
 from coralvale.cluster.gates.ground import Ground
@@ -101,9 +101,11 @@
         news = self.register.take(now, row, direct=True)
         if not news:
             life = self.register.lives.get(row.id)
-            # One that says again that it leaves was not told that it is known: it is told to all again.
-            if not row.state or (life is not None and life.state > row.state):
+            if not row.state:
                 return True
+            # One that says again that it leaves was not told that it is known: it is told to all again, and if
+            # it is known here to be gone, that is.
+            row = life.row if life else row
         if row.state:
             self.retire(row)
             return await self.spread(row)
@@ -112,15 +114,16 @@
         return True
 
     async def leave(self, name: str) -> bool:
+        """A host says that it ends. One that is not known here may be to others, who take it for gone."""
         row = self.register.leave(self.ground.clock.monotonic(), name)
         if row is None:
-            return True
+            return await self.spread(gone(name))
         self.retire(row)
         return await self.spread(row)
 
     async def spread(self, row: Row) -> bool:
         """Tells all gateways; whether enough of the core know, so that it cannot be forgotten with this
-        one."""
+        one. A gateway that knows no core cannot tell, and acknowledges nothing."""
         # A host that is new to a large fleet is not worth a connection to each: digests find who missed it.
         told = [] if self.there.large and not row.state else self.there.others()
         others = [m.address[0] for m in told]
@@ -156,7 +159,7 @@
                 noted=len(noted & set(others)),
                 asked=len(others),
             )
-        return not core or 2 * len(core & noted) > len(core)
+        return 2 * len(core & noted) > len(core)
 
     def remember(self, rows: list[Row]) -> None:
         """Hosts as the disk has them: passed over again soon, if no beat of theirs comes."""
--- a/coralvale/cluster/harvest/way.py
+++ b/coralvale/cluster/harvest/way.py
@@ -24,6 +24,7 @@
 
 ROOM = 0.025  # s before the client's time is up, for the answer to reach it
 SPARE_TRIES = 2  # beyond the route's, for tries of which no byte was sent
+GOLDEN = 0.6180339887498949
 LONGEST_WAIT = 0.15  # s that a request waits for a token of its tenant's quota
 WAIT_PART = 0.22  # of its route's aim, at most: refused within a quarter of it, it can be served in time yet
 AGAIN = 0.25  # s after which a client may come back when no host is there
@@ -87,7 +88,7 @@
         self.budgets: dict[str, Budget] = {}
         self.usual: dict[str, float] = {}  # delay of a route's answers, s
         self.pace: dict[str, float] = {}  # of a service's, s
-        self.counts: dict[str, int] = {}
+        self.turns: dict[str, float] = {}  # by route with a split, where its turn stands, 0 to 1
 
     def take_configuration(self, configuration: Configuration) -> bool:
         """A newer configuration is in force from now on; an older one never is again."""
@@ -102,6 +103,7 @@
                 del table[name]
         routes = configuration.items.get("Routes", {})
         self.usual = {name: value for name, value in self.usual.items() if name in routes}
+        self.turns = {name: value for name, value in self.turns.items() if name in routes}
         return True
 
     # In
@@ -136,7 +138,7 @@
         tenant = configuration.keys.get(key, "") if key is not None else ""
         if not tenant and not route.Public and configuration.tenants():
             return Problem(Kind.NO_KEY)
-        service = self._service(route)
+        service = self._service(name, route)
         budget = self._budget(service)
         budget.request(now)
         job = Job(id_, name, route, service, tenant, now, now + min(left, route.TimeoutMs / 1000) - ROOM)
@@ -176,11 +178,19 @@
             self.newest = (configuration, host, path, found)
         return found
 
-    def _service(self, route: Route) -> str:
+    def _service(self, name: str, route: Route) -> str:
         if not route.Split:
             return route.Svc
         parts = [p for p in route.Split if p.Wt > 0]
-        return self.chance.choices(parts, [p.Wt for p in parts])[0].Svc
+        # Multiples of the golden ratio fill the unit interval evenly: each part gets its weight's share of the
+        # requests to within a few, where drawing by lot would miss it by their root.
+        self.turns[name] = at = (self.turns.get(name, self.chance.random()) + GOLDEN) % 1.0
+        left = at * sum(p.Wt for p in parts)
+        for part in parts:
+            left -= part.Wt
+            if left < 0:
+                return part.Svc
+        return parts[-1].Svc
 
     def _budget(self, service: str) -> Budget:
         budget = self.budgets.get(service)
--- a/tests/cluster/test_harvest.py
+++ b/tests/cluster/test_harvest.py
@@ -9,7 +9,7 @@
 from test_configuration import changed
 
 from coralvale.cluster.census.register import Register, Row
-from coralvale.cluster.configuration.model import Configuration, survey
+from coralvale.cluster.configuration.model import Configuration, Part, Route, survey
 from coralvale.cluster.errors import ANSWERS, Kind, Problem, Promise
 from coralvale.cluster.harvest.budget import Budget
 from coralvale.cluster.harvest.copies import Copies, Copy
@@ -162,3 +162,15 @@
     wrong = sent(made, job)
     assert made.ended(1.1, job, wrong, 1, Outcome.FULL, 421, 0.01) is None
     assert all(made.copies.pick(1.2, "s", 0.2, set()) is not wrong for _ in range(20))
+
+
+def test_each_part_of_a_split_gets_its_weights_share_to_within_a_few_requests() -> None:
+    route = Route("a", "/", "idempotent", 100.0, Split=(Part("s", 90), Part("s2", 10)))
+    for seed in range(20):
+        made = harvest()
+        made.chance = random.Random(seed)
+        picked = [made._service("r", route) for _ in range(300)]
+        for first in range(0, 300, 100):
+            assert 8 <= picked[first : first + 100].count("s2") <= 12
+        starts = {made._service(f"r{n}", route) for n in range(100)}
+        assert starts == {"s", "s2"}  # not all begin with the same
--- a/tests/cluster/test_spread.py
+++ b/tests/cluster/test_spread.py
@@ -4,13 +4,16 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 
-from coralvale.cluster.census.register import Row
+from coralvale.cluster.census.register import Register, Row, gone
 from coralvale.cluster.gates import tidings
+from coralvale.cluster.gates.hosts import Hosts
 from coralvale.cluster.gates.node import GatewayNode
 from coralvale.cluster.gates.peers import LIFE
 from coralvale.cluster.gates.there import TALKS
@@ -37,7 +40,16 @@
         return Noted(number)
 
 
-def play(core: int, silent: set[str]) -> tuple[bool, Counter[str], list[bytes], int]:
+ROW = Row("i-1", "s", "10.0.1.1", 80, "z", "v", 4, 1, 0.0, 7)
+
+
+def spread(node: GatewayNode) -> Awaitable[bool]:
+    return node.arrivals.spread(ROW)
+
+
+def play(
+    core: int, silent: set[str], call: Callable[[GatewayNode], Awaitable[bool]] = spread
+) -> tuple[bool, Counter[str], list[bytes], int]:
     """One of five gateways is told that a host drains; the silent ones are there once it was answered."""
 
     async def whole() -> tuple[bool, Counter[str], list[bytes], int]:
@@ -55,8 +67,7 @@
         fake.there.others = lambda: [Member(ip, (ip, 1), 0) for ip in IPS[1:]]
         fake.there.zones = lambda: (IPS[1:], [])
         node.core.heard = (1, IPS[0], tuple(IPS[:core]))
-        row = Row("i-1", "s", "10.0.1.1", 80, "z", "v", 4, 1, 0.0, 7)
-        well = await node.arrivals.spread(row)
+        well = await call(node)
         before = Counter(asked)
         for event in there.values():
             event.set()
@@ -81,6 +92,41 @@
     assert play(3, {IPS[2]})[0]
 
 
+def test_one_that_knows_no_core_acknowledges_no_leave() -> None:
+    """It has just started, or is cut off: nobody may have heard it, and the acknowledgement binds all."""
+    well, asked, _, _ = play(0, set())
+    assert not well and asked[IPS[1]]
+
+
+def test_the_leave_of_a_host_that_is_not_known_here_is_told_to_those_that_know_it() -> None:
+    """It was acknowledged and told to nobody."""
+
+    def leave(node: GatewayNode) -> Awaitable[bool]:
+        node.hosts = Hosts(node.ground.clock, 0.5, 8.0, 100)
+        return node.arrivals.leave("i-unknown")
+
+    well, asked, cast, _ = play(3, set(), leave)
+    assert well and cast == [LIFE] and all(asked[ip] == 1 for ip in IPS[1:])
+    assert not play(3, {IPS[1], IPS[2]}, leave)[0]
+    known = Register(1.5)
+    known.take(0.0, replace(ROW, state=0))
+    assert known.take(1.0, gone("i-1")) and not known.may_serve("i-1")
+    assert not known.take(1.0, gone("i-2")) and "i-2" not in known.lives
+
+
+def test_one_that_says_it_drains_where_it_is_known_to_be_gone_is_told_again() -> None:
+    async def beat(node: GatewayNode) -> bool:
+        node.hosts = Hosts(node.ground.clock, 0.5, 8.0, 100)
+        now = node.ground.clock.monotonic()
+        node.register.take(now, replace(ROW, state=0))
+        node.register.leave(now, ROW.id)
+        return await node.arrivals.beat(replace(ROW, calls=9))
+
+    well, asked, _, _ = play(3, set(), beat)
+    assert well and asked[IPS[1]] == 1
+    assert not play(3, {IPS[1], IPS[2]}, beat)[0]
+
+
 def test_one_that_membership_calls_dead_is_told_all_as_long_as_its_words_come() -> None:
     async def whole() -> None:
         node = GatewayNode(parse(settings(0, IPS, 3, Path("/nowhere"), False)), "")
