Quotas: a process that starts counts its tokens from its birth where its cells were its own

The leader now says since when, at least, an address has owned what it owns; what was delivered before its own start was in force by then. Claims find the leader through any member of the core, and a refusal names the moment at which a token may be there.

--- a/coralvale/cluster/gates/core.py
+++ b/coralvale/cluster/gates/core.py
@@ -107,7 +107,9 @@
             case consensus.Deliver():
                 self._deliver(action.entry)
             case consensus.Restore():
-                self.shares.replace(ShareTable.restored(self.history.restore(action.snapshot.body)))
+                shares = self.history.restore(action.snapshot.body)
+                assert self.share_desk
+                self.share_desk.restore(self.ground.clock.monotonic(), shares)
                 self.take_configuration(self.history.configuration)
             case consensus.Settled():
                 now = self.ground.clock.monotonic()
@@ -146,8 +148,8 @@
     def _deliver(self, entry: consensus.Entry) -> None:
         if entry.kind == consensus.CHANGE and self.history.deliver(entry.body):
             self.take_configuration(self.history.configuration)
-        elif entry.kind == consensus.SHARES:
-            self.shares.deliver(entry.body)
+        elif entry.kind == consensus.SHARES and self.share_desk:
+            self.share_desk.deliver(self.ground.clock.monotonic(), entry.body)
 
     def tell_view(self) -> None:
         """Logs a new view, leader or set of voters, and takes a snapshot when one is due."""
@@ -198,8 +200,9 @@
         timing = Timing(least=2 * s.FaultBudget.Nodes + 1, spare=s.Bounds.SyncS)
         self.replica = Replica(me, state, timing, self.ground.chance, self.ground.clock.monotonic())
         self.desk = OrderDesk(self.replica, self.history)
-        self.share_desk = ShareDesk(self.replica, self.shares, self.ground.peers.next)
-        self.act(self.replica.start(self.ground.clock.monotonic()))
+        now = self.ground.clock.monotonic()
+        self.share_desk = ShareDesk(self.replica, self.shares, self.ground.peers.next, now)
+        self.act(self.replica.start(now))
 
     async def join(self) -> None:
         """A disk without a vote asks to be kept up to date; on the very first start one gateway names who
--- a/coralvale/cluster/gates/shares.py
+++ b/coralvale/cluster/gates/shares.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from msgspec.structs import replace
+
 from coralvale.cluster.events import Event, tell
 from coralvale.cluster.gates.core import Core
 from coralvale.cluster.gates.ground import Ground
@@ -14,7 +16,7 @@
 from coralvale.cluster.share_desk import ShareAnswer
 
 RENEW = 10.0  # s between claims while all is as it should be
-SOON = 0.25  # s until the next one where the last got no answer, or this gateway owns nothing yet
+SOON = 0.15  # s until the next one where the last got no answer, or this gateway owns nothing yet
 PATIENCE = 1.0  # s for an answer
 SPREAD = 0.1  # s over which gateways that hear of a newer table at once spread their claims
 
@@ -60,7 +62,8 @@
             tell(Event.FAILED, reason=str(error))
             return False
         now = self.ground.clock.monotonic()
-        if self.holding.take(now, asked_at, table):
+        since = max(self.ground.born, now - answer.age)
+        if self.holding.take(since, asked_at, table):
             cells = self.holding.table.owners.count(self.holding.address)
             tell(Event.SHARES, version=self.holding.version, cells=cells)
         return True
@@ -70,20 +73,36 @@
         if self.core.leads():
             answer = await self.core.claim(self.ground.settings.Ip, version, left, PATIENCE)
             return _told(number, answer)
-        leader = self.core.known()[1]
-        if not leader or leader == self.ground.settings.Ip:
+        return await self._pass_on(ClaimShares(number, version, left))
+
+    async def _pass_on(self, claim: ClaimShares) -> Shares | None:
+        """To the leader; where it is not known, to one of the core, who may know it."""
+        _, leader, core = self.core.known()
+        own = self.ground.settings.Ip
+        asked = [leader] if leader else [ip for ip in core or self.ground.settings.seeds if ip != own]
+        if not asked or asked == [own]:
             return None
-        link = self.ground.peers.link(leader)
-        told = await link.request(number, ClaimShares(number, version, left), PATIENCE)
+        link = self.ground.peers.link(self.ground.chance.choice(asked))
+        told = await link.request(claim.number, claim, PATIENCE)
         return told if isinstance(told, Shares) else None
 
     async def claimed(self, frames: Frames, claim: ClaimShares) -> None:
-        """Another gateway's claim, at the leader."""
-        answer = await self.core.claim(frames.ip, claim.version, claim.left, PATIENCE)
-        frames.send(_told(claim.number, answer))
+        """Another gateway's claim: answered by the leader, passed on to it once by a member of the core."""
+        address = claim.address or frames.ip
+        if self.core.leads():
+            answer = await self.core.claim(address, claim.version, claim.left, PATIENCE)
+            frames.send(_told(claim.number, answer))
+            return
+        told: Shares | None = None
+        if not claim.address and self.core.known()[1]:
+            number = self.ground.peers.next()
+            told = await self._pass_on(ClaimShares(number, claim.version, claim.left, address))
+        if told is None:
+            told = Shares(claim.number, settled=False)
+        frames.send(replace(told, number=claim.number))
 
 
 def _told(number: int, answer: ShareAnswer | None) -> Shares:
     if answer is None:
         return Shares(number, settled=False)
-    return Shares(number, answer.settled, answer.table)
+    return Shares(number, answer.settled, answer.table, answer.age)
--- a/coralvale/cluster/gates/words.py
+++ b/coralvale/cluster/gates/words.py
@@ -103,19 +103,23 @@
 
 
 class ClaimShares(msgspec.Struct, frozen=True, array_like=True, tag=12):
-    """To the leader: which table of shares the sender follows. `left`: it ends, and uses no share any more."""
+    """To the leader: which table of shares a gateway follows. `left`: it ends, and uses no share any more.
+    `address`: the gateway's, where another passes its claim on."""
 
     number: int
     version: int
     left: bool = False
+    address: str = ""
 
 
 class Shares(msgspec.Struct, frozen=True, array_like=True, tag=13):
-    """`settled`: False where the one that was asked cannot answer. `table`: empty where there is no newer one."""
+    """`settled`: False where the one that was asked cannot answer. `table`: empty where there is no newer one.
+    `age`: s, at least, for which the gateway has owned all that it owns by it."""
 
     number: int
     settled: bool
     table: bytes = b""
+    age: float = 0.0
 
 
 Parcel = (
--- a/coralvale/cluster/rate_limit/holding.py
+++ b/coralvale/cluster/rate_limit/holding.py
@@ -24,9 +24,9 @@
     def version(self) -> int:
         return self.table.version
 
-    def take(self, now: float, asked_at: float, table: ShareTable | None) -> bool:
+    def take(self, since: float, asked_at: float, table: ShareTable | None) -> bool:
         """The leader's answer to a claim that was sent at `asked_at`; None: the table is the one known here.
-        Whether there is another table now."""
+        `since`: since when nobody else has used what is owned by it. Whether there is another table now."""
         self.until = max(self.until, asked_at + LEASE)
         if table is None or table.version <= self.table.version:
             return False
@@ -35,7 +35,7 @@
         self.owner_count = len(set(table.owners) - {NOBODY})
         self.changes += 1
         if self._usable() - before:
-            self.since = now
+            self.since = since
         return True
 
     def _usable(self) -> set[int]:
--- a/coralvale/cluster/rate_limit/limiter.py
+++ b/coralvale/cluster/rate_limit/limiter.py
@@ -158,9 +158,9 @@
             tenant.charge(now)
             return Admitted(source)
         if patience <= 0 or len(tenant.waiting) >= MOST_WAITING:
-            return self._refuse(tenant, tenant.escrow.wait())
+            return self._refuse(tenant, self._pause(now, tenant))
         if tenant.ask is None and self._lender(now, tenant) is None:
-            return self._refuse(tenant, tenant.escrow.wait())
+            return self._refuse(tenant, self._pause(now, tenant))
         tenant.waiting.append(Waiter(ticket, now + patience))
         self._ask(now, tenant)
         return Waiting()
@@ -169,6 +169,13 @@
         self.refused[tenant.name] = self.refused.get(tenant.name, 0) + 1
         return Refused(min(MOST_PAUSE, max(LEAST_PAUSE, wait)))
 
+    def _pause(self, now: float, tenant: Tenant) -> float:
+        """Seconds after which a token may be here."""
+        if not self.holding.version:
+            return EMPTY
+        quiet = [until - now for until in tenant.quiet.values() if until > now]
+        return min([tenant.escrow.wait(), *quiet])
+
     def _take(self, now: float, tenant: Tenant) -> Source | None:
         """A token that is here: granted ones first, they end soon."""
         if tenant.stock.take(now):
@@ -268,7 +275,7 @@
         lender = self._lender(now, tenant)
         if lender is None:
             while tenant.waiting:
-                self._give_up(tenant, tenant.waiting.popleft())
+                self._give_up(now, tenant, tenant.waiting.popleft())
             return
         self.number = (self.number + 1) & 0xFFFFFFFF
         count = min(MOST_ASKED, len(tenant.waiting) + int(tenant.demand * AHEAD))
@@ -276,8 +283,9 @@
         self.asking[tenant.name] = tenant
         self.actions.append(AskTokens(lender, self.number, tenant.name, count))
 
-    def _give_up(self, tenant: Tenant, waiter: Waiter) -> None:
-        self.actions.append(Decided(waiter.ticket, self._refuse(tenant, tenant.escrow.wait())))
+    def _give_up(self, now: float, tenant: Tenant, waiter: Waiter) -> None:
+        refused = self._refuse(tenant, self._pause(now, tenant))
+        self.actions.append(Decided(waiter.ticket, refused))
 
     def asked(
         self, now: float, sender: str, number: int, name: str, rate: float, burst: float, count: int
@@ -361,7 +369,7 @@
                 self._pass_over(now, tenant, tenant.ask)
             self._serve(now, tenant)
             while tenant.waiting and now >= tenant.waiting[0].until:
-                self._give_up(tenant, tenant.waiting.popleft())
+                self._give_up(now, tenant, tenant.waiting.popleft())
             self._ask(now, tenant)
             self._rest(tenant)
 
--- a/coralvale/cluster/rate_limit/shares.py
+++ b/coralvale/cluster/rate_limit/shares.py
@@ -88,11 +88,11 @@
             found.setdefault(owner, []).append(cell)
         return found
 
-    def deliver(self, body: bytes) -> bool:
-        """Applies an entry of the log; whether it was made for this version."""
+    def deliver(self, body: bytes) -> ShareChange | None:
+        """Applies an entry of the log; None where it was made for another version and has no effect."""
         change = _change(body)
         if change.base != self.version:
-            return False
+            return None
         self.version += 1
         for given in change.owners:
             for cell in given.cells:
@@ -101,7 +101,7 @@
         for given in change.moves:
             for cell in given.cells:
                 self.moves[cell] = Move(given.address, self.version)
-        return True
+        return change
 
     def replace(self, table: ShareTable) -> None:
         """Takes another table's place, for those that hold this one."""
--- a/coralvale/cluster/share_desk.py
+++ b/coralvale/cluster/share_desk.py
@@ -30,11 +30,13 @@
 
 @frozen
 class ShareAnswer:
-    """`settled`: False where this replica cannot answer. `table`: packed; empty where the claim's is current."""
+    """`settled`: False where this replica cannot answer. `table`: packed; empty where the claim's is current.
+    `age`: s, at least, for which the claimer's address has owned all that it owns now."""
 
     token: int
     settled: bool
     table: bytes = b""
+    age: float = 0.0
 
 
 Result = list[consensus.Action | ShareAnswer]
@@ -43,13 +45,28 @@
 class ShareDesk:
     """`settled` is to be called with each `Settled` action of the replica, `tick` now and then."""
 
-    def __init__(self, replica: Replica, table: ShareTable, next_token: Callable[[], int]) -> None:
+    def __init__(
+        self, replica: Replica, table: ShareTable, next_token: Callable[[], int], now: float
+    ) -> None:
         self.replica, self.table, self.next_token = replica, table, next_token
         self.waiting: list[ShareClaim] = []
         self.asked: list[ShareClaim] = []  # those that the barrier on its way answers
         self.barrier = self.proposal = 0  # tokens, 0 for none
         self.planner: SharePlanner | None = None
         self.view = 0  # of the planner
+        # What is on disk at the start was in force by then; of what comes later is known when it came.
+        self.since = now
+        self.gained: dict[str, float] = {}  # by address, when it came to own more
+
+    def deliver(self, now: float, body: bytes) -> None:
+        """An entry of the log."""
+        if change := self.table.deliver(body):
+            self.gained |= {given.address: now for given in change.owners}
+
+    def restore(self, now: float, body: bytes) -> None:
+        """A snapshot takes the place of what was delivered."""
+        self.table.replace(ShareTable.restored(body))
+        self.since, self.gained = now, {}
 
     def claim(self, now: float, claim: ShareClaim) -> Result:
         """A gateway's claim; its answer follows, here or by `settled`."""
@@ -87,7 +104,8 @@
             return ShareAnswer(claim.token, settled=False)
         planner.claim(now, claim.address, claim.version, claim.left)
         current = claim.version == self.table.version
-        return ShareAnswer(claim.token, True, b"" if current else self.table.image())
+        age = now - self.gained.get(claim.address, self.since)
+        return ShareAnswer(claim.token, True, b"" if current else self.table.image(), age)
 
     def _current_planner(self, now: float) -> SharePlanner:
         if self.planner is None or self.view != self.replica.view:
--- a/coralvale/cluster/storage/keeper.py
+++ b/coralvale/cluster/storage/keeper.py
@@ -71,7 +71,7 @@
                 row["taken"] = history.deliver(entry.body)
                 row["version"] = history.configuration.version
         elif entry.kind == SHARES and (snapshot.seq if snapshot else 0) < entry.seq <= state.commit:
-            row["taken"] = shares.deliver(entry.body)
+            row["taken"] = shares.deliver(entry.body) is not None
         entries.append(row)
     return {
         "file": str(folder / NAME),
