Quotas: an allowance for processes that start together; changed divisions; parts regained begin empty

A third of what the fill leaves of a quota is set aside as an allowance: a leader that has just started spends it by an entry of the log, gives it for 4 s once to each address, and a leader renews it only after it has seen it spent for longer than the rule's window. So no window holds two, however often all are lost.

Also found on reading: a bucket that was made before the table was known never began from its process's birth; a part that was let go could serve requests that waited already; while some have the old terms of a tenant still, a quota that is divided into another number of parts could be owned more than once (each counts as far as the arithmetic in terms.py allows; a machine lost for good does not halve the quota, as the minimum of both did).

Tests: all processes lost four times in five seconds, with a mutant that begins full; owned parts over any views of who has the new terms; parts that new terms bring; the allowance over three leaders.

--- a/coralvale/cluster/gates/core.py
+++ b/coralvale/cluster/gates/core.py
@@ -201,7 +201,9 @@
         self.replica = Replica(me, state, timing, self.ground.chance, self.ground.clock.monotonic())
         self.desk = OrderDesk(self.replica, self.history)
         now = self.ground.clock.monotonic()
-        self.share_desk = ShareDesk(self.replica, self.shares, self.ground.peers.next, now)
+        self.share_desk = ShareDesk(
+            self.replica, self.shares, self.ground.peers.next, now, s.Bounds.QuotaWindowS
+        )
         self.act(self.replica.start(now))
 
     async def join(self) -> None:
--- a/coralvale/cluster/gates/shares.py
+++ b/coralvale/cluster/gates/shares.py
@@ -13,7 +13,7 @@
 from coralvale.cluster.gates.words import ClaimShares, Shares
 from coralvale.cluster.rate_limit.holding import Holding
 from coralvale.cluster.rate_limit.shares import ShareTable
-from coralvale.cluster.share_desk import ShareAnswer
+from coralvale.cluster.share_desk import TAKEN_WITHIN, ShareAnswer
 
 RENEW = 10.0  # s between claims while all is as it should be
 SOON = 0.15  # s until the next one where the last got no answer, or this gateway owns nothing yet
@@ -63,7 +63,9 @@
             return False
         now = self.ground.clock.monotonic()
         since = max(self.ground.born, now - answer.age)
-        if self.holding.take(since, asked_at, table):
+        # An answer that was read late, by a process that stood still, brings no allowance.
+        allowed = answer.allowed and now - asked_at < TAKEN_WITHIN
+        if self.holding.take(since, asked_at, table, allowed):
             cells = self.holding.table.owners.count(self.holding.address)
             tell(Event.SHARES, version=self.holding.version, cells=cells)
         return True
@@ -105,4 +107,4 @@
 def _told(number: int, answer: ShareAnswer | None) -> Shares:
     if answer is None:
         return Shares(number, settled=False)
-    return Shares(number, answer.settled, answer.table, answer.age)
+    return Shares(number, answer.settled, answer.table, answer.age, answer.allowed)
--- a/coralvale/cluster/gates/words.py
+++ b/coralvale/cluster/gates/words.py
@@ -114,12 +114,14 @@
 
 class Shares(msgspec.Struct, frozen=True, array_like=True, tag=13):
     """`settled`: False where the one that was asked cannot answer. `table`: empty where there is no newer one.
-    `age`: s, at least, for which the gateway has owned all that it owns by it."""
+    `age`: s, at least, for which the gateway has owned all that it owns by it. `allowed`: its process may begin
+    with the quotas' allowance."""
 
     number: int
     settled: bool
     table: bytes = b""
     age: float = 0.0
+    allowed: bool = False
 
 
 Parcel = (
--- a/coralvale/cluster/harvest/way.py
+++ b/coralvale/cluster/harvest/way.py
@@ -19,6 +19,7 @@
 from coralvale.cluster.harvest.copies import Copies, Copy
 from coralvale.cluster.harvest.tries import ENDS
 from coralvale.cluster.rate_limit.limiter import Admitted, RateLimiter, Refused, Source, Waiting
+from coralvale.cluster.rate_limit.terms import Terms, TermsChange
 from coralvale.cluster.settings import Bounds
 from coralvale.interface import Outcome
 
@@ -61,14 +62,14 @@
     tried: set[str] = field(factory=set)
 
 
-def changed_terms(before: Configuration, after: Configuration) -> dict[str, tuple[float, float]]:
-    """Rate and burst that tenants had before, of those that have others now."""
-    found: dict[str, tuple[float, float]] = {}
+def changed_terms(before: Configuration, after: Configuration) -> list[TermsChange]:
+    """Of the tenants that both have, those whose quotas differ."""
+    found: list[TermsChange] = []
     for name, (_, now) in after.tenants().items():
         if then := before.tenant(name):
-            terms = (then.RatePerS, then.Burst)
-            if terms != (now.RatePerS, now.Burst):
-                found[name] = terms
+            change = TermsChange(name, Terms(then.RatePerS, then.Burst), Terms(now.RatePerS, now.Burst))
+            if change.before != change.after:
+                found.append(change)
     return found
 
 
--- a/coralvale/cluster/rate_limit/escrow.py
+++ b/coralvale/cluster/rate_limit/escrow.py
@@ -17,19 +17,22 @@
 class Escrow:
     """`share`: the part of the quota that is owned here, 0 to 1."""
 
-    def __init__(self, now: float, since: float) -> None:
-        """`since`: since when what is owned here has been owned here, by this process."""
-        self.at = min(now, since)
+    def __init__(self, now: float, since: float, allowed: bool = False) -> None:
+        """`since`: since when what is owned here has been owned here, by this process. `allowed`: it begins with
+        the quota's allowance."""
+        self.at, self.allowed = min(now, since), allowed
         self.depth = self.fill = self.tokens = 0.0
         self.begun = False
 
     def settle(self, now: float, quota: Quota, share: float) -> None:
         """The quota or the share is another from now on. Less of it takes tokens along, more of it
         brings none."""
+        depth = quota.depth * share
         if self.begun:
             self._refill(now)
+        elif self.allowed:
+            self.tokens = min(depth, quota.allowance * share)
         self.begun = True
-        depth = quota.depth * share
         if depth < self.depth:
             self.tokens *= depth / self.depth
         self.depth, self.fill = depth, quota.fill * share
--- a/coralvale/cluster/rate_limit/holding.py
+++ b/coralvale/cluster/rate_limit/holding.py
@@ -17,6 +17,7 @@
         self.table = ShareTable()
         self.until = -math.inf  # end of the lease
         self.since = math.inf  # when the newest cells came to be owned here
+        self.allowed = False  # buckets begin with their allowance
         self.owner_count = 0  # gateways that own something
         self.changes = 0  # of the table, counted here: what was worked out from another is void
 
@@ -24,9 +25,10 @@
     def version(self) -> int:
         return self.table.version
 
-    def take(self, since: float, asked_at: float, table: ShareTable | None) -> bool:
+    def take(self, since: float, asked_at: float, table: ShareTable | None, allowed: bool = False) -> bool:
         """The leader's answer to a claim that was sent at `asked_at`; None: the table is the one known here.
-        `since`: since when nobody else has used what is owned by it. Whether there is another table now."""
+        `since`: since when nobody else has used what is owned by it; `allowed`: buckets may begin with their
+        allowance. Whether there is another table now."""
         self.until = max(self.until, asked_at + LEASE)
         if table is None or table.version <= self.table.version:
             return False
@@ -35,7 +37,7 @@
         self.owner_count = len(set(table.owners) - {NOBODY})
         self.changes += 1
         if self._usable() - before:
-            self.since = since
+            self.since, self.allowed = since, allowed
         return True
 
     def _usable(self) -> set[int]:
--- a/coralvale/cluster/rate_limit/limiter.py
+++ b/coralvale/cluster/rate_limit/limiter.py
@@ -15,6 +15,7 @@
 
 import math
 import random
+from collections.abc import Iterable
 from enum import Enum, unique
 
 from attrs import frozen
@@ -24,6 +25,7 @@
 from coralvale.cluster.rate_limit.holding import Holding
 from coralvale.cluster.rate_limit.quota import GRANT_LIFE, Quota, Rule
 from coralvale.cluster.rate_limit.tenant import Ask, Tenant, TenantBucket, Waiter
+from coralvale.cluster.rate_limit.terms import DivisionChanges, TermsChange
 from coralvale.cluster.rate_limit.usage import PERIOD, FleetUsage, Use, Window
 
 WHOLE_EVERY = 4  # words of which one tells of all tenants; the others of those of whom there is news
@@ -128,8 +130,8 @@
         self.refused: dict[str, int] = {}
         self.count = 1  # gateways that may be serving, this one too
         self.near: frozenset[str] = frozenset()  # addresses in this zone: asked first
-        self.version = 0  # of the configuration that the terms are of
-        self.changed: dict[str, list[Quota]] = {}  # by tenant, quotas of versions that others may go by
+        self.divisions = DivisionChanges(self.holding, self.usage.version_of)
+        self.divided: dict[str, float] = {}  # by tenant, since when it is divided otherwise; inf: just now
         self.stepped = self.rated = -math.inf
         self.words = 0
         self.actions: list[Action] = []
@@ -178,6 +180,8 @@
 
     def _take(self, now: float, tenant: Tenant) -> Source | None:
         """A token that is here: granted ones first, they end soon."""
+        if tenant.table != self.holding.changes:
+            self._divide(now, tenant)
         if tenant.stock.take(now):
             return Source.GRANTED
         if self.holding.is_valid(now) and tenant.escrow.take(now, 1):
@@ -194,12 +198,16 @@
 
     # Terms and parts
 
-    def terms_change(self, version: int, before: dict[str, tuple[float, float]]) -> None:
-        """A newer configuration is in force; `before`: rate and burst that tenants had whose terms it changes."""
-        self.version = version
-        for name, (rate, burst) in before.items():
-            if rate > 0:
-                self.changed.setdefault(name, []).append(Quota.of(self.rule, rate, burst))
+    def terms_change(self, version: int, changes: Iterable[TermsChange]) -> None:
+        """A newer configuration is in force."""
+        for change in changes:
+            before, after = change.before, change.after
+            if before.rate <= 0 or after.rate <= 0:
+                continue
+            parts = Quota.of(self.rule, before.rate, before.burst).parts
+            if parts != Quota.of(self.rule, after.rate, after.burst).parts:
+                self.divisions.note(change.tenant, parts, version)
+                self.divided[change.tenant] = math.inf
 
     def _of(self, now: float, name: str, rate: float, burst: float) -> Tenant:
         tenant = self.tenants.get(name)
@@ -221,11 +229,18 @@
             burst,
             TenantBucket(plan, self.count, now),
             Quota.of(self.rule, rate, burst),
-            Escrow(now, self.holding.since),
+            self._empty(now, name),
             Window(self.rule.window, self.rule.window / 50),
         )
         return tenant
 
+    def _empty(self, now: float, name: str) -> Escrow:
+        """For what has come to be owned here: by the table, or as the quota is divided otherwise."""
+        divided = min(now, self.divided.get(name, -math.inf))
+        if divided > self.holding.since:
+            return Escrow(now, divided)
+        return Escrow(now, self.holding.since, self.holding.allowed)
+
     def _change_terms(self, now: float, tenant: Tenant, rate: float, burst: float) -> None:
         bucket, scale = tenant.bucket, rate / tenant.rate
         bucket.drain(now)
@@ -236,31 +251,18 @@
         tenant.table = -1
 
     def _divide(self, now: float, tenant: Tenant) -> None:
-        """What is owned here of a tenant's quota. Gateways that have not heard of new terms divide it into
-        other parts: until all have, a part counts only as far as it is owned by the old and the new division."""
+        """What is owned here of a tenant's quota."""
         holding, quota = self.holding, tenant.quota
         owners = holding.owners(tenant.name, quota.parts)
-        tenant.owned = owners.pop(holding.address, 0)
+        before, tenant.owned = tenant.owned, owners.pop(holding.address, 0)
+        if tenant.owned and not before:
+            tenant.escrow = self._empty(now, tenant.name)
         tenant.lenders = sorted(owners)
         share = tenant.owned / quota.parts
-        for before in self.changed.get(tenant.name, ()):
-            owned = holding.owners(tenant.name, before.parts)[holding.address]
-            share = min(share, owned / before.parts)
-        tenant.escrow.settle(now, quota, share)
+        tenant.escrow.settle(now, quota, share * self.divisions.scale(tenant.name, quota.parts))
         tenant.quiet.clear()
         tenant.table = holding.changes
 
-    def _confirm_terms(self) -> None:
-        """Forgets the divisions before this version once every owner has told that it has it."""
-        if not self.changed:
-            return
-        owners = set(self.holding.table.owners) - {self.holding.address, ""}
-        if all(self.usage.version_of(owner) >= self.version for owner in owners):
-            for name in self.changed:
-                if tenant := self.tenants.get(name):
-                    tenant.table = -1
-            self.changed = {}
-
     # Tokens of others
 
     def _lender(self, now: float, tenant: Tenant) -> str | None:
@@ -410,7 +412,14 @@
         self.rated = now if rates else self.rated
         self.usage.forget_old(now)
         self.count = self.usage.count(now)
-        self._confirm_terms()
+        for name, since in list(self.divided.items()):
+            if since == math.inf:
+                self.divided[name] = now
+            elif now - since > IDLE:
+                del self.divided[name]
+        for name in self.divisions.forget():
+            if name in self.tenants:
+                self.tenants[name].table = -1
         for name, tenant in list(self.tenants.items()):
             tenant.step(elapsed, self.usage.elsewhere(name).newest)
             bucket = tenant.bucket
--- a/coralvale/cluster/rate_limit/shares.py
+++ b/coralvale/cluster/rate_limit/shares.py
@@ -8,6 +8,9 @@
 3. An owner that cannot reach the leader stops using its cells `LEASE` seconds after the last claim that was
    answered; the leader gives them to others no earlier than `RELEASE` seconds after the last claim.
 
+4. Processes that start may begin with an allowance in their buckets once in a window of the rule: the table
+   says whether it was spent, and a leader renews it only after it has seen the table say so for long enough.
+
 The table is changed by entries of the log alone, each made for one version of it: what was made for another
 has no effect.
 """
@@ -26,6 +29,7 @@
 )
 RELEASE = LEASE + 60.0  # s without a claim after which an owner's cells may go to others
 NOBODY = ""
+SAME, SPEND, RENEW = 0, 1, 2  # what becomes of the allowance
 _INDEX = struct.Struct(f"!{CELLS}H")
 
 
@@ -42,6 +46,7 @@
     base: int
     owners: tuple[CellsOf, ...] = ()  # whose cells they are from now on
     moves: tuple[CellsOf, ...] = ()  # that their owners are to let go, and for whom
+    allowance: int = SAME  # what becomes of the allowance for processes that start
 
 
 class ShareImage(msgspec.Struct, frozen=True, array_like=True):
@@ -51,6 +56,7 @@
     addresses: tuple[str, ...]
     owners: bytes
     moves: tuple[tuple[int, str, int], ...] = ()  # cell, to whom, since which version
+    spent: bool = False
 
 
 @frozen
@@ -77,6 +83,7 @@
     version: int = 0
     owners: list[str] = field(factory=lambda: [NOBODY] * CELLS)
     moves: dict[int, Move] = field(factory=dict)
+    spent: bool = False  # the allowance was, and not so long ago that it may be again
 
     def usable(self, cell: int) -> str:
         """Who may use a cell: its owner, unless that is to let it go."""
@@ -101,18 +108,21 @@
         for given in change.moves:
             for cell in given.cells:
                 self.moves[cell] = Move(given.address, self.version)
+        if change.allowance != SAME:
+            self.spent = change.allowance == SPEND
         return change
 
     def replace(self, table: ShareTable) -> None:
         """Takes another table's place, for those that hold this one."""
-        self.version, self.owners, self.moves = table.version, table.owners, table.moves
+        self.version, self.owners = table.version, table.owners
+        self.moves, self.spent = table.moves, table.spent
 
     def image(self) -> bytes:
         addresses = sorted({owner for owner in self.owners if owner != NOBODY})
         number = {address: at for at, address in enumerate(addresses, 1)} | {NOBODY: 0}
         owners = _INDEX.pack(*(number[owner] for owner in self.owners))
         moves = tuple((cell, move.to, move.version) for cell, move in sorted(self.moves.items()))
-        return _encode(ShareImage(self.version, tuple(addresses), owners, moves))
+        return _encode(ShareImage(self.version, tuple(addresses), owners, moves, self.spent))
 
     @staticmethod
     def restored(body: bytes) -> ShareTable:
@@ -126,7 +136,7 @@
         except (msgspec.MsgspecError, struct.error, IndexError) as error:
             raise ValueError(f"no table of shares: {error}") from None
         moves = {cell: Move(to, version) for cell, to, version in image.moves}
-        return ShareTable(image.version, owners, moves)
+        return ShareTable(image.version, owners, moves, image.spent)
 
 
 def even_table(addresses: Iterable[str]) -> ShareTable:
