Edge: requests that wait for a token, answered either way; shares given up while the leave is told

A request whose client left while its token was asked for gives it back. The end of a process takes no longer than before: the claim that lets its cells go is sent beside membership's leave. Tests with a scripted owner, silent, empty and granting.

--- a/coralvale/cluster/gates/node.py
+++ b/coralvale/cluster/gates/node.py
@@ -59,7 +59,6 @@
 RESERVED = 300  # descriptors for files, peers and the loop
 HOSTS_PART = 0.45  # of the others, for connections to hosts
 UNHEARD = 2.0  # s for which one that starts waits until it knows hosts, and what all others let through
-GIVE_UP = 0.3  # s at the end for telling the leader that this gateway uses no shares any more
 UNSETTLED = 4.0  # s after which a member of the core that hears no majority serves what its disk has
 
 
@@ -206,7 +205,7 @@
             await asyncio.sleep(0.02)
         if not self.core.may_end():
             tell(Event.ENDS_UNSAFE)
-        await self._give_up_shares()
+        self.ground.spawn(self.shares.give_up())  # heard or not: they are kept for this address for a while
         self.there.swim.leave(self.ground.clock.monotonic())
         for _ in range(4):
             self.there.carry()
@@ -214,13 +213,6 @@
         tell(Event.ENDED, open=len(self.edge.open))
         self.ended.set()
 
-    async def _give_up_shares(self) -> None:
-        try:
-            async with asyncio.timeout(GIVE_UP):
-                await self.shares.give_up()
-        except TimeoutError:
-            pass  # they are kept for this address until it is known to stay away
-
     def read_again(self) -> None:
         try:
             fresh = read(self.ground.path)
--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -16,6 +17,8 @@
 from coralvale.cluster.gates.hosts import Hosts
 from coralvale.cluster.harvest.copies import Copies
 from coralvale.cluster.harvest.way import Harvest
+from coralvale.cluster.rate_limit.limiter import Admitted, AskTokens, Decided, Source
+from coralvale.cluster.rate_limit.shares import ShareTable, even_table
 from coralvale.cluster.settings import Bounds
 from coralvale.net.clock import Clock
 from coralvale.net.transport import Attempt
@@ -403,3 +406,59 @@
         server.close()
 
     play(1, scene)
+
+
+class Lender:
+    """Another gateway that owns all of the quotas, as this one knows."""
+
+    def __init__(self, s: Scene, grants: int) -> None:
+        """`grants`: tokens to each ask; below 0 it is silent."""
+        self.scene, self.grants = s, grants
+        self.limiter = s.edge.harvest.limiter
+        self.limiter.holding.table = ShareTable()
+        self.limiter.holding.take(0.0, math.inf, even_table(["far"]))
+        self.limiter.usage.hear(s.edge.clock.monotonic(), "far", {})
+        s.edge.carry_out_quotas = self.carry_out
+
+    def carry_out(self) -> None:
+        now = self.scene.edge.clock.monotonic()
+        for action in self.limiter.take_actions():
+            if isinstance(action, Decided):
+                self.scene.edge.decided(action)
+            elif isinstance(action, AskTokens) and self.grants >= 0:
+                self.limiter.granted(now, "far", action.number, action.tenant, self.grants, 0.4)
+                self.scene.edge.loop.call_soon(self.carry_out)
+
+
+def test_a_request_waits_for_its_tenants_token_and_is_answered_either_way() -> None:
+    async def scene(s: Scene) -> None:
+        lender = Lender(s, 1)
+        asked = asyncio.create_task(s.ask(BOOK))
+        arrived = await next_of(s)
+        arrived.reply(reply("r-1", b"booked"))
+        assert (await asked).body == b"booked"
+        lender.grants = 0
+        refused = await s.ask(BOOK, "r-2")
+        assert refused.status == 429 and 0.2 < float(refused.headers[b"retry-after"]) <= 0.4
+        assert not s.edge.open and not s.edge.waiting
+
+    play(1, scene)
+
+
+def test_a_token_for_one_whose_client_left_meanwhile_is_not_spent() -> None:
+    async def scene(s: Scene) -> None:
+        lender = Lender(s, -1)
+        asked = asyncio.create_task(s.ask(BOOK))
+        async with asyncio.timeout(5.0):
+            while not s.edge.waiting:
+                await asyncio.sleep(0.01)
+        (job,) = s.edge.waiting
+        asked.cancel()
+        (request,) = s.edge.open
+        s.edge.client_left(request.exchange)
+        before = lender.limiter.tenants["t"].bucket.fill = 5.0
+        s.edge.decided(Decided(job, Admitted(Source.GRANTED)))
+        assert lender.limiter.tenants["t"].bucket.fill == before - 1 and not job.charged
+        assert not s.edge.waiting and not s.edge.open and not s.peers[0].arrived.qsize()
+
+    play(1, scene)
