--- a/coralvale/cluster/commands.py
+++ b/coralvale/cluster/commands.py
@@ -103,10 +103,13 @@
 
 
 def _table(found: dict[str, Any]) -> str:
+    from coralvale.cluster.rate_limit.shares import CELLS
+
     lines = [
         f"{found['name']} ({found['zone']}): {'ready' if found['ready'] else 'not ready'}, "
         f"version {found['version']}, {found['open']} requests in hand",
         f"core: view {found['view']}, holder {found['holder'] or 'none'}, members {', '.join(found['core'])}",
+        f"quotas: {found['shares']['cells']} of {CELLS} cells by table {found['shares']['version']}",
         f"{'gateway':<28} {'state':<9} {'heard s':>8}",
     ]
     lines += [f"{g['name']:<28} {g['state']:<9} {g['heard']:>8.1f}" for g in found["gateways"]]
@@ -118,10 +121,13 @@
         f" {h['load']:>8.1f} {h['slow']:>6.2f} {h['health']}"
         for h in found["hosts"]
     ]
-    lines.append(f"{'tenant':<16} {'quota/s':>8} {'here/s':>8} {'all/s':>8} {'window':>8} {'leak/s':>8}")
+    lines.append(
+        f"{'tenant':<16} {'quota/s':>8} {'here/s':>8} {'all/s':>8} {'window':>8} {'leak/s':>8}"
+        f" {'share':>6} {'tokens':>7}"
+    )
     lines += [
         f"{t['name']:<16} {t['quota']:>8.1f} {t['here']:>8.1f} {t['all']:>8.1f}"
-        f" {t['window']:>8} {t['leak']:>8.1f}"
+        f" {t['window']:>8} {t['leak']:>8.1f} {t['share']:>6.3f} {t['tokens']:>7.1f}"
         for t in found["tenants"]
     ]
     return "\n".join(lines)
--- a/coralvale/cluster/storage/store.py
+++ b/coralvale/cluster/storage/store.py
@@ -21,8 +21,8 @@
 
 NAME = "orchard.sqlite"
 # Of the tables; a newer program reads older ones, and refuses what is newer than itself. 2: entries may begin
-# before the snapshot.
-LAYOUT = 2
+# before the snapshot. 3: entries, and the snapshot, hold the table of shares.
+LAYOUT = 3
 _row = msgspec.msgpack.Decoder(Row).decode
 _snapshot = msgspec.msgpack.Decoder(Snapshot).decode
 
