--- a/tests/cluster/test_rate_limit.py
+++ b/tests/cluster/test_rate_limit.py
@@ -85,6 +85,18 @@
         assert world.worst <= world.most, (seed, rate, world.worst, world.most)
 
 
+def test_a_fleet_of_three_keeps_the_rule_while_one_is_cut_off_and_one_is_killed() -> None:
+    """It passed its quota by a sixth at nine times the usual."""
+    for seed in range(9):
+        rate = (5.0, 20.0, 110.0)[seed % 3]
+        world = QuotaWorld(seed, 3, rate, rate)
+        world.play(rate / 1.6, 6.0)
+        world.env.process(world.cut({"g2"}, 0.5, 5.0))
+        world.env.process(world.kill("g0", 0.8 + 0.1 * seed, 0.6))
+        world.play(rate / 1.6 * 9, 8.0)
+        assert world.worst <= world.most, (seed, rate, world.worst, world.most)
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_no_schedule_of_troubles_passes_the_rule(kind: str) -> None:
     """Some of each kind; `quota_world.py` plays thousands. The four of `kill` broke the rule before quotas were
