Capacity: the table of shares, claims and asks, from measured slopes

benchmarks/capacity.py measures the table's bytes and readings at 12 to 2,300 gateways and a request's tokens.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -35,8 +35,12 @@
 from coralvale.cluster.gates.node import GatewayNode
 from coralvale.cluster.gates.peers import WORD, Datagrams
 from coralvale.cluster.gates.words import Told, Word, encode, framed, pack_out, pack_use
+from coralvale.cluster.rate_limit.actions import AskTokens, GrantTokens
+from coralvale.cluster.rate_limit.holding import Holding
 from coralvale.cluster.rate_limit.limiter import RateLimiter
 from coralvale.cluster.rate_limit.quota import Rule
+from coralvale.cluster.rate_limit.share_planner import SharePlanner
+from coralvale.cluster.rate_limit.shares import ShareTable, even_table
 from coralvale.cluster.rate_limit.usage import PERIOD
 from coralvale.cluster.settings import parse
 from coralvale.members.model import Member, State, Update
@@ -250,6 +254,59 @@
     }
 
 
+def shares_of(gateways: int, rounds: int) -> dict[str, float]:
+    """The table of shares in a fleet of so many: its bytes, the leader's look at it, its reading."""
+    table = even_table([f"10.{n // 250}.{n % 250}.1" for n in range(gateways)])
+    planner = SharePlanner(table, 0.0)
+    for owner in set(table.owners):
+        planner.claim(1.0, owner, table.version)
+    begun = time.process_time()
+    for _ in range(rounds):
+        assert planner.next_change(1.0) is None
+    looked = time.process_time() - begun
+    image = table.image()
+    begun = time.process_time()
+    for _ in range(rounds):
+        holding = Holding("10.0.7.1")
+        assert holding.take(1.0, 1.0, ShareTable.restored(image))
+    read = time.process_time() - begun
+    return {
+        "gateways": gateways,
+        "table_bytes": len(image),
+        "look_ms": round(1e3 * looked / rounds, 2),
+        "read_ms": round(1e3 * read / rounds, 2),
+    }
+
+
+def tokens_us(rounds: int) -> dict[str, float]:
+    """A request with a token here, one by a token of another owner (ask, grant and decision at both), one that is
+    refused with nobody to ask; and an ask and its grant as datagrams."""
+    owner, other = RateLimiter(Rule(5.0, 0.1, 20.0), "a"), RateLimiter(Rule(5.0, 0.1, 20.0), "b")
+    for limiter in (owner, other):
+        limiter.holding.take(0.0, 0.0, even_table(["a"]))
+        limiter.usage.hear(1e9, "a", {})
+    rate = 1e6
+    costs: dict[str, float] = {}
+    now = 1e6
+    for name in ("own", "granted"):
+        begun = time.process_time()
+        for n in range(rounds):
+            now += 1e-3
+            if name == "own":
+                owner.request(now, "t", rate, rate)
+                continue
+            other.request(now, "t", rate, rate, n, 0.1)
+            for ask in other.take_actions():
+                if isinstance(ask, AskTokens):
+                    owner.asked(now, "b", ask.number, "t", rate, rate, ask.count)
+            for grant in owner.take_actions():
+                if isinstance(grant, GrantTokens):
+                    other.granted(now, "a", grant.number, "t", grant.count, grant.wait)
+            other.take_actions()
+        costs[f"{name}_us"] = round(1e6 * (time.process_time() - begun) / rounds, 1)
+    return costs
+
+
 def slopes(quick: bool) -> dict[str, float]:
     small, large = (500, 5000) if quick else (1000, 20000)
     few, many = change_ms(small, 3), change_ms(large, 3)
@@ -275,7 +332,11 @@
         row = asyncio.run(heard(count, 2.0 if quick else 6.0))
         found.append(row)
         print(row, file=sys.stderr)
-    result = {"fleets": found, "to_beat_us_a_word": found[0]["us_a_word"], **slopes(quick)}
+    shares = [
+        shares_of(count, 20 if quick else 100) for count in ((96, 2300) if quick else (12, 96, 300, 2300))
+    ]
+    more = {"shares": shares, "tokens": tokens_us(2000 if quick else 20000)}
+    result = {"fleets": found, **more, "to_beat_us_a_word": found[0]["us_a_word"], **slopes(quick)}
     print(json.dumps(result))
     return 0
 
