--- a/tests/lab/test_souring.py
+++ b/tests/lab/test_souring.py
@@ -62,7 +62,7 @@
 class Promises(way.Harvest):
     """What may have run is refused with a promise that it has not."""
 
-    def _failed(self, job: way.Job, why: str) -> Problem:
+    def _failed(self, now: float, job: way.Job, why: str) -> Problem:
         return Problem(way.Kind.NOT_RUN, why)
 
 
