--- a/tests/cluster/quota_world.py
+++ b/tests/cluster/quota_world.py
@@ -420,10 +420,11 @@
     parser.add_argument("--seeds", type=int, default=12)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--sizes", default="12,24,68", help="gateways, drawn from")
     options = parser.parse_args()
-    schedules = [
-        (seed, kind) for kind in KINDS for seed in range(options.first, options.first + options.seeds)
-    ]
+    sizes = tuple(int(size) for size in options.sizes.split(","))
+    seeds = range(options.first, options.first + options.seeds)
+    schedules = [(seed, kind, sizes) for kind in KINDS for seed in seeds]
     with Pool(options.jobs) as pool:
         played = pool.starmap(play, schedules, chunksize=1)
     broken = [p for p in played if p.worst > 1]
