Coordination: locks, numbers, keys and watches on the replicated log

Cause: callers of locks, elections, numbers, keys and watches were answered 404: there was nothing behind these calls.

--- a/coralvale/cluster/configuration/history.py
+++ b/coralvale/cluster/configuration/history.py
@@ -51,6 +51,10 @@
     steps: tuple[Step, ...] = ()
     oldest_base: int = 0  # of the changes in `taken`
     shares: bytes = b""  # the table of shares, as the rate limiter packs it
+    coordination: bytes = b""  # locks, numbers and keys, as `CoordinationState` packs them
+
+
+EMPTY_IMAGE = Image(b"{}", ())
 
 
 class News(msgspec.Struct, frozen=True, array_like=True):
@@ -150,17 +154,17 @@
     def config(self) -> bytes:
         return msgspec.json.encode(self.configuration.raw)
 
-    def image(self, shares: bytes = b"") -> bytes:
-        """`shares`: the table of shares, which the same log keeps, and which is kept beside it."""
+    def image(self, shares: bytes = b"", coordination: bytes = b"") -> bytes:
+        """`shares`, `coordination`: what else the same log keeps, as bytes, to be kept beside it."""
         taken = tuple((version, digest) for digest, version in self.taken.items())
-        image = Image(self.config(), taken, tuple(self.steps), self.oldest_base, shares)
+        image = Image(self.config(), taken, tuple(self.steps), self.oldest_base, shares, coordination)
         return msgspec.msgpack.encode(image)
 
-    def restore(self, body: bytes) -> bytes:
-        """Takes what `image` gave, at another member or before this process began; returns the table of shares
-        that was kept beside it."""
+    def restore(self, body: bytes) -> Image:
+        """Takes what `image` gave, at another member or before this process began; returns it, for what was
+        kept beside it."""
         if not body:
-            return b""
+            return EMPTY_IMAGE
         image = _image(body)
         raw = _json(image.config)
         configuration = survey(raw, Configuration()) if raw else Configuration()
@@ -173,7 +177,7 @@
         self.oldest_base = image.oldest_base
         self.steps = deque(image.steps, maxlen=STEPS)
         self.news.clear()
-        return image.shares
+        return image
 
     def since(self, version: int) -> News | None:
         """What is newer than a version; None if nothing is."""
--- a/coralvale/cluster/consensus/messages.py
+++ b/coralvale/cluster/consensus/messages.py
@@ -10,7 +10,7 @@
 from attrs import frozen
 
 # Kinds of entries. READ was written by earlier versions for each reading; it has no effect.
-OPENING, CHANGE, VOTERS, READ, SHARES = 0, 1, 2, 3, 4
+OPENING, CHANGE, VOTERS, READ, SHARES, COORDINATION = 0, 1, 2, 3, 4, 5
 OLD_VERSION = -1  # instead of a round, from a version that does not tell it
 
 
--- a/coralvale/cluster/consensus/replica.py
+++ b/coralvale/cluster/consensus/replica.py
@@ -29,6 +29,7 @@
 from coralvale.cluster.consensus.membership import Membership
 from coralvale.cluster.consensus.messages import (
     CHANGE,
+    COORDINATION,
     SHARES,
     VOTERS,
     Action,
@@ -81,7 +82,7 @@
 
     def propose(self, now: float, token: int, kind: int, body: bytes) -> list[Action]:
         """To be ordered; `Settled(token)` answers it, once."""
-        too_few = kind in (CHANGE, SHARES) and len(self.voters.new) < self.timing.least
+        too_few = kind in (CHANGE, SHARES, COORDINATION) and len(self.voters.new) < self.timing.least
         if not self.leading or too_few or self.last - self.commit >= MOST_IN_FLIGHT:
             self.out.append(Settled(token, False))
         else:
--- a/coralvale/cluster/consensus/state.py
+++ b/coralvale/cluster/consensus/state.py
@@ -10,6 +10,7 @@
 
 from coralvale.cluster.consensus.messages import (
     CHANGE,
+    COORDINATION,
     READ,
     SHARES,
     VOTERS,
@@ -192,7 +193,7 @@
         while self.applied < self.commit:
             self.applied += 1
             entry = self.entries[self.applied - self.log_start - 1]
-            if entry.kind in (CHANGE, READ, SHARES):
+            if entry.kind in (CHANGE, READ, SHARES, COORDINATION):
                 self.out.append(Deliver(entry))
             if (token := self.tokens.pop(entry.seq, None)) is not None:
                 self.out.append(Settled(token, True))
--- /dev/null
+++ b/coralvale/cluster/coordination/model.py
@@ -0,0 +1,241 @@
+"""Calls of applications, what the log orders of them, and what they are answered.
+
+Calls travel between gateways and stand in the log in msgspec's array form: a newer program adds fields at the
+end, with defaults. Times are whole milliseconds.
+"""
+
+from __future__ import annotations
+
+import re
+
+import msgspec
+from attrs import frozen
+
+MOST_NAME = 128  # characters of a lock's, counter's, key's or owner's name
+MOST_VALUE = 1024  # bytes of a value
+MOST_HOLD_MS = 600_000  # that a lock may be held without a renewal: what a new leader has to wait out
+MOST_POLL_MS = 30_000  # that a watch may wait
+NAME = re.compile(rf"[!-~]{{1,{MOST_NAME}}}")
+
+
+class Acquire(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """A lock. `expired_fence`: in the log, the holder's fence whose lease the leader has seen out; 0: none."""
+
+    name: str
+    owner: str
+    hold_ms: int
+    expired_fence: int = 0
+
+
+class Renew(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """More time for a lock that is held."""
+
+    name: str
+    owner: str
+    fence: int
+    hold_ms: int
+
+
+class Release(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """A lock given back."""
+
+    name: str
+    owner: str
+    fence: int
+
+
+class NextNumber(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """A number above all that were given under the name."""
+
+    name: str
+
+
+class Put(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """`expected`: the revision that the key must be at, 0 for a key that is not there; None: any."""
+
+    key: str
+    value: str
+    expected: int | None = None
+
+
+class Get(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """The value of a key."""
+
+    key: str
+
+
+class Watch(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Puts in a group above a revision; `after` 0 asks only for the group's revision."""
+
+    group: str
+    after: int
+    poll_ms: int
+
+
+class Expire(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """By the leader: a lock whose lease has been over for long, and that nobody asks for."""
+
+    name: str
+    fence: int
+
+
+Call = Acquire | Renew | Release | NextNumber | Put | Get | Watch
+Operation = Acquire | Renew | Release | NextNumber | Put | Expire
+
+
+class Batch(msgspec.Struct, frozen=True, array_like=True):
+    """One entry of the log: operations that are applied in order.
+
+    `number`: drawn by the desk that proposed it. `time_ms`: the log's own time, which leaders carry on by their
+    steady clocks. Events and puts older than their horizons need not be remembered any more.
+    """
+
+    number: int
+    time_ms: int
+    events_horizon_ms: int
+    puts_horizon_ms: int
+    operations: tuple[Operation, ...] = ()
+
+
+class Event(msgspec.Struct, frozen=True, array_like=True):
+    """A put, as watches are told of it."""
+
+    key: str
+    value: str
+    revision: int
+    time_ms: int
+
+
+# What calls lead to
+
+
+@frozen
+class Granted:
+    """The lock is the caller's, under this fence."""
+
+    fence: int
+
+
+@frozen
+class Renewed:
+    """The holder has more time."""
+
+
+@frozen
+class Released:
+    """The lock is not the caller's any more, if it ever was."""
+
+
+@frozen
+class Held:
+    """Another holds the lock, or may hold it."""
+
+
+@frozen
+class NotHeld:
+    """The lock is not held under the fence that was named."""
+
+
+@frozen
+class Number:
+    """The number given."""
+
+    value: int
+
+
+@frozen
+class Stored:
+    """The put's revision, of its first arrival."""
+
+    revision: int
+
+
+@frozen
+class Conflict:
+    """The key is at another revision than the put expected; 0: it is not there."""
+
+    revision: int
+
+
+@frozen
+class Found:
+    """A key's value."""
+
+    value: str
+    revision: int
+
+
+@frozen
+class NotFound:
+    """There is no such key."""
+
+
+@frozen
+class Watched:
+    """All puts of a group above the watch's revision and up to `revision`."""
+
+    events: tuple[Event, ...]
+    revision: int
+
+
+@frozen
+class Compacted:
+    """The events after the watch's revision are not kept any more."""
+
+
+@frozen
+class Full:
+    """A bound on what is kept would be passed; nothing was done."""
+
+    reason: str
+
+
+@frozen
+class Unavailable:
+    """Nothing was done: no leader with a majority took the call."""
+
+    reason: str
+
+
+@frozen
+class Unknown:
+    """The call may have taken effect, or may yet."""
+
+    reason: str
+
+
+Outcome = (
+    Granted
+    | Renewed
+    | Released
+    | Held
+    | NotHeld
+    | Number
+    | Stored
+    | Conflict
+    | Found
+    | NotFound
+    | Watched
+    | Compacted
+    | Full
+    | Unavailable
+    | Unknown
+)
+
+
+def group_of(key: str) -> str:
+    """Keys whose names agree up to the first dot, with it, share one count of revisions."""
+    prefix, dot, _ = key.partition(".")
+    return prefix + dot
+
+
+_batch = msgspec.msgpack.Decoder(Batch).decode
+
+
+def pack_batch(batch: Batch) -> bytes:
+    return msgspec.msgpack.encode(batch)
+
+
+def unpack_batch(body: bytes) -> Batch:
+    """Raises msgspec.DecodeError for what is no batch."""
+    return _batch(body)
--- a/coralvale/cluster/errors.py
+++ b/coralvale/cluster/errors.py
@@ -33,6 +33,14 @@
     OTHER_VERSION = "another version is current"
     UNSETTLED = "no majority could be reached"
     DISK = "the disk takes no more"
+    NOT_TAKEN = "no leader with a majority took the call"
+    UNKNOWN_OUTCOME = "the call may have taken effect, or may yet"
+    TOO_MANY = "a bound on what is kept would be passed"
+    HELD = "another holds the lock, or may hold it"
+    NOT_HELD = "the lock is not held under this fence"
+    OTHER_REVISION = "the key is at another revision"
+    NO_SUCH_KEY = "there is no such key"
+    COMPACTED = "the events after this revision are not kept any more"
 
 
 @unique
@@ -68,6 +76,14 @@
     Kind.OTHER_VERSION: Answer(412),
     Kind.UNSETTLED: Answer(503),
     Kind.DISK: Answer(503),
+    Kind.NOT_TAKEN: Answer(503, Promise.NOT_RUN),
+    Kind.UNKNOWN_OUTCOME: Answer(504),
+    Kind.TOO_MANY: Answer(429, Promise.NOT_RUN),
+    Kind.HELD: Answer(409),
+    Kind.NOT_HELD: Answer(409),
+    Kind.OTHER_REVISION: Answer(412, Promise.NOT_RUN),
+    Kind.NO_SUCH_KEY: Answer(404),
+    Kind.COMPACTED: Answer(410),
 }
 
 
--- /dev/null
+++ b/coralvale/cluster/server/coordination.py
@@ -0,0 +1,116 @@
+"""Applications' calls for locks, numbers, keys and watches: settled here by the leader, else passed on to it."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from coralvale.cluster.coordination.model import (
+    Call,
+    Compacted,
+    Conflict,
+    Event,
+    Found,
+    Full,
+    Granted,
+    Held,
+    NotFound,
+    NotHeld,
+    Number,
+    Outcome,
+    Released,
+    Renewed,
+    Stored,
+    Unavailable,
+    Unknown,
+    Watch,
+    Watched,
+)
+from coralvale.cluster.errors import ANSWERS, Kind
+from coralvale.cluster.server.core import Core
+from coralvale.cluster.server.ctl import Answered
+from coralvale.cluster.server.messages import Coordinate, Reply
+from coralvale.cluster.server.peers import Frames
+from coralvale.cluster.server.runtime import Runtime
+
+PATIENCE = 0.95  # s for one call; callers turn elsewhere after a second of silence
+HOP = 0.03  # s less at the leader than at the gateway that passes a call on
+
+
+class Coordination:
+    def __init__(self, runtime: Runtime, core: Core) -> None:
+        self.runtime, self.core = runtime, core
+
+    async def call(self, call: Call) -> Answered:
+        """An application's call to this gateway."""
+        patience = _patience(call)
+        if self.core.leads():
+            return answer(await self.core.coordinate(call, patience))
+        _, leader, _ = self.core.known()
+        if not leader or leader == self.runtime.settings.Ip:
+            return answer(Unavailable("no leader is known"))
+        number = self.runtime.peers.next()
+        request = Coordinate(number, call)
+        reply = await self.runtime.peers.link(leader).request(number, request, patience)
+        if isinstance(reply, Reply):
+            return reply.status, reply.body
+        return answer(Unknown("the leader does not answer"))
+
+    async def called(self, frames: Frames, request: Coordinate) -> None:
+        """A call that another gateway passed on; it is not passed on again."""
+        if self.core.leads():
+            outcome = await self.core.coordinate(request.call, _patience(request.call) - HOP)
+        else:
+            outcome = Unavailable("not the leader")
+        frames.send(Reply(request.number, *answer(outcome)))
+
+
+def _patience(call: Call) -> float:
+    """Seconds within which a call is answered."""
+    return PATIENCE + (call.poll_ms / 1000 if isinstance(call, Watch) else 0.0)
+
+
+def answer(outcome: Outcome) -> Answered:
+    """Status and body of an outcome."""
+    match outcome:
+        case Granted():
+            return _body({"fence": outcome.fence})
+        case Renewed() | Released():
+            return _body({})
+        case Number():
+            return _body({"Val": outcome.value})
+        case Stored():
+            return _body({"Rev": outcome.revision})
+        case Found():
+            return _body({"Val": outcome.value, "Rev": outcome.revision})
+        case Watched():
+            return _body({"Events": [_event(e) for e in outcome.events], "Rev": outcome.revision})
+        case Conflict():
+            return _problem(Kind.OTHER_REVISION, {"Rev": outcome.revision})
+        case Held():
+            return _problem(Kind.HELD)
+        case NotHeld():
+            return _problem(Kind.NOT_HELD)
+        case NotFound():
+            return _problem(Kind.NO_SUCH_KEY)
+        case Compacted():
+            return _problem(Kind.COMPACTED)
+        case Full():
+            return _problem(Kind.TOO_MANY, {"Reason": outcome.reason})
+        case Unavailable():
+            return _problem(Kind.NOT_TAKEN, {"Reason": outcome.reason})
+        case Unknown():
+            return _problem(Kind.UNKNOWN_OUTCOME, {"Reason": outcome.reason})
+
+
+def _event(event: Event) -> dict[str, Any]:
+    return {"Name": event.key, "Val": event.value, "Rev": event.revision}
+
+
+def _body(fields: dict[str, Any]) -> Answered:
+    return 200, json.dumps(fields, separators=(",", ":")).encode()
+
+
+def _problem(kind: Kind, fields: dict[str, Any] | None = None) -> Answered:
+    fields = fields or {"Reason": kind.value}
+    return ANSWERS[kind].status, json.dumps(fields, separators=(",", ":")).encode()
--- /dev/null
+++ b/coralvale/cluster/server/coordination_api.py
@@ -0,0 +1,135 @@
+"""The applications' wire: HTTP calls, as PROTOCOL has them, to typed calls."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import msgspec
+
+from coralvale.cluster.coordination.model import (
+    MOST_HOLD_MS,
+    MOST_POLL_MS,
+    MOST_VALUE,
+    NAME,
+    Acquire,
+    Call,
+    Get,
+    NextNumber,
+    Put,
+    Release,
+    Renew,
+    Watch,
+)
+from coralvale.cluster.errors import Kind, Problem
+
+MOST_REVISION = 2**53  # what JSON's numbers hold exactly
+
+
+class AcquireBody(msgspec.Struct):
+    Owner: str
+    HoldMs: float
+
+
+class RenewBody(msgspec.Struct):
+    Owner: str
+    fence: int
+    HoldMs: float
+
+
+class ReleaseBody(msgspec.Struct):
+    Owner: str
+    fence: int
+
+
+class PutBody(msgspec.Struct):
+    Val: str
+    Duty: int | None = None
+
+
+_acquire = msgspec.json.Decoder(AcquireBody).decode
+_renew = msgspec.json.Decoder(RenewBody).decode
+_release = msgspec.json.Decoder(ReleaseBody).decode
+_put = msgspec.json.Decoder(PutBody).decode
+
+
+def _name(text: str, field: str) -> str:
+    if not NAME.fullmatch(text):
+        raise ValueError(f"{field}: expected 1 to 128 printable characters without spaces")
+    return text
+
+
+def _hold_ms(value: float) -> int:
+    if not 1 <= value <= MOST_HOLD_MS:
+        raise ValueError(f"HoldMs: expected 1 to {MOST_HOLD_MS}")
+    return int(value)
+
+
+def _read_acquire(name: str, body: bytes) -> Call:
+    sent = _acquire(body)
+    return Acquire(name, _name(sent.Owner, "Owner"), _hold_ms(sent.HoldMs))
+
+
+def _read_renew(name: str, body: bytes) -> Call:
+    sent = _renew(body)
+    return Renew(name, _name(sent.Owner, "Owner"), sent.fence, _hold_ms(sent.HoldMs))
+
+
+def _read_release(name: str, body: bytes) -> Call:
+    sent = _release(body)
+    return Release(name, _name(sent.Owner, "Owner"), sent.fence)
+
+
+def _read_put(name: str, body: bytes) -> Call:
+    sent = _put(body)
+    if len(sent.Val.encode()) > MOST_VALUE:
+        raise ValueError(f"Val: expected {MOST_VALUE} bytes at most")
+    if sent.Duty is not None and not 0 <= sent.Duty <= MOST_REVISION:
+        raise ValueError("Duty: expected a revision")
+    return Put(name, sent.Val, sent.Duty)
+
+
+def _read_get(name: str, body: bytes) -> Call:
+    return Get(name)
+
+
+READERS: dict[str, Callable[[str, bytes], Call]] = {
+    "locks.begin": _read_acquire,
+    "locks.heartbeat": _read_renew,
+    "locks.finish": _read_release,
+    "cells.replace": _read_put,
+    "cells.read": _read_get,
+}
+
+
+def read_call(call: str, name: str, body: bytes) -> Call | Problem:
+    """A call of `READERS`."""
+    try:
+        return READERS[call](_name(name, "of"), body)
+    except (msgspec.DecodeError, ValueError, UnicodeError) as error:
+        return Problem(Kind.BAD_REQUEST, str(error))
+
+
+def read_number(name: str) -> Call | Problem:
+    """`POST /numbers/ID`."""
+    try:
+        return NextNumber(_name(name, "ID"))
+    except ValueError as error:
+        return Problem(Kind.BAD_REQUEST, str(error))
+
+
+def read_watch(group: str, query: str) -> Call | Problem:
+    """`GET /watch/ID?after=REVISION&PollMs=MS`."""
+    fields = parse_qs(query)
+    try:
+        after = _whole(fields.get("after", ["0"])[0], "after", MOST_REVISION)
+        poll_ms = _whole(fields.get("PollMs", ["0"])[0], "PollMs", MOST_REVISION)
+        return Watch(_name(group, "ID"), after, min(poll_ms, MOST_POLL_MS))
+    except ValueError as error:
+        return Problem(Kind.BAD_REQUEST, str(error))
+
+
+def _whole(text: str, field: str, most: int) -> int:
+    if not text.isascii() or not text.isdigit() or len(text) > 16 or int(text) > most:
+        raise ValueError(f"{field}: expected a whole number up to {most}")
+    return int(text)
--- a/coralvale/cluster/server/core.py
+++ b/coralvale/cluster/server/core.py
@@ -13,6 +13,9 @@
 from coralvale.cluster.configuration.model import Configuration
 from coralvale.cluster.consensus import messages as consensus
 from coralvale.cluster.consensus.replica import DurableState, Replica, Timing
+from coralvale.cluster.coordination.desk import CoordinationAnswer, CoordinationDesk
+from coralvale.cluster.coordination.model import Call, Outcome, Unknown
+from coralvale.cluster.coordination.state import CoordinationState
 from coralvale.cluster.events import Event, tell
 from coralvale.cluster.orders import OrderAnswer, OrderDesk
 from coralvale.cluster.rate_limit.shares import ShareTable
@@ -24,7 +27,7 @@
 
 RETRY_DISK = 0.25  # s until a write that failed is tried again
 SHARES_LOOK = 0.2  # s between looks at whether the table of shares is to change
-Work = consensus.Action | OrderAnswer | ShareAnswer
+Work = consensus.Action | OrderAnswer | ShareAnswer | CoordinationAnswer
 
 
 class Core:
@@ -40,16 +43,19 @@
         self.replica: Replica | None = None
         self.store: Store | None = None
         self.history, self.shares = ChangeHistory(), ShareTable()
+        self.coordination = CoordinationState()
         self.disk = ThreadPoolExecutor(1)
         self.writes: list[consensus.Write] = []
         self.writing = False
         self.disk_failed = self.shares_looked = 0.0
         self.answers: dict[int, asyncio.Future[OrderAnswer]] = {}
         self.share_answers: dict[int, asyncio.Future[ShareAnswer]] = {}
+        self.outcomes: dict[int, asyncio.Future[Outcome]] = {}  # by token, of coordination calls
         self.pending: deque[Work] = deque()
         self.acting = False
         self.desk: OrderDesk | None = None
         self.share_desk: ShareDesk | None = None
+        self.coordination_desk: CoordinationDesk | None = None
         self.founding = Founding(
             settings.Ip, tuple(settings.seeds), settings.Bootstrap, settings.holds_state, runtime.born
         )
@@ -107,13 +113,14 @@
             case consensus.Deliver():
                 self._deliver(action.entry)
             case consensus.Restore():
-                shares = self.history.restore(action.snapshot.body)
-                assert self.share_desk
-                self.share_desk.restore(self.runtime.clock.monotonic(), shares)
+                image = self.history.restore(action.snapshot.body)
+                assert self.share_desk and self.coordination_desk
+                self.share_desk.restore(self.runtime.clock.monotonic(), image.shares)
+                self.pending.extend(self.coordination_desk.restore(image.coordination))
                 self.take_configuration(self.history.configuration)
             case consensus.Settled():
                 now = self.runtime.clock.monotonic()
-                for desk in (self.desk, self.share_desk):
+                for desk in (self.desk, self.share_desk, self.coordination_desk):
                     if desk:
                         self.pending.extend(desk.settled(now, action.token, action.accepted))
             case OrderAnswer():
@@ -122,6 +129,9 @@
             case ShareAnswer():
                 if (answer := self.share_answers.get(action.token)) and not answer.done():
                     answer.set_result(action)
+            case CoordinationAnswer():
+                if (outcome := self.outcomes.get(action.token)) and not outcome.done():
+                    outcome.set_result(action.outcome)
 
     async def _write(self) -> None:
         """What is to be on disk goes there in order; a disk in trouble is tried until it takes it."""
@@ -150,6 +160,8 @@
             self.take_configuration(self.history.configuration)
         elif entry.kind == consensus.SHARES and self.share_desk:
             self.share_desk.deliver(self.runtime.clock.monotonic(), entry.body)
+        elif entry.kind == consensus.COORDINATION and self.coordination_desk:
+            self.pending.extend(self.coordination_desk.deliver(self.runtime.clock.monotonic(), entry.body))
 
     def tell_view(self) -> None:
         """Logs a new view, leader or set of voters, and takes a snapshot when one is due."""
@@ -164,7 +176,7 @@
             names = ", ".join(m.name for m in replica.voters.new)
             tell(Event.VOTERS, members=names + (" (changing)" if replica.voters.old else ""))
         if replica.due_for_snapshot():
-            self.act(replica.save(self.history.image(self.shares.image())))
+            self.act(replica.save(self.history.image(self.shares.image(), self.coordination.image())))
 
     async def open(self) -> None:
         s = self.runtime.settings
@@ -204,6 +216,9 @@
         self.share_desk = ShareDesk(
             self.replica, self.shares, self.runtime.peers.next, now, s.Bounds.QuotaWindowS
         )
+        self.coordination_desk = CoordinationDesk(
+            self.replica, self.coordination, self.runtime.peers.next, self.runtime.chance, s.Bounds.RetainS
+        )
         self.act(self.replica.start(now))
 
     async def join(self) -> None:
@@ -272,10 +287,26 @@
         finally:
             self.share_answers.pop(token, None)
 
+    async def coordinate(self, call: Call, patience: float) -> Outcome:
+        """By the leader: an application's call."""
+        assert self.coordination_desk
+        token, now = self.runtime.peers.next(), self.runtime.clock.monotonic()
+        future: asyncio.Future[Outcome] = self.runtime.loop.create_future()
+        self.outcomes[token] = future
+        try:
+            self.act(self.coordination_desk.call(now, token, call))
+            async with asyncio.timeout(patience):
+                return await future
+        except TimeoutError:
+            return Unknown("not agreed on in time")
+        finally:
+            self.outcomes.pop(token, None)
+
     def tick(self, now: float) -> None:
-        """What is due at this replica, and at its desk of shares."""
-        assert self.replica and self.share_desk
+        """What is due at this replica, and at its desks."""
+        assert self.replica and self.share_desk and self.coordination_desk
         self.act(self.replica.tick(now))
+        self.act(self.coordination_desk.tick(now))
         if now - self.shares_looked >= SHARES_LOOK:
             self.shares_looked = now
             self.act(self.share_desk.tick(now))
--- a/coralvale/cluster/server/ctl.py
+++ b/coralvale/cluster/server/ctl.py
@@ -1,18 +1,20 @@
-"""The gate for hosts and the operator, and the one that says whether this gateway is ready."""
+"""The server for hosts, the operator and applications, and the one that says whether this gateway is ready."""
 
 from __future__ import annotations
 
 import asyncio
 import re
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
 import msgspec
 
 from coralvale.cluster.configuration.history import Change
+from coralvale.cluster.coordination.model import Call
 from coralvale.cluster.errors import Kind, Problem
 from coralvale.cluster.registry.register import Row, State
+from coralvale.cluster.server.coordination_api import READERS, read_call, read_number, read_watch
 from coralvale.cluster.settings import address
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
@@ -23,6 +25,8 @@
 WORD = re.compile(r"[!-~]{1,128}")
 MOST_BODY = 64 * 1024 * 1024
 MOST = 512  # connections
+WATCH, NUMBERS = "/watch/", "/numbers/"
+JSON_BODIES = {200, 412}  # statuses whose answers have a body that callers read
 
 
 class Beat(msgspec.Struct):
@@ -65,6 +69,7 @@
 
 
 Answered = tuple[int, bytes]
+Handler = Callable[[Exchange, str], Coroutine[Any, Any, Answered]]
 
 
 class Desk:
@@ -74,6 +79,7 @@
     leave: Callable[[str], Awaitable[bool]]
     change: Callable[[Change], Awaitable[Answered]]
     read: Callable[[], Awaitable[Answered]]
+    coordinate: Callable[[Call], Awaitable[Answered]]
     is_ready: Callable[[], bool]
     status: Callable[[], bytes]
     history: Callable[[], Answered]
@@ -86,6 +92,15 @@
         self.desk = desk
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop = asyncio.get_running_loop()
+        self.handlers: dict[str, Handler] = {
+            "instances.heartbeat": self._beat,
+            "instances.deregister": self._leave,
+            "config.replace": self._replace,
+            "config.update": self._update,
+            "config.read": self._read,
+            "gateway.history": self._history,
+            "gateway.status": self._status,
+        }
 
     @property
     def ready(self) -> bool:
@@ -99,46 +114,75 @@
     def client_left(self, exchange: Exchange) -> None: ...
 
     def call(self, exchange: Exchange) -> None:
-        path, _, query = exchange.target.partition(b"?")
-        if path == b"/readyz":
+        path, _, query = exchange.target.decode("latin-1").partition("?")
+        if path == "/readyz":
             exchange.reply(200 if self.ready else 503)
             return
-        if path != b"/rpc" or exchange.method != b"POST":
+        work = self._work(exchange, path, query)
+        if work is None:
             exchange.reply(404)
             return
-        names = parse_qs(query.decode("latin-1"))
-        name, of = names.get("call", [""])[0], names.get("of", [""])[0]
-        task = self.loop.create_task(self._carry_out(exchange, name, of))
+        task = self.loop.create_task(self._answer(exchange, work))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _carry_out(self, exchange: Exchange, name: str, of: str) -> None:
-        status, body = 404, b""
-        if name == "instances.heartbeat":
-            row = read_beat(of, exchange.body)
-            if isinstance(row, Problem):
-                status, body = row.status, row.reason.encode()
-            else:
-                status, body = (200, b"{}") if await self.desk.beat(row) else (503, b"")
-        elif name == "instances.deregister":
-            status, body = (200, b"{}") if await self.desk.leave(of) else (503, b"")
-        elif name in ("config.replace", "config.update"):
-            base = exchange.fields.get(BASE, b"").strip()
-            if base.isdigit() and len(base) < 19:
-                status, body = await self.desk.change(
-                    Change(int(base), name == "config.replace", exchange.body)
-                )
-            else:
-                status, body = 400, b"X-Myrtlehatch-Base-Version: expected a whole number"
-        elif name == "config.read":
-            status, body = await self.desk.read()
-        elif name == "gateway.history":
-            status, body = self.desk.history()
-        elif name == "gateway.status":
-            status, body = 200, self.desk.status()
-        headers = [(b"Content-Type", b"application/json")] if status == 200 else None
+    def _work(self, exchange: Exchange, path: str, query: str) -> Coroutine[Any, Any, Answered] | None:
+        """What carries a call out; None where there is no such call."""
+        if exchange.method == b"GET" and path.startswith(WATCH):
+            return self._coordinate(read_watch(unquote(path[len(WATCH) :]), query))
+        if exchange.method != b"POST":
+            return None
+        if path.startswith(NUMBERS):
+            return self._coordinate(read_number(unquote(path[len(NUMBERS) :])))
+        if path != "/rpc":
+            return None
+        fields = parse_qs(query)
+        name, of = fields.get("call", [""])[0], fields.get("of", [""])[0]
+        if name in READERS:
+            return self._coordinate(read_call(name, of, exchange.body))
+        handler = self.handlers.get(name)
+        return handler(exchange, of) if handler else None
+
+    async def _answer(self, exchange: Exchange, work: Coroutine[Any, Any, Answered]) -> None:
+        status, body = await work
+        headers = [(b"Content-Type", b"application/json")] if status in JSON_BODIES else None
         exchange.reply(status, body, headers)
 
+    async def _coordinate(self, call: Call | Problem) -> Answered:
+        if isinstance(call, Problem):
+            return call.status, call.reason.encode()
+        return await self.desk.coordinate(call)
+
+    async def _beat(self, exchange: Exchange, of: str) -> Answered:
+        row = read_beat(of, exchange.body)
+        if isinstance(row, Problem):
+            return row.status, row.reason.encode()
+        return (200, b"{}") if await self.desk.beat(row) else (503, b"")
+
+    async def _leave(self, exchange: Exchange, of: str) -> Answered:
+        return (200, b"{}") if await self.desk.leave(of) else (503, b"")
+
+    async def _replace(self, exchange: Exchange, of: str) -> Answered:
+        return await self._change(exchange, whole=True)
+
+    async def _update(self, exchange: Exchange, of: str) -> Answered:
+        return await self._change(exchange, whole=False)
+
+    async def _change(self, exchange: Exchange, whole: bool) -> Answered:
+        base = exchange.fields.get(BASE, b"").strip()
+        if not base.isdigit() or len(base) >= 19:
+            return 400, b"X-Myrtlehatch-Base-Version: expected a whole number"
+        return await self.desk.change(Change(int(base), whole, exchange.body))
+
+    async def _read(self, exchange: Exchange, of: str) -> Answered:
+        return await self.desk.read()
+
+    async def _history(self, exchange: Exchange, of: str) -> Answered:
+        return self.desk.history()
+
+    async def _status(self, exchange: Exchange, of: str) -> Answered:
+        return 200, self.desk.status()
+
 
 class ControlServer(Server):
     once = {BASE, b"content-length", b"transfer-encoding"}
--- a/coralvale/cluster/server/messages.py
+++ b/coralvale/cluster/server/messages.py
@@ -14,6 +14,7 @@
 
 from coralvale.cluster.configuration.history import Change, News
 from coralvale.cluster.consensus.messages import Member, Message
+from coralvale.cluster.coordination.model import Call as CoordinationRequest
 from coralvale.cluster.host_health.watch import Row as Row_
 from coralvale.cluster.rate_limit.usage import Use
 from coralvale.cluster.registry.register import Row
@@ -124,6 +125,13 @@
     allowed: bool = False
 
 
+class Coordinate(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """An application's call, passed on to the leader."""
+
+    number: int
+    call: CoordinationRequest
+
+
 Parcel = (
     ConsensusMessage
     | Gossip
@@ -138,6 +146,7 @@
     | Nominee
     | ClaimShares
     | Shares
+    | Coordinate
 )
 Answer = Told | Reply | Rows | Noted | Nominee | Shares
 
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from coralvale.cluster.configuration.history import Change
+from coralvale.cluster.coordination.model import Call as CoordinationCall
 from coralvale.cluster.events import Event, tell
 from coralvale.cluster.rate_limit.limiter import RateLimiter
 from coralvale.cluster.rate_limit.quota import Rule
@@ -20,6 +21,7 @@
 from coralvale.cluster.routing.router import Router
 from coralvale.cluster.server.arrivals import Arrivals
 from coralvale.cluster.server.changes import Changes
+from coralvale.cluster.server.coordination import Coordination
 from coralvale.cluster.server.core import Core
 from coralvale.cluster.server.ctl import Answered, Control, ControlServer, Desk
 from coralvale.cluster.server.edge import Edge, EdgeServer
@@ -31,6 +33,7 @@
     Call,
     ClaimShares,
     ConsensusMessage,
+    Coordinate,
     Gossip,
     Nominate,
     Nominee,
@@ -92,6 +95,7 @@
         self.arrivals = Arrivals(runtime, self.membership, self.register, self._retire)
         self.core = Core(runtime, self.changes.in_force, self.arrivals.remember)
         self.changes.core = self.arrivals.core = self.core
+        self.coordination = Coordination(runtime, self.core)
         self.shares = ShareClaims(runtime, self.core, self.limiter.holding)
         self.gossip = GossipExchange(
             runtime,
@@ -369,6 +373,9 @@
     def status(self) -> bytes:
         return status(self)
 
+    async def coordinate(self, call: CoordinationCall) -> Answered:
+        return await self.coordination.call(call)
+
     # What other gateways send
 
     def _parcel(self, frames: Frames, parcel: Parcel) -> None:
@@ -387,6 +394,8 @@
             self.runtime.spawn(self.changes.asked(frames, parcel))
         elif isinstance(parcel, Call):
             self.runtime.spawn(self.changes.called(frames, parcel))
+        elif isinstance(parcel, Coordinate):
+            self.runtime.spawn(self.coordination.called(frames, parcel))
         elif isinstance(parcel, ClaimShares):
             self.runtime.spawn(self.shares.claimed(frames, parcel))
         elif isinstance(parcel, Rows):
--- a/coralvale/cluster/settings.py
+++ b/coralvale/cluster/settings.py
@@ -74,6 +74,7 @@
     QuotaExcess: float = 0.1
     QuotaSlack: float = 0.0
     RecoveryS: float = 15.0
+    RetainS: float = 20.0
 
 
 @frozen
--- a/coralvale/cluster/storage/keeper.py
+++ b/coralvale/cluster/storage/keeper.py
@@ -13,6 +13,7 @@
 from coralvale.cluster.configuration.history import Change, ChangeHistory, Image
 from coralvale.cluster.consensus.messages import (
     CHANGE,
+    COORDINATION,
     OPENING,
     READ,
     SHARES,
@@ -23,12 +24,21 @@
     Write,
 )
 from coralvale.cluster.consensus.voters import unpack_voters
+from coralvale.cluster.coordination.model import unpack_batch
+from coralvale.cluster.coordination.state import CoordinationState
 from coralvale.cluster.rate_limit.shares import ShareTable
 from coralvale.cluster.storage.store import NAME, Store, StoreError
 
 FORMAT = 1  # of an export
 LATER = 1000  # views by which a restored core is ahead of the one that was lost
-KINDS = {OPENING: "opening", CHANGE: "change", VOTERS: "voters", READ: "read", SHARES: "shares"}
+KINDS = {
+    OPENING: "opening",
+    CHANGE: "change",
+    VOTERS: "voters",
+    READ: "read",
+    SHARES: "shares",
+    COORDINATION: "coordination",
+}
 _change = msgspec.msgpack.Decoder(Change).decode
 
 
@@ -55,9 +65,12 @@
     finally:
         store.close()
     history, shares, snapshot = ChangeHistory(), ShareTable(), state.snapshot
+    coordination = CoordinationState()
     voters = snapshot.voters if snapshot else VoterSet(())
     if snapshot:
-        shares = ShareTable.restored(history.restore(snapshot.body))
+        image = history.restore(snapshot.body)
+        shares = ShareTable.restored(image.shares)
+        coordination.restore(image.coordination)
     entries = []
     for entry in state.entries:
         row: dict[str, Any] = {"seq": entry.seq, "view": entry.view, "kind": KINDS.get(entry.kind, "?")}
@@ -72,6 +85,8 @@
                 row["version"] = history.configuration.version
         elif entry.kind == SHARES and (snapshot.seq if snapshot else 0) < entry.seq <= state.commit:
             row["taken"] = shares.deliver(entry.body) is not None
+        elif entry.kind == COORDINATION and (snapshot.seq if snapshot else 0) < entry.seq <= state.commit:
+            row["operations"] = len(coordination.apply(unpack_batch(entry.body)))
         entries.append(row)
     return {
         "file": str(folder / NAME),
@@ -86,7 +101,7 @@
         "version": history.configuration.version,
         "routes": len(history.configuration.items.get("Routes", {})),
         "config": history.configuration.raw,
-        "image": base64.b64encode(history.image(shares.image())).decode(),
+        "image": base64.b64encode(history.image(shares.image(), coordination.image())).decode(),
     }
 
 
--- a/coralvale/cluster/storage/store.py
+++ b/coralvale/cluster/storage/store.py
@@ -21,8 +21,8 @@
 
 NAME = "orchard.sqlite"
 # Of the tables; a newer program reads older ones, and refuses what is newer than itself. 2: entries may begin
-# before the snapshot. 3: entries, and the snapshot, hold the table of shares.
-LAYOUT = 3
+# before the snapshot. 3: entries, and the snapshot, hold the table of shares. 4: and locks, numbers and keys.
+LAYOUT = 4
 _row = msgspec.msgpack.Decoder(Row).decode
 _snapshot = msgspec.msgpack.Decoder(Snapshot).decode
 
