--- a/coralvale/cluster/consensus/replication.py
+++ b/coralvale/cluster/consensus/replication.py
@@ -20,9 +20,11 @@
 from coralvale.cluster.consensus.snapshot import SnapshotDownload, SnapshotUpload
 from coralvale.cluster.consensus.state import Progress
 
-KEPT = 64  # entries kept behind a snapshot: a replica that lags by less needs no snapshot
-SNAPSHOT_EVERY = 128  # entries
-MOST_KEPT = 1024  # entries, for replicas that are getting a snapshot
+KEPT = 512  # entries kept behind a snapshot: a replica that lags by less needs no snapshot
+KEPT_BYTES = 2 * 1024 * 1024  # of their bodies, unless one alone is larger
+SNAPSHOT_EVERY = 512  # entries
+SNAPSHOT_BYTES = 4 * 1024 * 1024  # of entries' bodies: the disk has room for 64 MB
+MOST_KEPT = 2048  # entries, for replicas that are getting a snapshot
 BATCH = 64  # entries in one message
 BATCH_BYTES = 256 * 1024  # of their bodies, unless one alone is larger
 SLOWEST = 64 * 1024  # bytes a second of a link, below which a long entry may be sent twice
@@ -258,15 +260,27 @@
 
     def due_for_snapshot(self) -> bool:
         """Whether `save` is to be called: so many entries were delivered since the last time."""
-        return self.applied - self.snapshot.seq > self.snapshot_every and self.applied == self.commit
+        many = self.applied - self.snapshot.seq > self.snapshot_every
+        large = self.applied_bytes > SNAPSHOT_BYTES
+        return (many or large) and self.applied == self.commit
 
     def _save(self, body: bytes) -> None:
         seq = self.applied
+        self.applied_bytes = 0
         self.snapshot = Snapshot(seq, self._view_of(seq) or 0, self._voters_at(seq), body)
-        start = min([seq - self.kept, *(p.upload.seq for p in self.peers.values() if p.upload)])
+        start = min([self._kept_from(seq), *(p.upload.seq for p in self.peers.values() if p.upload)])
         self._trim(max(start, seq - MOST_KEPT))
         self._write([], snapshot=self.snapshot, trim=self.log_start)
 
+    def _kept_from(self, seq: int) -> int:
+        """The entry behind which entries are kept when a snapshot is made at `seq`."""
+        size = 0
+        for start in range(seq, max(self.log_start, seq - self.kept), -1):
+            size += len(self.entries[start - self.log_start - 1].body)
+            if size > KEPT_BYTES:
+                return start
+        return seq - self.kept
+
     def _trim(self, start: int) -> None:
         """Forgets entries up to `start`, and voter sets that the snapshot has."""
         while self.entries and self.entries[0].seq <= start:
--- a/coralvale/cluster/consensus/state.py
+++ b/coralvale/cluster/consensus/state.py
@@ -84,6 +84,7 @@
         self._load_log(durable.entries)
         self.commit = max(self.snapshot.seq, min(durable.commit, self.last))
         self.applied = self.snapshot.seq
+        self.applied_bytes = 0  # of the entries since the snapshot
         self.leader = ""  # of this view, "" while there is none
         self.leading = False
         self.leaving = False  # this process is being stopped
@@ -180,6 +181,7 @@
         self.log_start, self.log_start_view = snapshot.seq, snapshot.view
         self.voter_log.clear()
         self.commit = self.applied = snapshot.seq
+        self.applied_bytes = 0
         self.after = deque((n, min(durable, snapshot.seq), sends) for n, durable, sends in self.after)
         self.out.append(Restore(snapshot))
 
@@ -193,6 +195,7 @@
         while self.applied < self.commit:
             self.applied += 1
             entry = self.entries[self.applied - self.log_start - 1]
+            self.applied_bytes += len(entry.body)
             if entry.kind in (CHANGE, READ, SHARES, COORDINATION):
                 self.out.append(Deliver(entry))
             if (token := self.tokens.pop(entry.seq, None)) is not None:
