Commands by concern: the module of all commands becomes a package, functions moved as they were

Cause: one module of 545 lines held the commands of gateways, hosts, regions, configuration, disks and logs; the commands of coordination are to come. Change: mechanical. Functions moved unchanged into modules by concern; what they share (`Fault`, calls of a gateway, reading logs) into `asking`, where its names lose their underscore. `commands.main` and all words of the command line stay.

--- /dev/null
+++ b/coralvale/cluster/commands/__init__.py
@@ -0,0 +1,47 @@
+"""The command line, by `defopt`: each function in the table below is a command. Imported only when a word is
+given.
+
+Exit codes: 0 well, 1 what was looked at is not well, 2 the command was not understood or could not be carried
+out.
+"""
+
+from __future__ import annotations
+
+import sys
+
+import defopt
+
+from coralvale.cluster.commands.asking import Fault
+from coralvale.cluster.commands.configuration import diff, history, send
+from coralvale.cluster.commands.disk import check_state, export, restore, show
+from coralvale.cluster.commands.gateway import check, demo, run, status
+from coralvale.cluster.commands.hosts import health
+from coralvale.cluster.commands.logs import events, explain
+from coralvale.cluster.commands.regions import audit, show_regions
+
+
+def main(words: list[str]) -> int:
+    try:
+        found = defopt.run(
+            {
+                "run": run,
+                "check": check,
+                "status": status,
+                "health": health,
+                "config": {"send": send, "diff": diff, "history": history},
+                "regions": {"show": show_regions, "audit": audit},
+                "events": events,
+                "explain": explain,
+                "demo": demo,
+                "state": {"show": show, "check": check_state, "export": export, "restore": restore},
+            },
+            argv=words,
+            cli_options="has_default",
+            no_negated_flags=True,
+        )
+    except Fault as fault:
+        print(f"myrtlehatch: {fault}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 0
+    return int(found or 0)
--- /dev/null
+++ b/coralvale/cluster/commands/configuration.py
@@ -0,0 +1,111 @@
+"""Commands about the configuration: send it, compare it, look at its changes."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+from coralvale.cluster.commands.asking import Fault, ask, call
+
+
+def send(file: Path, *at: str, base: int = -1, patience: float = 30.0, as_json: bool = False) -> int:
+    """Send a configuration, or a change by name, until a gateway takes it or refuses it.
+
+    It is sent unchanged to one gateway after another. Exit code 0: taken; 1: refused, with the reason; 2: no
+    clear answer, and it may or may not be in force: send it again, unchanged, with the same --base.
+
+    :param file: JSON: Ver, Routes, Svcs, Limits, Tenants; or Ver, Upsert, Remove
+    :param at: Ctl addresses of gateways, ip:port
+    :param base: the version that it builds on; left out, the one that is in force
+    :param patience: seconds for which it is sent again
+    :param as_json: print one JSON object
+    """
+    from coralvale.cluster import sending
+
+    if not at:
+        raise Fault("config send: at least one ip:port")
+    try:
+        change = json.loads(file.read_bytes())
+        sending.call_of(change)
+    except (OSError, ValueError) as error:
+        raise Fault(f"{file}: {error}") from None
+    if base < 0:
+        base = _in_force(at)
+    found = sending.send(change, base, at, patience, lambda line: print(line, file=sys.stderr, flush=True))
+    row = {"status": found.status, "at": found.at, "reason": found.reason, "tries": found.tries}
+    if as_json:
+        print(json.dumps({"version": change["Ver"], "base": base, **row}))
+    elif found.status == 200:
+        print(f"version {change['Ver']} on {base} taken by {found.at}")
+    else:
+        print(f"{file}: {found.status or 'no clear answer'}: {found.reason}", file=sys.stderr)
+    return 0 if found.status == 200 else 1 if found.status else 2
+
+
+def _in_force(gateways: tuple[str, ...]) -> int:
+    """The newest version, from the first gateway that tells it."""
+    fault = Fault("no gateway answers")
+    for one in gateways:
+        try:
+            return int(call(one, "config.read").get("Ver", 0))
+        except Fault as error:
+            fault = error
+    raise fault
+
+
+def history(at: str, *, as_json: bool = False) -> int:
+    """Show the newest changes of the configuration, and what each did.
+
+    :param at: the Ctl address of a member of the core, ip:port
+    :param as_json: print one JSON list
+    """
+    steps = ask(at, "gateway.history")
+    if as_json:
+        print(json.dumps(steps))
+        return 0
+    for step in steps:
+        what = "whole" if step["whole"] else "by names"
+        print(f"{step['version']:>8} on {step['base']:<8} {what:<9} {step['size']:>9} bytes")
+        _print_did({s: {w: tuple(n) for w, n in rows.items()} for s, rows in step["did"].items()})
+    return 0
+
+
+def _print_did(did: dict[str, dict[str, tuple[int, list[str]]]]) -> None:
+    for section, rows in did.items():
+        for kind, (count, names) in rows.items():
+            more = f" and {count - len(names)} more" if count > len(names) else ""
+            print(f"         {section}: {kind} {', '.join(names)}{more}")
+
+
+def diff(before: str, after: str, *, as_json: bool = False) -> int:
+    """Tell two configurations apart, by names. The exit code is 1 where they differ.
+
+    :param before: a file, or the Ctl address of a gateway (ip:port), for the one in force there
+    :param after: the same
+    :param as_json: print one JSON object
+    """
+    from coralvale.cluster.configuration.model import differences
+
+    found = differences(_configuration(before), _configuration(after))
+    if as_json:
+        print(json.dumps(found))
+    else:
+        _print_did({s: {w: (len(n), n) for w, n in rows.items()} for s, rows in found.items()})
+    return 1 if found else 0
+
+
+def _configuration(of: str) -> dict[str, Any]:
+    if not Path(of).exists():
+        host, _, port = of.rpartition(":")
+        if not host or not port.isdigit():
+            raise Fault(f"{of}: no such file, and no ip:port")
+        return call(of, "config.read")
+    try:
+        found = json.loads(Path(of).read_bytes())
+    except (OSError, ValueError) as error:
+        raise Fault(f"{of}: {error}") from None
+    if not isinstance(found, dict):
+        raise Fault(f"{of}: expected a configuration")
+    return found
--- /dev/null
+++ b/coralvale/cluster/commands/disk.py
@@ -0,0 +1,84 @@
+"""Commands about a disk whose process is down."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from coralvale.cluster.commands.asking import Fault
+
+
+def _kept(folder: Path) -> dict[str, Any]:
+    from coralvale.cluster.storage.keeper import KeeperError, look
+
+    try:
+        return look(folder)
+    except KeeperError as error:
+        raise Fault(str(error)) from None
+
+
+def show(datadir: Path, *, as_json: bool = False) -> int:
+    """Show what a disk holds, while its process is down.
+
+    :param datadir: the settings' Datadir
+    :param as_json: print one JSON object, the configuration with it
+    """
+    found = _kept(datadir)
+    if as_json:
+        print(json.dumps({name: value for name, value in found.items() if name != "image"}))
+        return 0
+    members = ", ".join(m["name"] for m in found["members"]) or "none"
+    print(f"{found['file']}: disk {found['disk']}, view {found['view']}, members {members}")
+    print(f"version {found['version']} ({found['routes']} routes), delivered up to {found['delivered']}")
+    for row in found["entries"]:
+        more = {k: v for k, v in row.items() if k not in ("seq", "view", "kind")}
+        print(f"{row['seq']:>8} view {row['view']:<5} {row['kind']:<8} {more or ''}")
+    return 0
+
+
+def check_state(datadir: Path) -> int:
+    """Say whether a disk's contents can be used.
+
+    :param datadir: the settings' Datadir
+    """
+    found = _kept(datadir)
+    print(f"{found['file']}: well, version {found['version']}, delivered up to {found['delivered']}")
+    return 0
+
+
+def export(datadir: Path) -> int:
+    """Print what `restore` takes: the newest configuration that this disk knows to be delivered.
+
+    :param datadir: the settings' Datadir
+    """
+    from coralvale.cluster.storage import keeper
+
+    try:
+        print(json.dumps(keeper.export(datadir)))
+    except keeper.KeeperError as error:
+        raise Fault(str(error)) from None
+    return 0
+
+
+def restore(file: Path, datadir: Path, *, hostname: str, ip: str, all_others_are_lost: bool = False) -> int:
+    """Begin a new core from an export, after a loss beyond the fault budget.
+
+    :param file: what `export` printed
+    :param datadir: an empty Datadir of the machine that founds the new core
+    :param hostname: that machine's Hostname
+    :param ip: that machine's Ip
+    :param all_others_are_lost: say so: a member of the old core that is there would go on beside the new
+    """
+    from coralvale.cluster.storage import keeper
+
+    if not all_others_are_lost:
+        raise Fault("refused: say --all-others-are-lost, and empty the disks of all other members first")
+    try:
+        name = keeper.restore(json.loads(file.read_bytes()), datadir, hostname, ip)
+    except (keeper.KeeperError, OSError, ValueError) as error:
+        raise Fault(str(error)) from None
+    print(
+        f"{datadir}: disk {name} is the only member of a new core; start it, then the others on empty disks"
+    )
+    return 0
--- /dev/null
+++ b/coralvale/cluster/commands/gateway.py
@@ -0,0 +1,137 @@
+"""Commands of one gateway: start it, check its files, look at what it knows."""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+from coralvale.cluster.commands.asking import Fault, call
+
+
+def run(*, settings: str = "", metrics: str = "", regions: str = "") -> int:
+    """Start one gateway.
+
+    :param settings: the settings file; left out, MYRTLEHATCH_CONFIG names it
+    :param metrics: ip:port on loopback or a network of operators, of a page for Prometheus; none without it
+    :param regions: a file that binds services to regions, beside the configuration
+    """
+    import os
+    from importlib.util import find_spec
+
+    from coralvale.cluster.settings import address
+    from coralvale.cluster.start import serve_now
+
+    if metrics:
+        try:
+            address(metrics)
+        except ValueError as error:
+            raise Fault(f"--metrics: {error}") from None
+        if find_spec("prometheus_client") is None:
+            raise Fault("--metrics: needs the extra cluster-metrics (pip install '.[cluster-metrics]')")
+    return serve_now(settings or os.environ.get("MYRTLEHATCH_CONFIG", ""), metrics, regions)
+
+
+def check(file: Path, *, configuration: bool = False, as_json: bool = False) -> int:
+    """Read a settings file, or an operator's configuration, and say all that is wrong with it.
+
+    :param file: the file
+    :param configuration: it is a configuration (JSON), not a settings file (YAML)
+    :param as_json: print one JSON object
+    """
+    from coralvale.cluster.configuration.model import Configuration, survey
+    from coralvale.cluster.errors import Problem
+    from coralvale.cluster.settings import SettingsError, read, remarks
+
+    mistakes: list[str] = []
+    remarked: list[str] = []
+    if configuration:
+        try:
+            found = survey(json.loads(file.read_bytes()), Configuration())
+            if isinstance(found, Problem):
+                mistakes = found.reason.split("; ")
+        except OSError as error:
+            raise Fault(f"{file}: {error.strerror}") from None
+        except ValueError as error:
+            mistakes = [f"cannot be read whole: {error}"]
+    else:
+        if not file.exists():
+            raise Fault(f"{file}: no such file")
+        try:
+            read(str(file))
+            remarked = remarks(file.read_text())
+        except SettingsError as error:
+            mistakes = str(error).split("\n")
+    if as_json:
+        row = {"file": str(file), "well": not mistakes, "mistakes": mistakes, "remarks": remarked}
+        print(json.dumps(row))
+    else:
+        for line in remarked:
+            print(f"{file}: remark: {line}")
+        print("\n".join(mistakes) if mistakes else f"{file}: well")
+    return 1 if mistakes else 0
+
+
+def _table(found: dict[str, Any]) -> str:
+    from coralvale.cluster.rate_limit.shares import CELLS
+
+    leader = found.get("leader", found.get("holder"))  # a gateway of the version before has the other name
+    lines = [
+        f"{found['name']} ({found['zone']}): {'ready' if found['ready'] else 'not ready'}, "
+        f"version {found['version']}, {found['open']} requests in hand",
+        f"core: view {found['view']}, leader {leader or 'none'}, members {', '.join(found['core'])}",
+        f"quotas: {found['shares']['cells']} of {CELLS} cells by table {found['shares']['version']}",
+        f"{'gateway':<28} {'state':<9} {'heard s':>8}",
+    ]
+    lines += [f"{g['name']:<28} {g['state']:<9} {g['heard']:>8.1f}" for g in found["gateways"]]
+    lines.append(
+        f"{'host':<16} {'service':<12} {'zone':<18} {'state':<9} {'heard s':>8} {'load':>8} {'slow':>6} health"
+    )
+    lines += [
+        f"{h['id']:<16} {h['service']:<12} {h['zone']:<18} {h['state']:<9} {h['heard']:>8.1f}"
+        f" {h['load']:>8.1f} {h['slow']:>6.2f} {h['health']}"
+        for h in found["hosts"]
+    ]
+    lines.append(
+        f"{'tenant':<16} {'quota/s':>8} {'here/s':>8} {'all/s':>8} {'window':>8} {'leak/s':>8}"
+        f" {'share':>6} {'tokens':>7}"
+    )
+    lines += [
+        f"{t['name']:<16} {t['quota']:>8.1f} {t['here']:>8.1f} {t['all']:>8.1f}"
+        f" {t['window']:>8} {t['leak']:>8.1f} {t['share']:>6.3f} {t['tokens']:>7.1f}"
+        for t in found["tenants"]
+    ]
+    return "\n".join(lines)
+
+
+def status(at: str, *, as_json: bool = False, watch: float = 0.0) -> int:
+    """Show what a gateway knows: view, members, version, hosts, quotas.
+
+    :param at: the gateway's Ctl address, ip:port
+    :param as_json: print one JSON object (a line each time, with --watch)
+    :param watch: seconds between looks; 0 looks once
+    """
+    while True:
+        found = call(at, "gateway.status")
+        print(json.dumps(found) if as_json else _table(found), flush=True)
+        if not watch:
+            return 0 if found["ready"] else 1
+        time.sleep(watch)
+
+
+def demo(*, seconds: float = 9.0, as_json: bool = False) -> int:
+    """Start five gateways on loopback, three with disks, with hosts, clients and an operator of ours.
+
+    Shows traffic served, a change of the configuration taken, and the founder of the core killed under it.
+
+    :param seconds: how long traffic is played
+    :param as_json: print the summary alone, as one JSON object
+    """
+    import asyncio
+
+    from coralvale.standins.cluster import demo as play
+
+    found = asyncio.run(play(seconds, (lambda line: None) if as_json else print))
+    print(json.dumps(found))
+    return 0 if found["well"] else 1
