Coordination: calls of operators, events of locks that leave their holder, figures

Cause: operators could neither see who holds a lock nor take one away; no event and no figure told of coordination. Change: `coordination.list` (locks, numbers, keys; pages of 256 at most, by name) is read by the leader behind the same barrier as applications' reads. `locks.expire` is an `Expire` in the log that names the fence and a reason; it needs the fence, so it can't take a later hold away when it is sent again. `notices` tells of takeovers (E701, by the leader that proposed it) and of locks taken by hand (E702, by each replica, from the log); E703 counts calls past a bound once a second and reason. Counts by call and outcome, a histogram of the delay at the leader, turns, sizes of what is held, in `status` and for Prometheus; all names come from types, none from callers.

--- a/coralvale/cluster/coordination/desk.py
+++ b/coralvale/cluster/coordination/desk.py
@@ -23,6 +23,7 @@
 from coralvale.cluster.consensus import messages as consensus
 from coralvale.cluster.consensus.replica import Replica
 from coralvale.cluster.coordination.leases import Leases
+from coralvale.cluster.coordination.listing import list_names
 from coralvale.cluster.coordination.model import (
     Acquire,
     Batch,
@@ -32,6 +33,7 @@
     Full,
     Get,
     Held,
+    ListNames,
     NextNumber,
     NotHeld,
     Operation,
@@ -50,6 +52,7 @@
     pack_batch,
     unpack_batch,
 )
+from coralvale.cluster.coordination.notices import Notice, holders, notices
 from coralvale.cluster.coordination.state import CoordinationState
 from coralvale.cluster.coordination.watches import WaitingWatch, Watches
 
@@ -95,7 +98,14 @@
     outcomes: list[Outcome] | None = None
 
 
-Result = list[consensus.Action | CoordinationAnswer]
+@frozen
+class CoordinationNotice:
+    """For the log of this gateway."""
+
+    notice: Notice
+
+
+Result = list[consensus.Action | CoordinationAnswer | CoordinationNotice]
 
 
 class CoordinationDesk:
@@ -120,6 +130,7 @@
         self.view = 0  # in which this replica leads, and to which the leases belong
         self.first_time_ms = 0  # the log's time at the view's beginning
         self.swept_at = 0.0
+        self.turns = 0  # that were begun
 
     # What comes in
 
@@ -136,11 +147,16 @@
     def deliver(self, now: float, body: bytes) -> Result:
         """An entry of the log."""
         batch = unpack_batch(body)
+        before = holders(self.state, batch)
         outcomes = self.state.apply(batch)
-        if self.turn and self.turn.number == batch.number:
+        mine = self.turn is not None and self.turn.number == batch.number
+        if self.turn and mine:
             self.turn.outcomes = outcomes
-        groups = {group_of(o.key) for o in batch.operations if isinstance(o, Put)}
-        return [answer for group in groups for answer in self._tell_watches(group)]
+        told = notices(batch, outcomes, before, mine)
+        done: Result = [CoordinationNotice(notice) for notice in told]
+        for group in {group_of(o.key) for o in batch.operations if isinstance(o, Put)}:
+            done += self._tell_watches(group)
+        return done
 
     def restore(self, body: bytes) -> Result:
         """A snapshot takes the place of what was delivered."""
@@ -238,11 +254,14 @@
             case Release() as call:
                 lock = self.state.held(call.name, call.owner, call.fence)
                 return call if lock and not lock.reacquired else Released()
+            case Expire() as call:
+                known = self.state.locks.get(call.name)
+                return call if known and known.fence == call.fence else None
             case Put() as call:
                 return self._consider_put(call)
             case NextNumber() as call:
                 return call
-            case Get():
+            case Get() | ListNames():
                 return None
             case Watch() as call:
                 return self._consider_watch(now, pending.token, call)
@@ -278,6 +297,7 @@
         if not turn.operations and not turn.readers:
             return []
         self.turn = turn
+        self.turns += 1
         if not turn.operations:
             return [*self.replica.barrier(now, turn.token)]
         time_ms = self._time_ms(now)
@@ -305,7 +325,7 @@
             self._note_lease(now, operation, outcome)
             if token:
                 answers.append(CoordinationAnswer(token, outcome))
-        answers += [CoordinationAnswer(p.token, self._read(p.call)) for p in turn.readers]
+        answers += [CoordinationAnswer(p.token, self._read(now, p.call)) for p in turn.readers]
         return answers
 
     def _note_lease(self, now: float, operation: Operation, outcome: Outcome) -> None:
@@ -316,12 +336,16 @@
         elif isinstance(operation, Release | Expire) and operation.name not in self.state.locks:
             self.leases.forget(operation.name)
 
-    def _read(self, call: Call) -> Outcome:
+    def _read(self, now: float, call: Call) -> Outcome:
         match call:
             case Renew():
                 return Renewed() if self.state.held(call.name, call.owner, call.fence) else NotHeld()
+            case Expire():
+                return NotHeld()
             case Get():
                 return self.state.get(call.key)
+            case ListNames():
+                return list_names(now, self.state, self.leases, call)
             case Watch():
                 return Watched((), self.state.group_revision(call.group))
             case _:
--- a/coralvale/cluster/coordination/leases.py
+++ b/coralvale/cluster/coordination/leases.py
@@ -19,12 +19,14 @@
     def __init__(self, now: float) -> None:
         self.since = now
         self.ends: dict[str, tuple[int, float]] = {}  # by lock: its fence, and when its lease is over
+        self.extended: dict[str, float] = {}  # by lock: when it was last
 
     def extend(self, now: float, name: str, fence: int, hold_ms: int) -> None:
         """A grant or a renewal has come at `now`."""
         known, end = self.ends.get(name, (0, 0.0))
         fresh = now + hold_ms / 1000
         self.ends[name] = (fence, max(end, fresh) if known == fence else fresh)
+        self.extended[name] = now
 
     def end(self, name: str, lock: Lock) -> float:
         """When the holder's time is over, whatever it was told."""
@@ -35,5 +37,11 @@
     def expired(self, now: float, name: str, lock: Lock) -> bool:
         return now >= self.end(name, lock)
 
+    def renewed(self, name: str, lock: Lock) -> float | None:
+        """When the lock was last granted or renewed under its fence, None if not in this view."""
+        fence, _ = self.ends.get(name, (0, 0.0))
+        return self.extended[name] if fence == lock.fence else None
+
     def forget(self, name: str) -> None:
         self.ends.pop(name, None)
+        self.extended.pop(name, None)
--- a/coralvale/cluster/coordination/model.py
+++ b/coralvale/cluster/coordination/model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from enum import Enum
 
 import msgspec
 from attrs import frozen
@@ -15,6 +16,8 @@
 MOST_VALUE = 1024  # bytes of a value
 MOST_HOLD_MS = 600_000  # that a lock may be held without a renewal: what a new leader has to wait out
 MOST_POLL_MS = 30_000  # that a watch may wait
+MOST_REASON = 256  # characters of an operator's reason
+MOST_LISTED = 256  # names in one page of a list
 NAME = re.compile(rf"[!-~]{{1,{MOST_NAME}}}")
 
 
@@ -73,13 +76,32 @@
 
 
 class Expire(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """By the leader: a lock whose lease has been over for long, and that nobody asks for."""
+    """A lock is taken from its holder. By the leader: one whose lease has been over for long, and that nobody
+    asks for. By an operator, who says why in `reason`: one whose holder may still count on it."""
 
     name: str
     fence: int
+    reason: str = ""
 
 
-Call = Acquire | Renew | Release | NextNumber | Put | Get | Watch
+class Kind(Enum):
+    """What names are listed of."""
+
+    LOCKS = "locks"
+    NUMBERS = "numbers"
+    KEYS = "keys"
+
+
+class ListNames(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """An operator's question for a page of names that begin with `prefix`, in order, from above `after`."""
+
+    kind: Kind
+    after: str = ""
+    prefix: str = ""
+    most: int = MOST_LISTED
+
+
+Call = Acquire | Renew | Release | NextNumber | Put | Get | Watch | Expire | ListNames
 Operation = Acquire | Renew | Release | NextNumber | Put | Expire
 
 
@@ -183,6 +205,45 @@
     """The events after the watch's revision are not kept any more."""
 
 
+@frozen
+class LockRow:
+    """A lock in a list, as the leader knows it. `renewed_s`: s since its last grant or renewal, None where an
+    earlier leader answered it. `left_s`: s until it may change hands; less than 0: since when it might have."""
+
+    name: str
+    owner: str
+    fence: int
+    hold_ms: int
+    renewed_s: float | None
+    left_s: float
+
+
+@frozen
+class NumberRow:
+    """`value`: the last that was given."""
+
+    name: str
+    value: int
+
+
+@frozen
+class KeyRow:
+    name: str
+    value: str
+    revision: int
+
+
+Row = LockRow | NumberRow | KeyRow
+
+
+@frozen
+class Listed:
+    """A page of names. `more`: there are names above the last of these."""
+
+    rows: tuple[Row, ...]
+    more: bool
+
+
 @frozen
 class Full:
     """A bound on what is kept would be passed; nothing was done."""
@@ -217,6 +278,7 @@
     | NotFound
     | Watched
     | Compacted
+    | Listed
     | Full
     | Unavailable
     | Unknown
--- a/coralvale/cluster/events.py
+++ b/coralvale/cluster/events.py
@@ -1,7 +1,7 @@
 """Numbered events of the log. The number and the fields' names stay; the text may be put better.
 
 Numbers by hundreds: 1 the process, 2 members and the core, 3 configuration, 4 hosts, 5 quotas and tries, 6
-the disk. `catalogue` prints the table that stands in docs/operate/cluster-events.md.
+the disk, 7 coordination. `catalogue` prints the table that stands in docs/operate/cluster-events.md.
 """
 
 from __future__ import annotations
@@ -88,6 +88,17 @@
     DISK_WELL = 602, "INFO", "the disk writes again after {seconds:.1f} s"
     DISK_ASIDE = 604, "WARNING", "damaged contents were put aside as {name}; the disk begins anew"
     DISK_FOREIGN = 603, "ERROR", "the disk's contents cannot be used: {reason}"
+    LOCK_TAKEN_OVER = (
+        701,
+        "INFO",
+        "lock {name}: {owner} has it with fence {fence}, as the time of {owner_before} ({fence_before}) is over",
+    )
+    LOCK_EXPIRED_BY_HAND = (
+        702,
+        "WARNING",
+        "lock {name}: taken by hand from {owner} with fence {fence}: {reason}",
+    )
+    COORDINATION_FULL = 703, "WARNING", "refused {count} calls with 429: {reason}"
 
     @property
     def number(self) -> int:
--- a/coralvale/cluster/server/coordination.py
+++ b/coralvale/cluster/server/coordination.py
@@ -5,28 +5,38 @@
 import json
 from typing import Any
 
+import attrs
+
 from coralvale.cluster.coordination.model import (
     Call,
     Compacted,
     Conflict,
-    Event,
     Found,
     Full,
     Granted,
     Held,
+    KeyRow,
+    Listed,
+    LockRow,
     NotFound,
     NotHeld,
     Number,
+    NumberRow,
     Outcome,
     Released,
     Renewed,
+    Row,
     Stored,
     Unavailable,
     Unknown,
     Watch,
     Watched,
 )
+from coralvale.cluster.coordination.model import Event as Put
+from coralvale.cluster.coordination.notices import ExpiredByHand, Notice, TakenOver
 from coralvale.cluster.errors import ANSWERS, Kind
+from coralvale.cluster.events import Event, tell
+from coralvale.cluster.server.coordination_figures import CoordinationFigures
 from coralvale.cluster.server.core import Core
 from coralvale.cluster.server.ctl import Answered
 from coralvale.cluster.server.messages import Coordinate, Reply
@@ -39,13 +49,18 @@
 
 class Coordination:
     def __init__(self, runtime: Runtime, core: Core) -> None:
-        self.runtime, self.core = runtime, core
+        self.runtime, self.core, self.figures = runtime, core, CoordinationFigures()
 
     async def call(self, call: Call) -> Answered:
         """An application's call to this gateway."""
+        answered = await self._call(call)
+        self.figures.answered(call, answered[0])
+        return answered
+
+    async def _call(self, call: Call) -> Answered:
         patience = _patience(call)
         if self.core.leads():
-            return answer(await self.core.coordinate(call, patience))
+            return answer(await self._settle(call, patience))
         _, leader, _ = self.core.known()
         if not leader or leader == self.runtime.settings.Ip:
             return answer(Unavailable("no leader is known"))
@@ -59,11 +74,35 @@
     async def called(self, frames: Frames, request: Coordinate) -> None:
         """A call that another gateway passed on; it is not passed on again."""
         if self.core.leads():
-            outcome = await self.core.coordinate(request.call, _patience(request.call) - HOP)
+            outcome = await self._settle(request.call, _patience(request.call) - HOP)
         else:
             outcome = Unavailable("not the leader")
         frames.send(Reply(request.number, *answer(outcome)))
 
+    async def _settle(self, call: Call, patience: float) -> Outcome:
+        """By the leader."""
+        begun = self.runtime.clock.monotonic()
+        outcome = await self.core.coordinate(call, patience)
+        self.figures.settled(call, outcome, self.runtime.clock.monotonic() - begun)
+        return outcome
+
+    def notice(self, notice: Notice) -> None:
+        """What the log has brought of locks that left their holder without its doing."""
+        match notice:
+            case TakenOver():
+                self.figures.takeovers += 1
+                tell(Event.LOCK_TAKEN_OVER, **attrs.asdict(notice))
+            case ExpiredByHand():
+                tell(Event.LOCK_EXPIRED_BY_HAND, **attrs.asdict(notice))
+
+    def look(self, now: float) -> None:
+        """Once a second: rates, and which bounds were reached."""
+        desk = self.core.coordination_desk
+        self.figures.look(now, desk.turns if desk else 0)
+        for reason, count in self.figures.full.items():
+            tell(Event.COORDINATION_FULL, count=count, reason=reason)
+        self.figures.full.clear()
+
 
 def _patience(call: Call) -> float:
     """Seconds within which a call is answered."""
@@ -85,6 +124,8 @@
             return _body({"Val": outcome.value, "Rev": outcome.revision})
         case Watched():
             return _body({"Events": [_event(e) for e in outcome.events], "Rev": outcome.revision})
+        case Listed():
+            return _body({"Rows": [_row(row) for row in outcome.rows], "More": outcome.more})
         case Conflict():
             return _problem(Kind.OTHER_REVISION, {"Rev": outcome.revision})
         case Held():
@@ -103,10 +144,22 @@
             return _problem(Kind.UNKNOWN_OUTCOME, {"Reason": outcome.reason})
 
 
-def _event(event: Event) -> dict[str, Any]:
+def _event(event: Put) -> dict[str, Any]:
     return {"Name": event.key, "Val": event.value, "Rev": event.revision}
 
 
+def _row(row: Row) -> dict[str, Any]:
+    match row:
+        case LockRow():
+            renewed = None if row.renewed_s is None else round(row.renewed_s, 3)
+            lease = {"HoldMs": row.hold_ms, "RenewedS": renewed, "LeftS": round(row.left_s, 3)}
+            return {"Name": row.name, "Owner": row.owner, "fence": row.fence, **lease}
+        case NumberRow():
+            return {"Name": row.name, "Val": row.value}
+        case KeyRow():
+            return {"Name": row.name, "Val": row.value, "Rev": row.revision}
+
+
 def _body(fields: dict[str, Any]) -> Answered:
     return 200, json.dumps(fields, separators=(",", ":")).encode()
 
--- a/coralvale/cluster/server/coordination_api.py
+++ b/coralvale/cluster/server/coordination_api.py
@@ -1,4 +1,7 @@
-"""The applications' wire: HTTP calls, as PROTOCOL has them, to typed calls."""
+"""The wire of applications and of operators: HTTP calls, as PROTOCOL has them, to typed calls.
+
+Operators have two calls of their own: `coordination.list` (`of`: locks, numbers or keys) and `locks.expire`.
+"""
 
 from __future__ import annotations
 
@@ -9,18 +12,24 @@
 
 from coralvale.cluster.coordination.model import (
     MOST_HOLD_MS,
+    MOST_LISTED,
+    MOST_NAME,
     MOST_POLL_MS,
+    MOST_REASON,
     MOST_VALUE,
     NAME,
     Acquire,
     Call,
+    Expire,
     Get,
+    ListNames,
     NextNumber,
     Put,
     Release,
     Renew,
     Watch,
 )
+from coralvale.cluster.coordination.model import Kind as Listable
 from coralvale.cluster.errors import Kind, Problem
 
 MOST_REVISION = 2**53  # what JSON's numbers hold exactly
@@ -47,10 +56,25 @@
     Duty: int | None = None
 
 
+class ExpireBody(msgspec.Struct):
+    fence: int
+    Reason: str
+
+
+class ListBody(msgspec.Struct):
+    """`After`: the last name of the page before."""
+
+    After: str = ""
+    Prefix: str = ""
+    Most: int = MOST_LISTED
+
+
 _acquire = msgspec.json.Decoder(AcquireBody).decode
 _renew = msgspec.json.Decoder(RenewBody).decode
 _release = msgspec.json.Decoder(ReleaseBody).decode
 _put = msgspec.json.Decoder(PutBody).decode
+_expire = msgspec.json.Decoder(ExpireBody).decode
+_list = msgspec.json.Decoder(ListBody).decode
 
 
 def _name(text: str, field: str) -> str:
@@ -93,12 +117,33 @@
     return Get(name)
 
 
+def _read_expire(name: str, body: bytes) -> Call:
+    sent = _expire(body)
+    if not 1 <= len(sent.Reason) <= MOST_REASON or not sent.Reason.isprintable():
+        raise ValueError(f"Reason: expected 1 to {MOST_REASON} printable characters")
+    return Expire(name, sent.fence, sent.Reason)
+
+
+def _read_list(name: str, body: bytes) -> Call:
+    sent = _list(body or b"{}")
+    if name not in {kind.value for kind in Listable}:
+        raise ValueError("of: expected locks, numbers or keys")
+    for text, field in ((sent.After, "After"), (sent.Prefix, "Prefix")):
+        if len(text) > MOST_NAME:
+            raise ValueError(f"{field}: expected {MOST_NAME} characters at most")
+    if not 1 <= sent.Most <= MOST_LISTED:
+        raise ValueError(f"Most: expected 1 to {MOST_LISTED}")
+    return ListNames(Listable(name), sent.After, sent.Prefix, sent.Most)
+
+
 READERS: dict[str, Callable[[str, bytes], Call]] = {
     "locks.begin": _read_acquire,
     "locks.heartbeat": _read_renew,
     "locks.finish": _read_release,
     "cells.replace": _read_put,
     "cells.read": _read_get,
+    "locks.expire": _read_expire,
+    "coordination.list": _read_list,
 }
 
 
--- a/coralvale/cluster/server/core.py
+++ b/coralvale/cluster/server/core.py
@@ -13,8 +13,9 @@
 from coralvale.cluster.configuration.model import Configuration
 from coralvale.cluster.consensus import messages as consensus
 from coralvale.cluster.consensus.replica import DurableState, Replica, Timing
-from coralvale.cluster.coordination.desk import CoordinationAnswer, CoordinationDesk
+from coralvale.cluster.coordination.desk import CoordinationAnswer, CoordinationDesk, CoordinationNotice
 from coralvale.cluster.coordination.model import Call, Outcome, Unknown
+from coralvale.cluster.coordination.notices import Notice
 from coralvale.cluster.coordination.state import CoordinationState
 from coralvale.cluster.events import Event, tell
 from coralvale.cluster.orders import OrderAnswer, OrderDesk
@@ -27,7 +28,7 @@
 
 RETRY_DISK = 0.25  # s until a write that failed is tried again
 SHARES_LOOK = 0.2  # s between looks at whether the table of shares is to change
-Work = consensus.Action | OrderAnswer | ShareAnswer | CoordinationAnswer
+Work = consensus.Action | OrderAnswer | ShareAnswer | CoordinationAnswer | CoordinationNotice
 
 
 class Core:
@@ -56,6 +57,7 @@
         self.desk: OrderDesk | None = None
         self.share_desk: ShareDesk | None = None
         self.coordination_desk: CoordinationDesk | None = None
+        self.notice: Callable[[Notice], None] = lambda notice: None  # told of locks that left their holder
         self.founding = Founding(
             settings.Ip, tuple(settings.seeds), settings.Bootstrap, settings.holds_state, runtime.born
         )
@@ -132,6 +134,8 @@
             case CoordinationAnswer():
                 if (outcome := self.outcomes.get(action.token)) and not outcome.done():
                     outcome.set_result(action.outcome)
+            case CoordinationNotice():
+                self.notice(action.notice)
 
     async def _write(self) -> None:
         """What is to be on disk goes there in order; a disk in trouble is tried until it takes it."""
--- a/coralvale/cluster/server/figures.py
+++ b/coralvale/cluster/server/figures.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from itertools import accumulate
 from typing import TYPE_CHECKING, Any
 
 from prometheus_client import CollectorRegistry
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from coralvale.cluster.host_health.watch import Verdict
+from coralvale.cluster.server.coordination_figures import DELAYS_MS, CoordinationFigures, held
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
 from coralvale.net.server import Bounds, Exchange, Server
@@ -92,11 +94,44 @@
             leak.add_metric([tenant], float(metered.bucket.rate))
         yield used
         yield leak
+        sizes = held(o.core.coordination, o.core.coordination_desk)
+        yield from _coordination(o.coordination.figures, sizes)
 
     def text(self) -> bytes:
         return bytes(generate_latest(self.registry))
 
 
+def _coordination(figures: CoordinationFigures, sizes: dict[str, int]) -> Iterator[Any]:
+    prefix = "myrtlehatch_coordination"
+    turns, fence = sizes.pop("turns"), sizes.pop("fence")
+    yield GaugeMetricFamily(f"{prefix}_fence", "the newest that was given", value=float(fence))
+    yield CounterMetricFamily(f"{prefix}_turns", "begun as the leader", value=float(turns))
+    yield CounterMetricFamily(
+        f"{prefix}_takeovers", "of locks, granted as the leader", value=figures.takeovers
+    )
+    size = GaugeMetricFamily(f"{prefix}_size", "of what the replica holds, and what waits", labels=["of"])
+    for name, value in sizes.items():
+        size.add_metric([name], float(value))
+    yield size
+    answers = CounterMetricFamily(f"{prefix}_answers", "to callers", labels=["call", "status"])
+    for (call, status), count in figures.answers.items():
+        answers.add_metric([call, str(status)], float(count))
+    yield answers
+    calls = CounterMetricFamily(f"{prefix}_calls", "settled as the leader", labels=["call", "outcome"])
+    for (call, outcome), count in figures.outcomes.items():
+        calls.add_metric([call, outcome], float(count))
+    yield calls
+    delays = HistogramMetricFamily(f"{prefix}_seconds", "until a call was settled as the leader")
+    delays.add_metric([], _buckets(figures.delays), figures.delay_sum)
+    yield delays
+
+
+def _buckets(delays: list[int]) -> list[tuple[str, float]]:
+    """Cumulative, by upper ends in seconds."""
+    ends = [str(ms / 1000) for ms in DELAYS_MS] + ["+Inf"]
+    return list(zip(ends, (float(count) for count in accumulate(delays)), strict=True))
+
+
 class _Page:
     """Answers GET /metrics and nothing else."""
 
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -96,6 +96,7 @@
         self.core = Core(runtime, self.changes.in_force, self.arrivals.remember)
         self.changes.core = self.arrivals.core = self.core
         self.coordination = Coordination(runtime, self.core)
+        self.core.notice = self.coordination.notice
         self.shares = ShareClaims(runtime, self.core, self.limiter.holding)
         self.gossip = GossipExchange(
             runtime,
@@ -317,6 +318,7 @@
         for tenant, count in self.limiter.refused.items():
             tell(Event.QUOTA, count=count, tenant=tenant)
         self.limiter.refused.clear()
+        self.coordination.look(now)
         if self.home.routes:
             self._tell_home(now)
         self.membership.near = None  # who only talks may have come or gone
--- a/coralvale/cluster/server/status.py
+++ b/coralvale/cluster/server/status.py
@@ -76,6 +76,7 @@
             "cells": holding.table.owners.count(holding.address),
             "lease": max(0.0, holding.until - now),
         },
+        "coordination": o.coordination.figures.status(o.core.coordination, o.core.coordination_desk),
         "gateways": [
             {
                 "name": m.name,
--- /dev/null
+++ b/tests/cluster/coordination_desk.py
@@ -0,0 +1,56 @@
+"""A desk over a log of one member that answers at once, by a clock of the test's own."""
+
+from __future__ import annotations
+
+import random
+from itertools import count
+from typing import Any
+
+from coralvale.cluster.consensus import messages as m
+from coralvale.cluster.consensus.replica import DurableState, Replica, Timing
+from coralvale.cluster.coordination.desk import CoordinationAnswer, CoordinationDesk, CoordinationNotice
+from coralvale.cluster.coordination.model import Call, Outcome
+from coralvale.cluster.coordination.notices import Notice
+from coralvale.cluster.coordination.state import CoordinationState
+
+
+class LoneDesk:
+    def __init__(self) -> None:
+        self.now = 100.0
+        chance = random.Random(1)
+        self.replica = Replica(
+            m.Member("a", "gateway-a", "10.0.0.1"), DurableState(), Timing(least=1), chance, self.now
+        )
+        self.state, self.tokens = CoordinationState(), count(1)
+        self.desk = CoordinationDesk(self.replica, self.state, lambda: next(self.tokens), chance, 20.0)
+        self.answers: dict[int, Outcome] = {}
+        self.notices: list[Notice] = []
+        self.act([*self.replica.start(self.now), *self.replica.found(self.now)])
+        self.act(self.replica.tick(self.now))
+
+    def call(self, call: Call) -> Outcome | None:
+        """Its answer, None while it waits."""
+        token = next(self.tokens)
+        self.act(self.desk.call(self.now, token, call))
+        return self.answers.get(token)
+
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        self.act([*self.replica.tick(self.now), *self.desk.tick(self.now)])
+
+    def act(self, actions: list[Any]) -> None:
+        left = list(actions)
+        while left:
+            action = left.pop(0)
+            match action:
+                case m.Write():
+                    left += self.replica.wrote(self.now, action.number)
+                case m.Deliver():
+                    if action.entry.kind == m.COORDINATION:
+                        left += self.desk.deliver(self.now, action.entry.body)
+                case m.Settled():
+                    left += self.desk.settled(self.now, action.token, action.accepted)
+                case CoordinationAnswer():
+                    self.answers[action.token] = action.outcome
+                case CoordinationNotice():
+                    self.notices.append(action.notice)
--- /dev/null
+++ b/tests/cluster/test_coordination_operators.py
@@ -0,0 +1,147 @@
+"""What operators see of locks, numbers and keys, and what they may do to a lock."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from coordination_desk import LoneDesk
+
+from coralvale.cluster.coordination import model as c
+from coralvale.cluster.coordination.notices import ExpiredByHand, TakenOver
+from coralvale.cluster.errors import Kind, Problem
+from coralvale.cluster.server.coordination import answer
+from coralvale.cluster.server.coordination_api import read_call
+from coralvale.cluster.server.coordination_figures import DELAYS_MS, CoordinationFigures
+
+HOLD_MS = 3000
+
+
+def listed(lone: LoneDesk, call: c.ListNames) -> list[Any]:
+    found = lone.call(call)
+    assert isinstance(found, c.Listed)
+    return list(found.rows)
+
+
+def test_a_list_has_all_names_once_in_order_page_by_page() -> None:
+    lone = LoneDesk()
+    names = [f"g{n % 3}.{n:03d}" for n in range(40)]
+    for n, name in enumerate(names):
+        assert lone.call(c.Put(name, f"value-{n}")) == c.Stored(n // 3 + 1)
+        assert lone.call(c.NextNumber(name)) == c.Number(1)
+    for kind in (c.Kind.KEYS, c.Kind.NUMBERS):
+        seen: list[str] = []
+        more = True
+        while more:
+            page = lone.call(c.ListNames(kind, seen[-1] if seen else "", "", 7))
+            assert isinstance(page, c.Listed) and 0 < len(page.rows) <= 7
+            seen += [row.name for row in page.rows]
+            more = page.more
+        assert seen == sorted(names)
+    group = listed(lone, c.ListNames(c.Kind.KEYS, "", "g1."))
+    assert group == [c.KeyRow(name, f"value-{n}", n // 3 + 1) for n, name in enumerate(names) if n % 3 == 1]
+    assert listed(lone, c.ListNames(c.Kind.LOCKS)) == []
+
+
+def test_a_lock_in_a_list_says_when_it_was_renewed_and_when_it_may_change_hands() -> None:
+    lone = LoneDesk()
+    assert lone.call(c.Acquire("l1", "a", HOLD_MS)) == c.Granted(1)
+    lone.wait(1.0)
+    assert lone.call(c.Renew("l1", "a", 1, 2000)) == c.Renewed()
+    lone.wait(0.5)
+    (row,) = listed(lone, c.ListNames(c.Kind.LOCKS))
+    assert (row.name, row.owner, row.fence, row.hold_ms) == ("l1", "a", 1, HOLD_MS)
+    assert row.renewed_s == pytest.approx(0.5) and 1.5 <= row.left_s < 1.6
+    lone.wait(10.0)
+    (row,) = listed(lone, c.ListNames(c.Kind.LOCKS))
+    assert row.left_s == pytest.approx(-8.5, abs=0.1)  # nobody has asked for it
+    lone.desk.view = 0  # as a leader that was elected since
+    (row,) = listed(lone, c.ListNames(c.Kind.LOCKS))
+    assert row.renewed_s is None and row.left_s >= HOLD_MS / 1000
+
+
+def test_a_lock_taken_by_hand_is_free_under_a_higher_fence_and_its_holder_is_told_at_its_next_call() -> None:
+    lone = LoneDesk()
+    assert lone.call(c.Acquire("l1", "a", HOLD_MS)) == c.Granted(1)
+    assert lone.call(c.Acquire("l1", "b", HOLD_MS)) == c.Held()
+    assert lone.call(c.Expire("l1", 7, "wrong fence")) == c.NotHeld()
+    assert lone.call(c.Expire("l2", 1, "no such lock")) == c.NotHeld()
+    assert lone.notices == [] and lone.call(c.Renew("l1", "a", 1, HOLD_MS)) == c.Renewed()
+    assert lone.call(c.Expire("l1", 1, "host-7 hangs")) == c.Released()
+    assert lone.notices == [ExpiredByHand("l1", "a", 1, "host-7 hangs")]
+    assert lone.call(c.Renew("l1", "a", 1, HOLD_MS)) == c.NotHeld()
+    assert lone.call(c.Acquire("l1", "b", HOLD_MS)) == c.Granted(2)
+    assert lone.call(c.Expire("l1", 1, "sent again")) == c.NotHeld()
+    assert lone.call(c.Renew("l1", "b", 2, HOLD_MS)) == c.Renewed()
+    assert len(lone.notices) == 1
+
+
+def test_a_takeover_is_told_once_and_what_the_sweep_drops_is_not() -> None:
+    lone = LoneDesk()
+    assert lone.call(c.Acquire("l1", "a", HOLD_MS)) == c.Granted(1)
+    assert lone.call(c.Acquire("l2", "a", HOLD_MS)) == c.Granted(2)
+    lone.wait(HOLD_MS / 1000 + 0.1)
+    assert lone.call(c.Acquire("l1", "b", HOLD_MS)) == c.Granted(3)
+    assert lone.call(c.Acquire("l1", "b", HOLD_MS)) == c.Granted(3)
+    assert lone.notices == [TakenOver("l1", "a", 1, "b", 3)]
+    lone.wait(200.0)
+    lone.wait(20.0)
+    assert listed(lone, c.ListNames(c.Kind.LOCKS)) == [] and len(lone.notices) == 1
+
+
+@pytest.mark.parametrize(
+    "call, of, body",
+    [
+        ("coordination.list", "leases", b""),
+        ("coordination.list", "locks", b'{"Most":0}'),
+        ("coordination.list", "locks", b'{"Most":257}'),
+        ("coordination.list", "keys", b'{"Prefix":"' + b"x" * 129 + b'"}'),
+        ("coordination.list", "keys", b"[]"),
+        ("locks.expire", "l1", b'{"fence":1}'),
+        ("locks.expire", "l1", b'{"fence":1,"Reason":""}'),
+        ("locks.expire", "l1", b'{"fence":1,"Reason":"two\\nlines"}'),
+        ("locks.expire", "l1", b'{"fence":1,"Reason":"' + b"x" * 257 + b'"}'),
+        ("locks.expire", "two words", b'{"fence":1,"Reason":"x"}'),
+    ],
+)
+def test_what_an_operator_may_not_send_is_refused_with_400(call: str, of: str, body: bytes) -> None:
+    found = read_call(call, of, body)
+    assert isinstance(found, Problem) and found.kind is Kind.BAD_REQUEST and found.status == 400
+
+
+def test_operators_calls_are_read_and_pages_written() -> None:
+    assert read_call("coordination.list", "locks", b"") == c.ListNames(c.Kind.LOCKS)
+    asked = read_call("coordination.list", "keys", b'{"After":"g1.a","Prefix":"g1.","Most":3}')
+    assert asked == c.ListNames(c.Kind.KEYS, "g1.a", "g1.", 3)
+    taken = read_call("locks.expire", "l1", b'{"fence":41,"Reason":"host-7 hangs"}')
+    assert taken == c.Expire("l1", 41, "host-7 hangs")
+    rows = (c.LockRow("l1", "a", 41, 3000, None, 2.5), c.LockRow("l2", "b", 42, 500, 0.25, -1.0))
+    assert answer(c.Listed(rows, True)) == (
+        200,
+        b'{"Rows":[{"Name":"l1","Owner":"a","fence":41,"HoldMs":3000,"RenewedS":null,"LeftS":2.5},'
+        b'{"Name":"l2","Owner":"b","fence":42,"HoldMs":500,"RenewedS":0.25,"LeftS":-1.0}],"More":true}',
+    )
+
+
+def test_figures_count_by_call_and_outcome_and_never_by_name() -> None:
+    figures = CoordinationFigures()
+    for n in range(1000):
+        figures.settled(c.Acquire(f"l{n}", f"a{n}", 1000), c.Granted(n), 0.004)
+        figures.answered(c.Acquire(f"l{n}", f"a{n}", 1000), 200)
+    for _ in range(9):
+        figures.settled(c.Put("g1.a", "x"), c.Full("too many keys are kept"), 0.06)
+    figures.settled(c.Put("g1.a", "x"), c.Unknown("not agreed on in time"), 3.0)
+    figures.settled(c.Watch("g1.", 4, 2000), c.Watched((), 4), 2.0)
+    assert figures.outcomes == {
+        ("acquire", "granted"): 1000,
+        ("put", "full"): 9,
+        ("put", "unknown"): 1,
+        ("watch", "watched"): 1,
+    }
+    assert figures.answers == {("acquire", 200): 1000}
+    assert figures.full == {"too many keys are kept": 9}
+    assert sum(figures.delays) == 1010  # a watch's time is no delay
+    assert (figures.delay_ms(0.5), figures.delay_ms(0.995), figures.delay_ms(1.0)) == (5, 80, DELAYS_MS[-1])
+    figures.look(10.0, 40)
+    figures.look(12.0, 100)
+    assert figures.rates == {"turns": 30.0, "calls": 0.0}
