Commands of coordination: locks list and release, numbers, keys, watch; a line in status

Cause: operators had calls, and no words for them. They ask one gateway after another until an answer is clear. A release whose earlier try had no clear answer and that is then told 409 ends with 0: the lock is not held under that fence any more; after 429 and 503 alone it ends with 1.

--- a/coralvale/cluster/commands/__init__.py
+++ b/coralvale/cluster/commands/__init__.py
@@ -13,6 +13,7 @@
 
 from coralvale.cluster.commands.asking import Fault
 from coralvale.cluster.commands.configuration import diff, history, send
+from coralvale.cluster.commands.coordination import keys, locks, numbers, release, watch
 from coralvale.cluster.commands.disk import check_state, export, restore, show
 from coralvale.cluster.commands.gateway import check, demo, run, status
 from coralvale.cluster.commands.hosts import health
@@ -30,6 +31,10 @@
                 "health": health,
                 "config": {"send": send, "diff": diff, "history": history},
                 "regions": {"show": show_regions, "audit": audit},
+                "locks": {"list": locks, "release": release},
+                "numbers": numbers,
+                "keys": keys,
+                "watch": watch,
                 "events": events,
                 "explain": explain,
                 "demo": demo,
--- a/coralvale/cluster/commands/gateway.py
+++ b/coralvale/cluster/commands/gateway.py
@@ -82,8 +82,10 @@
         f"version {found['version']}, {found['open']} requests in hand",
         f"core: view {found['view']}, leader {leader or 'none'}, members {', '.join(found['core'])}",
         f"quotas: {found['shares']['cells']} of {CELLS} cells by table {found['shares']['version']}",
-        f"{'gateway':<28} {'state':<9} {'heard s':>8}",
     ]
+    if coordination := found.get("coordination"):
+        lines.append(_coordination_line(coordination))
+    lines.append(f"{'gateway':<28} {'state':<9} {'heard s':>8}")
     lines += [f"{g['name']:<28} {g['state']:<9} {g['heard']:>8.1f}" for g in found["gateways"]]
     lines.append(
         f"{'host':<16} {'service':<12} {'zone':<18} {'state':<9} {'heard s':>8} {'load':>8} {'slow':>6} health"
@@ -105,6 +107,13 @@
     return "\n".join(lines)
 
 
+def _coordination_line(told: dict[str, Any]) -> str:
+    held = ", ".join(f"{told[name]} {name}" for name in ("locks", "numbers", "keys", "watches"))
+    pace = f"{told['turns_per_s']:.1f} turns/s, {told['calls_per_s']:.1f} calls/s"
+    delay = f"p50 {told['delay_ms']['p50']:.0f} ms, p99 {told['delay_ms']['p99']:.0f} ms as the leader"
+    return f"coordination: {held}; {pace}, {delay}"
+
+
 def status(at: str, *, as_json: bool = False, watch: float = 0.0) -> int:
     """Show what a gateway knows: view, members, version, hosts, quotas.
 
--- a/coralvale/cluster/sending.py
+++ b/coralvale/cluster/sending.py
@@ -33,8 +33,17 @@
     request.add_header("Content-Type", "application/json")
     for name, value in headers.items():
         request.add_header(name.replace("_", "-"), value)
+    return _answer(request, PATIENCE)
+
+
+def get(at: str, path: str, patience: float) -> tuple[int, bytes]:
+    """One question to a gateway, which answers within `patience` s. Raises OSError where none answers."""
+    return _answer(urllib.request.Request(f"http://{at}{path}"), patience)
+
+
+def _answer(request: urllib.request.Request, patience: float) -> tuple[int, bytes]:
     try:
-        with urllib.request.urlopen(request, timeout=PATIENCE) as answer:
+        with urllib.request.urlopen(request, timeout=patience) as answer:
             return int(answer.status), answer.read()
     except urllib.error.HTTPError as error:
         with error:
--- a/tests/cluster/test_coordination_operators.py
+++ b/tests/cluster/test_coordination_operators.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import json
+import time
 from typing import Any
 
 import pytest
 from coordination_desk import LoneDesk
 
+from coralvale.cluster import commands, sending
 from coralvale.cluster.coordination import model as c
 from coralvale.cluster.coordination.notices import ExpiredByHand, TakenOver
 from coralvale.cluster.errors import Kind, Problem
@@ -145,3 +148,36 @@
     figures.look(10.0, 40)
     figures.look(12.0, 100)
     assert figures.rates == {"turns": 30.0, "calls": 0.0}
+
+
+@pytest.mark.parametrize(
+    "answers, code, tried",
+    [
+        ([200], 0, 1),
+        ([409], 1, 1),
+        ([503, 429, 409], 1, 3),  # both promise that nothing was done
+        ([504, 409], 0, 2),  # the first try may have done it, and the lock is not held so any more
+        ([None, 409], 0, 2),
+        ([400], 2, 1),
+        ([None] * 99, 2, 20),
+    ],
+)
+def test_a_release_is_sent_again_until_it_is_known_what_became_of_it(
+    monkeypatch: pytest.MonkeyPatch, answers: list[int | None], code: int, tried: int
+) -> None:
+    asked: list[str] = []
+
+    def post(at: str, path: str, body: bytes) -> tuple[int, bytes]:
+        asked.append(at)
+        status = answers[len(asked) - 1]
+        if status is None:
+            raise OSError("reset")
+        assert path == "/rpc?call=locks.expire&of=l+1"
+        assert json.loads(body) == {"fence": 4, "Reason": "it hangs"}
+        return status, b"{}"
+
+    monkeypatch.setattr(sending, "post", post)
+    monkeypatch.setattr(time, "sleep", lambda seconds: None)
+    words = ["locks", "release", "l 1", "a:1", "b:1", "--fence", "4", "--reason", "it hangs"]
+    assert commands.main(words) == code
+    assert asked == [("a:1", "b:1")[n % 2] for n in range(tried)]
