Coordination desk: lists beside the other reads, whose signature stays

Cause: variants of the desk in tests call `_read(call)`; a list needs the time as well, and had changed it. Change: `_answer_reader` takes lists, all else goes to `_read` as before.

--- a/coralvale/cluster/coordination/desk.py
+++ b/coralvale/cluster/coordination/desk.py
@@ -325,7 +325,7 @@
             self._note_lease(now, operation, outcome)
             if token:
                 answers.append(CoordinationAnswer(token, outcome))
-        answers += [CoordinationAnswer(p.token, self._read(now, p.call)) for p in turn.readers]
+        answers += [CoordinationAnswer(p.token, self._answer_reader(now, p.call)) for p in turn.readers]
         return answers
 
     def _note_lease(self, now: float, operation: Operation, outcome: Outcome) -> None:
@@ -336,7 +336,12 @@
         elif isinstance(operation, Release | Expire) and operation.name not in self.state.locks:
             self.leases.forget(operation.name)
 
-    def _read(self, now: float, call: Call) -> Outcome:
+    def _answer_reader(self, now: float, call: Call) -> Outcome:
+        if isinstance(call, ListNames):
+            return list_names(now, self.state, self.leases, call)
+        return self._read(call)
+
+    def _read(self, call: Call) -> Outcome:
         match call:
             case Renew():
                 return Renewed() if self.state.held(call.name, call.owner, call.fence) else NotHeld()
@@ -344,8 +349,6 @@
                 return NotHeld()
             case Get():
                 return self.state.get(call.key)
-            case ListNames():
-                return list_names(now, self.state, self.leases, call)
             case Watch():
                 return Watched((), self.state.group_revision(call.group))
             case _:
