Coordination: schedules of callers against faults, with the real desk and state

Replicas are killed, frozen, cut off, wiped, replaced and slow; calls to the leader come late, by up to 6 s; callers hold, renew, die, oversleep and resend.

--- /dev/null
+++ b/tests/cluster/coordination_world.py
@@ -0,0 +1,416 @@
+"""Applications' calls on a virtual clock, against replicas that are killed, frozen, cut off, wiped and slow.
+
+    PYTHONPATH=.:tests/cluster python tests/cluster/coordination_world.py --seeds 250 --first 0 --jobs 2
+
+plays that many schedules with each number of members, and prints what was played; exit code 1 if a rule was
+broken. A schedule is a seed and a number of members: the same two play the same again.
+
+Behind each replica stand the real `CoordinationDesk` and `CoordinationState`. Callers ask any gateway, and go on
+elsewhere after a second of silence; calls on their way to the leader may be held up for seconds and arrive
+late. What they saw is judged by `coordination_checker`, which knows nothing of this world.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+from collections import Counter
+from collections.abc import Generator
+from multiprocessing import Pool
+from typing import Any
+
+import simpy
+from attrs import define, frozen
+from consensus_world import Broken, Place, World
+from coordination_checker import Record, check
+
+from coralvale.cluster.configuration.history import Change
+from coralvale.cluster.consensus import messages as m
+from coralvale.cluster.consensus.replica import Replica
+from coralvale.cluster.coordination import model as c
+from coralvale.cluster.coordination.desk import CoordinationAnswer, CoordinationDesk
+from coralvale.cluster.coordination.state import CoordinationState
+
+SECONDS = 20.0
+MEMBERS = (3, 4, 5)
+SILENCE = 1.0  # s after which a caller asks elsewhere
+RESENT = 4.0  # s for which a call without a clear answer is sent again
+READ_BACK = 6.0  # s, at the end, for a clear answer to everything
+RETAIN_S = 2.0  # short, so that events are compacted within a schedule
+LATE = 0.04  # of the calls to the leader that are held up on their way
+LATEST = 6.0  # s
+EDGES = 2  # gateways without a replica
+LOCKS, KEYS, NUMBERS = ("l1", "l2"), ("g1.a", "g1.b", "g2.a"), ("n1",)
+HOLDS_MS = (200, 600, 1500, 3000)
+SURE_FAILURES = c.Unavailable | c.Full
+Process = Generator[simpy.Event, Any, Any]
+
+
+@define(eq=False)
+class Edge:
+    """A gateway without a replica."""
+
+    ip: str
+    frozen_until: float = 0.0
+
+
+@define(eq=False)
+class Member:
+    """What one life of a machine's process has for coordination."""
+
+    life: int
+    state: CoordinationState
+    desk: CoordinationDesk
+
+
+@frozen
+class Waiting:
+    """A call at the leader."""
+
+    gateway: Edge | Place
+    reply: simpy.Event
+
+
+class CoordinationWorld(World):
+    def __init__(
+        self,
+        seed: int,
+        members: int,
+        desk: type[CoordinationDesk] = CoordinationDesk,
+        state: type[CoordinationState] = CoordinationState,
+        kind: type[Replica] = Replica,
+    ) -> None:
+        self.coordination_desk_kind, self.state_kind = desk, state
+        self.members: dict[str, Member] = {}
+        self.at_leader: dict[int, Waiting] = {}
+        self.history: list[Record] = []
+        self.saved: dict[str, int] = {}  # by group: a revision from which to resume at the end
+        self.edges = [Edge(f"10.9.0.{n}") for n in range(EDGES)]
+        self.values = self.late = 0
+        self.calm = False  # nothing befalls them any more
+        super().__init__(seed, members, kind)
+
+    # Machines
+
+    def member(self, place: Place) -> Member:
+        """Of the process that runs now."""
+        known = self.members.get(place.ip)
+        if known is None or known.life != place.life:
+            known = self.members[place.ip] = self.new_member(place)
+        return known
+
+    def new_member(self, place: Place) -> Member:
+        assert place.replica
+        state = self.state_kind()
+        chance = random.Random(self.chance.random())
+        desk = self.coordination_desk_kind(place.replica, state, self.next_token, chance, RETAIN_S)
+        desk.events_kept_ms -= 10_000  # the margin is longer than a schedule
+        return Member(place.life, state, desk)
+
+    def next_token(self) -> int:
+        self.tokens += 1
+        return self.tokens
+
+    def run(self, place: Place, life: int) -> Process:
+        while place.life == life and place.replica:
+            late = 0.3 if not self.calm and self.chance.random() < 0.01 else 0.0
+            yield self.env.timeout(0.04 + 0.02 * self.chance.random() + late)
+            yield from self.awake(place)
+            if place.life != life or not place.replica:
+                return
+            replica, member = place.replica, self.member(place)
+            self.act(place, replica.tick(self.env.now))
+            self.act(place, member.desk.tick(self.env.now))
+            if replica.due_for_snapshot():
+                self.act(place, replica.save(place.history.image(b"", member.state.image())))
+            if replica.needs_seat(self.env.now) and not replica.leaving and (leader := self.leader()):
+                self.send(place, leader.ip, m.JoinRequest(replica.me))
+
+    def carry_out(self, place: Place, action: Any) -> None:  # noqa: ANN401
+        now = self.env.now
+        match action:
+            case m.Deliver() if action.entry.kind == m.COORDINATION:
+                self.see(place, action.entry)
+                place.pending.extend(self.member(place).desk.deliver(now, action.entry.body))
+            case m.Restore():
+                image = place.history.restore(action.snapshot.body)
+                place.pending.extend(self.member(place).desk.restore(image.coordination))
+            case m.Settled():
+                place.pending.extend(self.member(place).desk.settled(now, action.token, action.accepted))
+            case CoordinationAnswer():
+                if waiting := self.at_leader.pop(action.token, None):
+                    self.env.process(self.answer_back(place, waiting, action.outcome))
+            case _:
+                super().carry_out(place, action)
+
+    # A call's way
+
+    def ask(self, caller: str, call: c.Call) -> Process:
+        """One call at any gateway; its outcome, None if none came in time. It stands in the history."""
+        reply, sent = self.env.event(), self.env.now
+        record = len(self.history)
+        patience = SILENCE + (call.poll_ms / 1000 if isinstance(call, c.Watch) else 0.0)
+        self.history.append(Record(caller, call, sent, sent + patience))
+        gateway = self.chance.choice([*self.places.values(), *self.edges])
+        self.env.process(self.through(gateway, call, reply))
+        yield reply | self.env.timeout(patience)
+        outcome = reply.value if reply.triggered else None
+        if isinstance(outcome, c.Unknown):
+            outcome = None
+        self.history[record] = Record(caller, call, sent, self.env.now, outcome)
+        if isinstance(outcome, c.Stored | c.Granted | c.Number):
+            # What `trouble` counts, to strike right after an acknowledgement.
+            self.acknowledged[b"%d" % record] = Change(0, True, b"")
+        return outcome
+
+    def through(self, gateway: Edge | Place, call: c.Call, reply: simpy.Event) -> Process:
+        """From the caller to the gateway, and on to the leader that it knows of."""
+        yield self.env.timeout(0.001 + 0.004 * self.chance.random())
+        yield from self.awake(gateway)
+        if isinstance(gateway, Place) and (not gateway.replica or self.places.get(gateway.ip) is not gateway):
+            self.tell(reply, c.Unknown("it is down"))
+            return
+        leader = self.known_leader(gateway)
+        if leader is None:
+            self.tell(reply, c.Unavailable("no leader is known"))
+        elif leader is gateway:
+            self.arrive_at(leader, gateway, call, reply)
+        else:
+            yield from self.pass_on(gateway, leader, call, reply)
+
+    def known_leader(self, gateway: Edge | Place) -> Place | None:
+        knows = gateway if isinstance(gateway, Place) else self.chance.choice(list(self.places.values()))
+        if not knows.replica or not (named := knows.replica.voters.all().get(knows.replica.leader)):
+            return None
+        return self.places.get(named.ip)
+
+    def pass_on(self, gateway: Edge | Place, leader: Place, call: c.Call, reply: simpy.Event) -> Process:
+        life = leader.life
+        yield self.env.timeout(0.001 + 0.01 * self.chance.random() ** 3)
+        if not self.calm and self.chance.random() < LATE:
+            self.late += 1
+            yield self.env.timeout(LATEST * self.chance.random())
+        if not (yield from self.path(gateway.ip, leader.ip)):
+            return
+        yield from self.awake(leader)
+        if leader.life != life and self.chance.random() < 0.7:
+            return  # its connection broke; else it stood in the queue for the next one
+        self.arrive_at(leader, gateway, call, reply)
+
+    def path(self, source: str, to: str) -> Process:
+        """Whether something gets there: a cut loses it, or holds it up until it is over."""
+        if (source, to) in self.cut and self.chance.random() < 0.5:
+            return False
+        while (source, to) in self.cut:
+            yield self.env.timeout(0.01)
+        return True
+
+    def arrive_at(self, place: Place, gateway: Edge | Place, call: c.Call, reply: simpy.Event) -> None:
+        if not place.replica or self.places.get(place.ip) is not place:
+            return
+        token = self.next_token()
+        self.at_leader[token] = Waiting(gateway, reply)
+        if not place.replica.leading:
+            self.act(place, [CoordinationAnswer(token, c.Unavailable("not the leader"))])
+            return
+        self.act(place, self.member(place).desk.call(self.env.now, token, call))
+
+    def answer_back(self, leader: Place, waiting: Waiting, outcome: c.Outcome) -> Process:
+        yield self.env.timeout(0.001 + 0.01 * self.chance.random() ** 3)
+        if waiting.gateway is leader or (yield from self.path(leader.ip, waiting.gateway.ip)):
+            yield from self.awake(waiting.gateway)
+            self.tell(waiting.reply, outcome)
+
+    def tell(self, reply: simpy.Event, outcome: c.Outcome) -> None:
+        if not reply.triggered:
+            reply.succeed(outcome)
+
+    # Callers
+
+    def until_clear(self, caller: str, call: c.Call, seconds: float = RESENT) -> Process:
+        """Sent again, for some seconds, until there is a clear answer other than a failure."""
+        ends, outcome = self.env.now + seconds, None
+        while self.env.now < ends:
+            outcome = yield from self.ask(caller, call)
+            if outcome is not None and not isinstance(outcome, SURE_FAILURES):
+                return outcome
+            yield self.env.timeout(0.05 + 0.1 * self.chance.random())
+        return None
+
+    def holder(self, owner: str, until: float) -> Process:
+        """Keeps its name over all of its holds, whatever became of them."""
+        while self.env.now < until:
+            yield self.env.timeout(0.3 * self.chance.random())
+            name, hold_ms = self.chance.choice(LOCKS), self.chance.choice(HOLDS_MS)
+            sent = self.env.now
+            outcome = yield from self.ask(owner, c.Acquire(name, owner, hold_ms))
+            ends = sent + hold_ms / 1000
+            if not isinstance(outcome, c.Granted) or self.env.now >= ends:
+                continue
+            lot = self.chance.random()
+            if lot < 0.4:
+                yield self.env.timeout(0.1 * self.chance.random())
+            elif lot < 0.7:
+                yield from self.keep(owner, name, outcome.fence, ends)
+            elif lot < 0.85:  # it dies
+                yield self.env.timeout(2 * self.chance.random())
+                continue
+            else:  # it sleeps beyond its time
+                yield self.env.timeout(ends - self.env.now + self.chance.random())
+                yield from self.ask(owner, c.Renew(name, owner, outcome.fence, hold_ms))
+            release = c.Release(name, owner, outcome.fence)
+            if self.chance.random() < 0.7:
+                yield from self.until_clear(owner, release)
+            else:  # it asks for it anew, whatever becomes of the release
+                self.env.process(self.ask(owner, release))
+
+    def keep(self, owner: str, name: str, fence: int, ends: float) -> Process:
+        """Holds a lock for long, by renewals for shorter and for longer."""
+        for _ in range(self.chance.randrange(1, 8)):
+            yield self.env.timeout((ends - self.env.now) * 0.6 * self.chance.random())
+            hold_ms, sent = self.chance.choice(HOLDS_MS), self.env.now
+            outcome = yield from self.ask(owner, c.Renew(name, owner, fence, hold_ms))
+            if isinstance(outcome, c.Renewed) and self.env.now < ends:
+                ends = sent + hold_ms / 1000
+            if isinstance(outcome, c.NotHeld) or self.env.now >= ends:
+                return
+
+    def counting(self, caller: str, until: float) -> Process:
+        while self.env.now < until:
+            yield self.env.timeout(0.2 * self.chance.random())
+            yield from self.ask(caller, c.NextNumber(self.chance.choice(NUMBERS)))
+
+    def putting(self, caller: str, until: float) -> Process:
+        known: dict[str, int] = {}
+        while self.env.now < until:
+            yield self.env.timeout(0.15 * self.chance.random())
+            key = self.chance.choice(KEYS)
+            self.values += 1
+            expected = self.chance.choice((None, known.get(key, 0), known.get(key, 0)))
+            put = c.Put(key, f"{caller}-{self.values}", expected)
+            outcome = yield from self.until_clear(caller, put)
+            if isinstance(outcome, c.Stored | c.Conflict):
+                known[key] = outcome.revision
+            if self.chance.random() < 0.05:  # its answer was lost
+                self.env.process(self.until_clear(caller, put))
+
+    def reading(self, caller: str, until: float) -> Process:
+        while self.env.now < until:
+            yield self.env.timeout(0.15 * self.chance.random())
+            yield from self.ask(caller, c.Get(self.chance.choice(KEYS)))
+
+    def watching(self, caller: str, group: str, until: float) -> Process:
+        after = 0
+        while self.env.now < until:
+            outcome = yield from self.ask(caller, c.Watch(group, after, 700))
+            if isinstance(outcome, c.Watched):
+                after = self.saved[group] = outcome.revision
+            elif isinstance(outcome, c.Compacted):
+                after = 0
+            slept = self.chance.choice((0.01, 0.01, 0.01, 0.01, 0.8 * RETAIN_S, 4 * RETAIN_S))
+            yield self.env.timeout(slept * self.chance.random())
+
+    def asking(self, until: float) -> Process:
+        callers = [self.holder(f"holder-{n}", until) for n in range(5)]
+        callers += [self.counting(f"counts-{n}", until) for n in range(2)]
+        callers += [self.putting(f"puts-{n}", until) for n in range(3)]
+        callers += [self.reading(f"reads-{n}", until) for n in range(2)]
+        callers += [self.watching(f"watches-{n}", f"g{n % 2 + 1}.", until) for n in range(4)]
+        yield self.env.all_of([self.env.process(caller) for caller in callers])
+
+    def read_back(self) -> Process:
+        calls: list[c.Call] = [c.Acquire(name, "last", 200) for name in LOCKS]
+        calls += [c.Get(key) for key in KEYS]
+        calls += [c.NextNumber(name) for name in NUMBERS]
+        for group in {c.group_of(key) for key in KEYS}:
+            calls += [c.Watch(group, 0, 0), c.Watch(group, self.saved.get(group, 0), 200)]
+        asked = [self.env.process(self.until_clear("last", call, READ_BACK)) for call in calls]
+        yield self.env.all_of(asked)
+
+    # What befalls, beside `trouble`
+
+    def disturbance(self, until: float) -> Process:
+        """Short ones, on top of what is lost: gateways stand still, disks stall."""
+        while self.env.now < until:
+            yield self.env.timeout(2 * self.chance.random())
+            place = self.chance.choice(list(self.places.values()))
+            what, seconds = self.chance.choice(("edge", "edge", "place", "disk")), self.chance.random()
+            if what == "edge":
+                self.chance.choice(self.edges).frozen_until = self.env.now + 4 * seconds
+            elif what == "place":
+                place.frozen_until = max(place.frozen_until, self.env.now + seconds)
+            else:
+                place.full_until = max(place.full_until, self.env.now + 0.6 * seconds)
+
+    def play(self, seconds: float) -> int:
+        """Plays a schedule; how many calls were made. Raises Broken."""
+        self.env.run(self.env.process(self.whole()))
+        asking = self.env.process(self.asking(seconds))
+        self.env.process(self.disturbance(seconds - 2.0))
+        self.env.run(self.env.process(self.trouble(seconds)))
+        self.env.run(asking)
+        self.finish()
+        return len(self.history)
+
+    def finish(self) -> None:
+        """Nothing befalls them any more: all is asked for once more, and judged. Raises Broken."""
+        self.calm = True
+        self.env.run(self.env.process(self.whole()))
+        end = self.env.now
+        self.env.run(self.env.process(self.read_back()))
+        self.env.run(self.env.process(self.whole()))
+        self.check_end()
+        self.judge(end)
+
+    def judge(self, end: float | None = None) -> None:
+        if found := check(self.history, RETAIN_S, end):
+            raise Broken("; ".join(f"{violation.rule}: {violation.reason}" for violation in found[:3]))
+
+    def check_end(self) -> None:
+        """Replicas that hold the same log hold the same state."""
+        images: dict[int, set[bytes]] = {}
+        for place in self.places.values():
+            if place.replica:
+                images.setdefault(place.replica.applied, set()).add(self.member(place).state.image())
+        if any(len(of_one) > 1 for of_one in images.values()):
+            raise Broken("replicas with the same log hold different states")
+
+
+def play(schedule: tuple[int, int]) -> tuple[str, Counter[str], int]:
+    """Of one schedule: what broke, the calls by their outcome, and how many came late."""
+    seed, members = schedule
+    world = CoordinationWorld(seed, members)
+    broken = ""
+    try:
+        world.play(SECONDS)
+    except Broken as error:
+        broken = f"CoordinationWorld({seed}, {members}).play({SECONDS}): {error}"
+    outcomes = Counter(
+        f"{type(r.call).__name__} {type(r.outcome).__name__ if r.outcome else 'unclear'}"
+        for r in world.history
+    )
+    return broken, outcomes, world.late
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--jobs", type=int, default=2)
+    given = parser.parse_args()
+    schedules = [(s, n) for s in range(given.first, given.first + given.seeds) for n in MEMBERS]
+    outcomes, late, broken = Counter[str](), 0, 0
+    with Pool(given.jobs) as pool:
+        for problem, of_one, late_ones in pool.imap_unordered(play, schedules):
+            outcomes, late = outcomes + of_one, late + late_ones
+            if problem:
+                broken += 1
+                print(problem, flush=True)
+    print(f"{len(schedules)} schedules, {outcomes.total()} calls, {late} late at the leader, {broken} broken")
+    print(", ".join(f"{what} {count}" for what, count in sorted(outcomes.items())))
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
