A watch that waits is answered when its gateway is told to end

Cause: a watch may wait for seconds; a gateway that ended closed its connection without an answer, though it had read the whole call. Change: at SIGTERM watches are answered 503 at once, and are resumed at any other gateway. Shown: a test over processes, which fails without it (no answer).

--- a/coralvale/cluster/server/coordination.py
+++ b/coralvale/cluster/server/coordination.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import Any
 
@@ -50,13 +51,28 @@
 class Coordination:
     def __init__(self, runtime: Runtime, core: Core) -> None:
         self.runtime, self.core, self.figures = runtime, core, CoordinationFigures()
+        self.stopping: asyncio.Future[None] = runtime.loop.create_future()
+
+    def stop(self) -> None:
+        """This process is being stopped: watches that wait here are answered, and none waits any more."""
+        if not self.stopping.done():
+            self.stopping.set_result(None)
 
     async def call(self, call: Call) -> Answered:
         """An application's call to this gateway."""
-        answered = await self._call(call)
+        answered = await (self._watch(call) if isinstance(call, Watch) else self._call(call))
         self.figures.answered(call, answered[0])
         return answered
 
+    async def _watch(self, call: Watch) -> Answered:
+        """A watch's answer, at once if this process is being stopped: it may be resumed at any other gateway."""
+        waiting = self.runtime.loop.create_task(self._call(call))
+        await asyncio.wait((waiting, self.stopping), return_when=asyncio.FIRST_COMPLETED)
+        if waiting.done():
+            return waiting.result()
+        waiting.cancel()
+        return answer(Unavailable("this gateway is being stopped"))
+
     async def _call(self, call: Call) -> Answered:
         patience = _patience(call)
         if self.core.leads():
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -1,5 +1,5 @@
-"""One gateway's process: its gates, its machines, and the tasks between them. Carries out; the rooms
-decide."""
+"""One gateway's process: its servers, its state machines, and the tasks between them. It carries out what the
+other packages decide."""
 
 from __future__ import annotations
 
@@ -198,6 +198,7 @@
         begun = self.runtime.clock.monotonic()
         ends = begun + max(1.0, self.runtime.settings.Bounds.GraceS - SPARE)
         self.front.drain()
+        self.coordination.stop()
         self.core.leave()
         self.front.close_idle()
         await asyncio.sleep(min(ACCEPT, max(0.0, ends - self.runtime.clock.monotonic() - 0.5)))
--- a/tests/cluster/test_coordination_processes.py
+++ b/tests/cluster/test_coordination_processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 from typing import Any
 
 import pytest
@@ -108,6 +109,31 @@
     play(scene)
 
 
+def test_a_watch_that_waits_is_answered_when_its_gateway_is_told_to_end() -> None:
+    async def scene(cluster: LocalCluster) -> None:
+        status, body = await rpc(cluster, "cells.replace", "g1.a", Val="first", Duty=0)
+        assert status == 200
+        path = f"/watch/g1.?after={body['Rev']}&PollMs=30000"
+        waiting = asyncio.create_task(call(cluster.ips[3], CTL, "GET", path, patience=25.0))
+
+        async def waits() -> bool:
+            nonlocal waiting
+            if waiting.done():  # the gateway knew no leader yet
+                early = waiting.result()
+                assert early is not None and early.status == 503
+                waiting = asyncio.create_task(call(cluster.ips[3], CTL, "GET", path, patience=25.0))
+            told = [await call(ip, CTL, "POST", "/rpc?call=gateway.status") for ip in cluster.ips[:3]]
+            watches = [json.loads(found.body)["coordination"]["watches"] for found in told if found]
+            return sum(watches) == 1
+
+        await cluster.until(waits)
+        assert await cluster.kill(3, signal.SIGTERM) == 0
+        answer = await waiting
+        assert answer is not None and answer.status == 503
+
+    play(scene)
+
+
 def play(scene: Any) -> None:
     async def whole() -> None:
         cluster = await LocalCluster(4, 3, net(), "INFO", metrics=True).start()
