--- /dev/null
+++ b/tests/cluster/test_coordination_state.py
@@ -0,0 +1,212 @@
+"""What is kept of locks, numbers and keys: its bounds, its image, and what an older program wrote."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from coralvale.cluster.configuration.history import ChangeHistory
+from coralvale.cluster.consensus import messages as m
+from coralvale.cluster.consensus.replica import DurableState, Replica, Timing
+from coralvale.cluster.coordination import desk as desk_module
+from coralvale.cluster.coordination import model as c
+from coralvale.cluster.coordination import state as state_module
+from coralvale.cluster.coordination import watches as watches_module
+from coralvale.cluster.coordination.desk import CoordinationAnswer, CoordinationDesk
+from coralvale.cluster.coordination.state import CoordinationState
+
+
+def apply(state: CoordinationState, *operations: c.Operation, time_ms: int = 0) -> list[c.Outcome]:
+    return state.apply(c.Batch(1, time_ms, time_ms - 50_000, time_ms - 120_000, operations))
+
+
+def lived() -> CoordinationState:
+    """A state that has something of everything."""
+    state = CoordinationState()
+    apply(state, c.Acquire("l1", "a", 500), c.Acquire("l2", "b", 500), c.NextNumber("n1"))
+    apply(state, c.Acquire("l1", "a", 900), c.Release("l2", "b", 2), c.Put("g1.a", "v1"), time_ms=10)
+    apply(state, c.Put("g1.b", "v2", 0), c.Put("g2.a", "v3"), c.Put("g1.a", "v4", 1), time_ms=70_000)
+    return state
+
+
+def test_an_image_holds_all_of_it() -> None:
+    state, again = lived(), CoordinationState()
+    again.restore(state.image())
+    assert again.image() == state.image() and again.bytes == state.bytes
+    after = (c.Acquire("l1", "b", 500, 1), c.NextNumber("n1"), c.Put("g1.a", "v1"), c.Put("g1.b", "x", 2))
+    assert (
+        apply(again, *after) == apply(state, *after) == [c.Granted(3), c.Number(2), c.Stored(1), c.Stored(4)]
+    )
+    assert [again.watch("g1.", n) for n in range(4)] == [state.watch("g1.", n) for n in range(4)]
+    assert again.watch("g1.", 0) == c.Compacted() and isinstance(again.watch("g1.", 1), c.Watched)
+
+
+def test_an_image_goes_with_the_history_of_changes_and_an_older_one_has_none() -> None:
+    state, history = lived(), ChangeHistory()
+    assert ChangeHistory().restore(history.image(b"", state.image())).coordination == state.image()
+    older = msgspec.msgpack.decode(history.image())[:5]  # before coordination, the shares were the last
+    again = lived()
+    again.restore(ChangeHistory().restore(msgspec.msgpack.encode(older)).coordination)
+    assert again.image() == CoordinationState().image()
+
+
+def test_what_an_older_program_wrote_is_read_with_defaults_and_what_a_newer_one_adds_is_passed_over() -> None:
+    older = [7, 1, 0, 0, [[1, "l1", "a", 500], [5, "g1.a", "v1"]]]
+    batch = c.unpack_batch(msgspec.msgpack.encode(older))
+    assert batch.operations == (c.Acquire("l1", "a", 500, 0), c.Put("g1.a", "v1", None))
+    newer = [7, 1, 0, 0, [[1, "l1", "a", 500, 0, "more"]], "more"]
+    assert c.unpack_batch(msgspec.msgpack.encode(newer)).operations == (c.Acquire("l1", "a", 500),)
+    state = CoordinationState()
+    state.restore(msgspec.msgpack.encode([5, 0, {"l1": ["a", 5, 500]}]))
+    assert state.held("l1", "a", 5) and apply(state, c.Acquire("l2", "b", 1)) == [c.Granted(6)]
+
+
+BOUNDS: list[tuple[str, int, c.Operation, c.Operation]] = [
+    ("MOST_LOCKS", 1, c.Acquire("l1", "a", 1), c.Acquire("l2", "a", 1)),
+    ("MOST_NUMBERS", 1, c.NextNumber("n1"), c.NextNumber("n2")),
+    ("MOST_KEYS", 1, c.Put("g1.a", "v1"), c.Put("g1.b", "v2")),
+    ("MOST_PUTS", 1, c.Put("g1.a", "v1"), c.Put("g1.a", "v2")),
+    ("MOST_BYTES", 120, c.Put("g1.a", "v1"), c.Put("g1.a", "v2")),
+]
+
+
+@pytest.mark.parametrize(("bound", "value", "first", "second"), BOUNDS)
+def test_what_passes_a_bound_is_refused_and_changes_nothing(
+    monkeypatch: pytest.MonkeyPatch, bound: str, value: int, first: c.Operation, second: c.Operation
+) -> None:
+    monkeypatch.setattr(state_module, bound, value)
+    state = CoordinationState()
+    (done,) = apply(state, first)
+    before = state.image()
+    (refused,) = apply(state, second)
+    assert not isinstance(done, c.Full) and isinstance(refused, c.Full) and refused.reason
+    assert state.image() == before
+    again = apply(state, first)  # what is there goes on
+    assert bound == "MOST_NUMBERS" or again == [done]
+
+
+def test_a_watch_that_is_far_behind_is_told_part_and_skips_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(state_module, "MOST_EVENTS", 2)
+    state, after, seen = CoordinationState(), 1, list[int]()
+    apply(state, *(c.Put("g1.a", f"v{n}") for n in range(1, 7)))
+    while after < 6:
+        found = state.watch("g1.", after)
+        assert isinstance(found, c.Watched) and len(found.events) <= 2
+        seen += [event.revision for event in found.events]
+        after = found.revision
+    assert seen == [2, 3, 4, 5, 6]
+
+
+def test_bytes_are_given_back_with_what_is_not_kept_any_more() -> None:
+    state = CoordinationState()
+    for n in range(200):
+        apply(state, c.Put("g1.a", f"v{n}"), time_ms=n * 1000)
+    again = CoordinationState()
+    again.restore(state.image())
+    assert state.bytes == again.bytes < 60 * 2 * (state_module.EVENT_OVERHEAD + 10)
+    assert len(state.puts) <= 121 and len(state.groups["g1."].events) <= 51
+
+
+class Alone:
+    """A desk on a core of one, whose disk takes writes when it is told to."""
+
+    def __init__(self) -> None:
+        self.replica = Replica(
+            m.Member("d1", "n1", "10.0.0.1"), DurableState(), Timing(least=1), random.Random(1), 0.0
+        )
+        self.state, self.answers, self.tokens = CoordinationState(), dict[int, c.Outcome](), 0
+        self.desk = CoordinationDesk(self.replica, self.state, self.token, random.Random(1), 20.0)
+        self.disk: list[m.Write] = []
+        self.do(0.0, self.replica.found(0.0))
+        self.sync(0.0)
+
+    def token(self) -> int:
+        self.tokens += 1
+        return self.tokens
+
+    def do(self, now: float, actions: Any) -> None:  # noqa: ANN401
+        queue = deque(actions)
+        while queue:
+            match queue.popleft():
+                case m.Write() as write:
+                    self.disk.append(write)
+                case m.Deliver(entry):
+                    queue.extend(self.desk.deliver(now, entry.body))
+                case m.Settled(token, accepted):
+                    queue.extend(self.desk.settled(now, token, accepted))
+                case CoordinationAnswer(token, outcome):
+                    self.answers[token] = outcome
+
+    def sync(self, now: float) -> None:
+        while self.disk:
+            self.do(now, self.replica.wrote(now, self.disk.pop(0).number))
+
+    def call(self, now: float, call: c.Call, sync: bool = True) -> c.Outcome | None:
+        token = self.token()
+        self.do(now, self.desk.call(now, token, call))
+        if sync:
+            self.sync(now)
+        return self.answers.get(token)
+
+
+def test_calls_beyond_those_that_may_wait_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(desk_module, "MOST_WAITING", 3)
+    alone = Alone()
+    found = [alone.call(0.1, c.NextNumber("n1"), sync=False) for _ in range(6)]
+    assert found[:4] == [None] * 4 and all(isinstance(outcome, c.Full) for outcome in found[4:])
+    alone.sync(0.1)
+    assert sorted(a.value for a in alone.answers.values() if isinstance(a, c.Number)) == [1, 2, 3, 4]
+
+
+def test_watches_beyond_those_that_may_wait_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(watches_module, "MOST_WATCHES", 2)
+    alone = Alone()
+    assert alone.call(0.1, c.Put("g1.a", "v1")) == c.Stored(1)
+    found = [alone.call(0.1, c.Watch("g1.", 1, 1000)) for _ in range(3)]
+    assert found[:2] == [None, None] and isinstance(found[2], c.Full)
+    alone.do(1.2, alone.desk.tick(1.2))
+    assert [a for a in alone.answers.values() if isinstance(a, c.Watched)] == [c.Watched((), 1)] * 2
+
+
+def test_a_call_that_waits_too_long_is_refused_and_what_was_proposed_is_not() -> None:
+    alone = Alone()
+    alone.call(0.1, c.NextNumber("n1"), sync=False)
+    alone.call(0.1, c.NextNumber("n1"), sync=False)
+    alone.do(1.0, alone.desk.tick(1.0))
+    assert [type(a) for a in alone.answers.values()] == [c.Unavailable]
+    alone.sync(1.0)
+    assert list(alone.answers.values())[1:] == [c.Number(1)]
+    assert alone.call(1.0, c.NextNumber("n1")) == c.Number(2)  # the one that was refused left no trace
+
+
+def test_a_lock_that_nobody_asks_for_is_dropped_long_after_its_time_and_its_fence_is_not_given_again() -> (
+    None
+):
+    alone = Alone()
+    assert alone.call(0.1, c.Acquire("l1", "a", 1000)) == c.Granted(1)
+    for seconds in (5.0, 30.0, 61.0):
+        alone.do(seconds, alone.desk.tick(seconds))
+        alone.sync(seconds)
+        assert "l1" in alone.state.locks
+    alone.do(75.0, alone.desk.tick(75.0))
+    alone.sync(75.0)
+    assert "l1" not in alone.state.locks
+    assert alone.call(75.0, c.Renew("l1", "a", 1, 1000)) == c.NotHeld()
+    assert alone.call(75.0, c.Acquire("l1", "b", 1000)) == c.Granted(2)
+
+
+@pytest.mark.parametrize(("at", "expected"), [(1.0, c.Held), (1.6, c.Held), (2.5, c.Held), (2.7, c.Granted)])
+def test_a_lock_is_taken_over_once_its_last_renewal_is_over(
+    at: float, expected: Callable[..., c.Outcome]
+) -> None:
+    alone = Alone()
+    assert alone.call(0.1, c.Acquire("l1", "a", 500)) == c.Granted(1)
+    assert alone.call(0.5, c.Renew("l1", "a", 1, 2100)) == c.Renewed()
+    assert alone.call(0.6, c.Renew("l1", "a", 1, 100)) == c.Renewed()
+    found = alone.call(at, c.Acquire("l1", "b", 500))
+    assert type(found) is expected
