Coordination: fences out of range, nested bodies and empty fields are answered 400

A fence above 2**64 was taken and could not be framed for the leader (OverflowError), so the call got no answer at all; a deeply nested body raised RecursionError in the connection's callback, which closed it; an empty `after=` was read as 0.

--- a/coralvale/cluster/server/coordination_api.py
+++ b/coralvale/cluster/server/coordination_api.py
@@ -23,7 +23,7 @@
 )
 from coralvale.cluster.errors import Kind, Problem
 
-MOST_REVISION = 2**53  # what JSON's numbers hold exactly
+MOST_REVISION = 2**53  # what JSON's numbers hold exactly; fences too
 
 
 class AcquireBody(msgspec.Struct):
@@ -65,6 +65,12 @@
     return int(value)
 
 
+def _fence(value: int) -> int:
+    if not 0 <= value <= MOST_REVISION:
+        raise ValueError("fence: expected one that was granted")
+    return value
+
+
 def _read_acquire(name: str, body: bytes) -> Call:
     sent = _acquire(body)
     return Acquire(name, _name(sent.Owner, "Owner"), _hold_ms(sent.HoldMs))
@@ -72,12 +78,12 @@
 
 def _read_renew(name: str, body: bytes) -> Call:
     sent = _renew(body)
-    return Renew(name, _name(sent.Owner, "Owner"), sent.fence, _hold_ms(sent.HoldMs))
+    return Renew(name, _name(sent.Owner, "Owner"), _fence(sent.fence), _hold_ms(sent.HoldMs))
 
 
 def _read_release(name: str, body: bytes) -> Call:
     sent = _release(body)
-    return Release(name, _name(sent.Owner, "Owner"), sent.fence)
+    return Release(name, _name(sent.Owner, "Owner"), _fence(sent.fence))
 
 
 def _read_put(name: str, body: bytes) -> Call:
@@ -106,7 +112,7 @@
     """A call of `READERS`."""
     try:
         return READERS[call](_name(name, "of"), body)
-    except (msgspec.DecodeError, ValueError, UnicodeError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return Problem(Kind.BAD_REQUEST, str(error))
 
 
@@ -120,7 +126,7 @@
 
 def read_watch(group: str, query: str) -> Call | Problem:
     """`GET /watch/ID?after=REVISION&PollMs=MS`."""
-    fields = parse_qs(query)
+    fields = parse_qs(query, keep_blank_values=True)
     try:
         after = _whole(fields.get("after", ["0"])[0], "after", MOST_REVISION)
         poll_ms = _whole(fields.get("PollMs", ["0"])[0], "PollMs", MOST_REVISION)
