Coordination: events are compacted in the order of their time, not group by group

Cause: each batch looked at all groups, which a caller can make 32,768 of; found by reading. Change: one queue of the events' times over all groups. The coordination tests pass (image round trip, compaction, 36 schedules, 19 mutants).

--- a/coralvale/cluster/coordination/state.py
+++ b/coralvale/cluster/coordination/state.py
@@ -125,6 +125,8 @@
         self.fence, self.time_ms = image.fence, image.time_ms
         self.locks, self.numbers, self.values = dict(image.locks), dict(image.numbers), dict(image.values)
         self.groups = {g.name: Group(g.revision, g.compacted, deque(g.events)) for g in image.groups}
+        events = [(e.time_ms, e.revision, g.name) for g in image.groups for e in g.events]
+        self.oldest_events = deque((time_ms, name) for time_ms, _, name in sorted(events))
         self.puts: OrderedDict[bytes, tuple[int, int]] = OrderedDict(
             (digest, (revision, time_ms)) for digest, revision, time_ms in image.puts
         )
@@ -226,12 +228,14 @@
         return None
 
     def _store(self, key: str, value: str) -> int:
-        group = self.groups.setdefault(group_of(key), Group())
+        name = group_of(key)
+        group = self.groups.setdefault(name, Group())
         group.revision += 1
         if before := self.values.get(key):
             self.bytes -= _size(key, before.value)
         self.values[key] = Value(value, group.revision)
         group.events.append(Event(key, value, group.revision, self.time_ms))
+        self.oldest_events.append((self.time_ms, name))
         self.bytes += 2 * _size(key, value)
         self.puts[_digest(key, value)] = (group.revision, self.time_ms)
         return group.revision
@@ -244,11 +248,12 @@
             del self.puts[digest]
 
     def _compact(self, horizon_ms: int) -> None:
-        for group in self.groups.values():
-            while group.events and group.events[0].time_ms < horizon_ms:
-                event = group.events.popleft()
-                group.compacted = event.revision
-                self.bytes -= _size(event.key, event.value)
+        while self.oldest_events and self.oldest_events[0][0] < horizon_ms:
+            _, name = self.oldest_events.popleft()
+            group = self.groups[name]
+            event = group.events.popleft()
+            group.compacted = event.revision
+            self.bytes -= _size(event.key, event.value)
 
     # What is read
 
