--- a/coralvale/cluster/commands.py
+++ b/coralvale/cluster/commands.py
@@ -518,6 +518,57 @@
     return 0 if found["well"] else 1
 
 
+def soak(
+    *,
+    gateways: int = 5,
+    seconds: float = 20.0,
+    seeds: int = 1,
+    first: int = 1,
+    settings: str = "",
+    replay: str = "",
+    check: str = "",
+    folder: str = "soak",
+    at_once: int = 1,
+    log: str = "INFO",
+    plot: bool = False,
+    shrink: bool = False,
+    as_json: bool = False,
+) -> int:
+    """Play a cluster of real processes on loopback through series of signals, restarts and changes under traffic.
+
+    Exit code 0: no rule was broken; 1: some was; 2: a run could not be played.
+
+    :param gateways: how many gateways each run starts with
+    :param seconds: how long faults are played; start and end come on top
+    :param seeds: how many seeds are played
+    :param first: the first seed
+    :param settings: a settings file of yours: its Bounds, Limits, FaultBudget and HeartbeatMs are tried
+    :param replay: a schedule (TOML) that is played in place of seeds
+    :param check: a history (history.jsonl) that is checked again; nothing is played
+    :param folder: where histories, logs and reports go
+    :param at_once: runs that are played side by side
+    :param log: the gateways' log level
+    :param plot: draw served, refused and failed requests over time (needs the extra lab)
+    :param shrink: play what failed again with parts left out, and write the least that still fails
+    :param as_json: print one JSON object for each run
+    """
+    from coralvale.cluster.settings import SettingsError
+    from coralvale.cluster.soak import main as runs
+    from coralvale.cluster.soak import schedule, terms
+    from coralvale.cluster.soak.history import HistoryError
+
+    try:
+        if check:
+            return runs.check_again(Path(check), as_json)
+        if gateways < 3 or seconds <= 0 or at_once < 1:
+            raise Fault("soak: at least 3 gateways, some seconds, and one run at once")
+        schedules = [schedule.load(Path(replay))] if replay else runs.drawn(first, seeds, gateways, seconds)
+        found = terms.read(Path(settings)) if settings else terms.Terms()
+    except (SettingsError, schedule.ScheduleError, HistoryError, OSError) as error:
+        raise Fault(str(error)) from None
+    return runs.play_all(schedules, runs.Options(Path(folder), found, at_once, log, as_json, plot, shrink))
+
+
 def main(words: list[str]) -> int:
     try:
         found = defopt.run(
@@ -531,6 +582,7 @@
                 "events": events,
                 "explain": explain,
                 "demo": demo,
+                "soak": soak,
                 "state": {"show": show, "check": check_state, "export": export, "restore": restore},
             },
             argv=words,
--- a/coralvale/cluster/server/status.py
+++ b/coralvale/cluster/server/status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -66,6 +67,7 @@
         "zones": o.home.zones,
         "version": o.changes.configuration.version,
         "open": len(o.edge.open),
+        "tasks": len(asyncio.all_tasks()),
         "view": view,
         "leader": leader,
         "holder": leader,  # its name before, for one version more
--- /dev/null
+++ b/coralvale/cluster/soak/callers.py
@@ -0,0 +1,142 @@
+"""Applications in a soak: callers of locks, numbers, keys and watches."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import Any
+
+from coralvale.cluster.soak.cluster import SoakCluster
+from coralvale.cluster.soak.history import CallAnswer, Called, Writer, now
+from coralvale.standins.cluster import CTL, call
+
+HOLD = 2.0  # s that a lock is asked for
+LOCKS, COUNTERS, GROUPS, KEYS = 2, 2, 2, 3
+POLL = 1000  # ms that a watch waits
+SILENCE = 1.2  # s without an answer after which a caller turns elsewhere
+PUT_FOR = 6.0  # s for which a put without a clear answer is sent again
+PAUSE = 0.25  # s between a caller's calls
+TURNED_AWAY = (429, 503)  # nothing was done
+
+
+class Numbers:
+    """Numbers of calls, over all callers."""
+
+    def __init__(self) -> None:
+        self.last = 0
+
+    def next(self) -> int:
+        self.last += 1
+        return self.last
+
+
+class Caller:
+    """One application: an owner of locks with one name over all its holds."""
+
+    def __init__(self, cluster: SoakCluster, history: Writer, numbers: Numbers, name: str) -> None:
+        self.cluster, self.history, self.numbers, self.name = cluster, history, numbers, name
+        self.at = 0
+
+    async def hold_locks(self) -> None:
+        """Takes a lock, keeps it for a while with renewals, and gives it back, or goes without a word."""
+        while True:
+            name = f"lock-{random.randrange(LOCKS)}"
+            body = {"Owner": self.name, "HoldMs": HOLD * 1000}
+            found = await self._call("acquire", name, "locks.begin", body, hold=HOLD)
+            if found and found[0] == 200:
+                await self._keep(name, int(found[1]["fence"]))
+            await asyncio.sleep(PAUSE)
+
+    async def _keep(self, name: str, fence: int) -> None:
+        for _ in range(random.randrange(4)):
+            await asyncio.sleep(HOLD * random.uniform(0.1, 0.4))
+            body = {"Owner": self.name, "fence": fence, "HoldMs": HOLD * 1000}
+            found = await self._call("renew", name, "locks.heartbeat", body, fence=fence, hold=HOLD)
+            if found is None or found[0] != 200:
+                return
+        if random.random() < 0.7:
+            await self._call(
+                "release", name, "locks.finish", {"Owner": self.name, "fence": fence}, fence=fence
+            )
+
+    async def draw_numbers(self) -> None:
+        while True:
+            await self._call("number", f"count-{random.randrange(COUNTERS)}", "", {})
+            await asyncio.sleep(PAUSE)
+
+    async def put_and_get(self) -> None:
+        while True:
+            key = f"group-{random.randrange(GROUPS)}.{random.randrange(KEYS)}"
+            found = await self._call("get", key, "cells.read", None)
+            at = int(found[1]["Rev"]) if found and found[0] == 200 else 0
+            if found and found[0] in (200, 404):
+                await self._put(key, at)
+            await asyncio.sleep(PAUSE)
+
+    async def _put(self, key: str, at: int) -> None:
+        """The same put until it has a clear answer, for a while."""
+        expected = at if random.random() < 0.5 else None
+        value = f"{random.getrandbits(64):016x}"
+        body = {"Val": value} if expected is None else {"Val": value, "Duty": expected}
+        ends = now() + PUT_FOR
+        while now() < ends:
+            found = await self._call("put", key, "cells.replace", body, value=value, expected=expected)
+            if found is not None:
+                return
+            await asyncio.sleep(0.1)
+
+    async def watch(self) -> None:
+        group, after = f"group-{random.randrange(GROUPS)}.", 0
+        while True:
+            found = await self._call("watch", group, "", None, after=after)
+            if found and found[0] == 200:
+                after = max(after, int(found[1]["Rev"]))
+            elif found and found[0] == 410:
+                after = 0
+            await asyncio.sleep(0.05 if after else PAUSE)
+
+    async def _call(
+        self,
+        kind: str,
+        name: str,
+        rpc: str,
+        body: dict[str, Any] | None,
+        *,
+        fence: int = 0,
+        hold: float = 0.0,
+        value: str = "",
+        expected: int | None = None,
+        after: int = 0,
+    ) -> tuple[int, dict[str, Any]] | None:
+        """Status and body of a clear answer; None without one."""
+        addresses = self.cluster.addresses()
+        ip = addresses[self.at % len(addresses)]
+        number = self.numbers.next()
+        self.history.write(Called(now(), number, kind, name, self.name, fence, hold, value, expected, after))
+        text = json.dumps(body).encode() if body is not None else b""
+        if kind == "watch":
+            found = await call(
+                ip, CTL, "GET", f"/watch/{name}?after={after}&PollMs={POLL}", b"", SILENCE + POLL / 1000
+            )
+        else:
+            path = f"/numbers/{name}" if kind == "number" else f"/rpc?call={rpc}&of={name}"
+            found = await call(ip, CTL, "POST", path, text, SILENCE)
+        status = found.status if found else 0
+        clear = 0 < status < 500 or status in TURNED_AWAY
+        said: dict[str, Any] = json.loads(found.body or b"{}") if found and clear else {}
+        self.history.write(
+            CallAnswer(
+                now(),
+                number,
+                status if clear else 0,
+                self.cluster.number_of(ip),
+                int(said.get("fence", 0)),
+                str(said.get("Val", "")) if kind == "get" else "",
+                int(said["Val"]) if kind == "number" and "Val" in said else int(said.get("Rev", 0)),
+                tuple((e["Name"], e["Val"], e["Rev"]) for e in said.get("Events", ())),
+            )
+        )
+        if not clear or status in TURNED_AWAY:
+            self.at += 1
+        return (status, said) if clear and status not in TURNED_AWAY else None
--- /dev/null
+++ b/coralvale/cluster/soak/checker.py
@@ -0,0 +1,44 @@
+"""Whether a history keeps the rules. Knows nothing of how it came to be."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+
+from coralvale.cluster.soak import (
+    rules_configuration,
+    rules_coordination,
+    rules_processes,
+    rules_requests,
+)
+from coralvale.cluster.soak.history import Event
+from coralvale.cluster.soak.timeline import Timeline, Violation
+
+Rule = Callable[[Timeline], Iterator[Violation]]
+
+RULES: tuple[Rule, ...] = (
+    rules_requests.answered,
+    rules_requests.runs,
+    rules_requests.own_answers,
+    rules_requests.ends,
+    rules_requests.drained,
+    rules_requests.quotas,
+    rules_configuration.acknowledged,
+    rules_configuration.read_back,
+    rules_configuration.in_force,
+    rules_coordination.locks,
+    rules_coordination.numbers,
+    rules_coordination.revisions,
+    rules_coordination.reads,
+    rules_coordination.watches,
+    rules_processes.processes,
+    rules_processes.growth,
+)
+
+
+def check(events: Iterable[Event], rules: tuple[Rule, ...] = RULES) -> list[Violation]:
+    """All violations, by time."""
+    line = Timeline(events)
+    return sorted((v for rule in rules for v in rule(line)), key=lambda v: v.at)
+
+
+__all__ = ["RULES", "Rule", "Violation", "check"]
--- /dev/null
+++ b/coralvale/cluster/soak/clients.py
@@ -0,0 +1,167 @@
+"""Clients of a soak: each goes on using its connection until it is closed or its gateway's process is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from enum import Enum
+
+from attrs import define
+
+from coralvale.cluster.soak.cluster import SoakCluster
+from coralvale.cluster.soak.history import (
+    Answered,
+    Closed,
+    Event,
+    Left,
+    Sent,
+    Silent,
+    Writer,
+    Written,
+    now,
+)
+from coralvale.cluster.soak.wire import body_of, is_body_of, read_message, request
+from coralvale.standins.cluster import EDGE
+from coralvale.standins.wire import Message
+
+VHOST = "demo.example"
+LIMIT = 2.5  # s that a request may take; the routes' time-outs are longer
+OVERTIME = 15.0  # s beyond its time after which a client gives up
+CONNECT = 3.0  # s
+LEAVES_AFTER = 0.05  # s, at most, after which a client that leaves does so
+
+
+class Manner(Enum):
+    """How a request is made and its answer read."""
+
+    PLAIN = "plain"
+    BODY = "body"
+    CHUNKED = "chunked"
+    SLOW = "slow"
+    LEAVES = "leaves"
+
+
+@define
+class Asked:
+    """One request as it is to be sent."""
+
+    path: str
+    repeatable: bool
+    key: str
+    tenant: str
+    manner: Manner = Manner.PLAIN
+    proper: bool = True
+
+
+class Client:
+    """One connection at a time, one request at a time on it."""
+
+    def __init__(self, cluster: SoakCluster, history: Writer, number: int) -> None:
+        self.cluster, self.history, self.number = cluster, history, number
+        self.gateway = self.life = self.connection = -1
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def connect(self, gateway: int) -> bool:
+        """Whether a connection to this gateway came up."""
+        self.close()
+        try:
+            async with asyncio.timeout(CONNECT):
+                self.reader, self.writer = await asyncio.open_connection(self.cluster.ips[gateway], EDGE)
+        except (OSError, TimeoutError):
+            return False
+        self.gateway, self.life = gateway, self.cluster.lives.get(gateway, 0)
+        self.connection += 1
+        return True
+
+    async def connect_to_any(self) -> bool:
+        """To the gateway that it had, while its port is open; else to others."""
+        members = self.cluster.running()
+        random.shuffle(members)
+        if self.gateway in members:
+            members.remove(self.gateway)
+            members.insert(0, self.gateway)
+        for gateway in members[:3]:
+            if await self.connect(gateway):
+                return True
+        return False
+
+    def close(self) -> None:
+        if self.writer:
+            self.writer.transport.abort()
+        self.reader = self.writer = None
+
+    async def ask(self, asked: Asked) -> int:
+        """The status of the answer; 0 without a whole one."""
+        if self.writer is None and not await self.connect_to_any():
+            await asyncio.sleep(0.1)
+            return 0
+        id_ = f"{random.getrandbits(64):016x}"
+        self._say(
+            Sent(
+                now(),
+                id_,
+                self.gateway,
+                self.life,
+                self.number * 1_000_000 + self.connection,
+                asked.path,
+                asked.repeatable,
+                asked.tenant,
+                LIMIT,
+                asked.proper,
+            )
+        )
+        try:
+            return await self._exchange(id_, asked)
+        except TimeoutError:
+            self._say(Silent(now(), id_))
+        except asyncio.IncompleteReadError as error:
+            self._say(Closed(now(), id_, begun=bool(error.partial)))
+        except (OSError, ValueError):
+            self._say(Closed(now(), id_))
+        except asyncio.CancelledError:
+            self._say(Left(now(), id_))
+            self.close()
+            raise
+        self.close()
+        return 0
+
+    async def _exchange(self, id_: str, asked: Asked) -> int:
+        assert self.reader and self.writer
+        self.writer.write(_bytes_of(id_, asked))
+        async with asyncio.timeout(LIMIT + OVERTIME):
+            await self.writer.drain()
+            self._say(Written(now(), id_))
+            if asked.manner is Manner.LEAVES:
+                await asyncio.sleep(random.uniform(0, LEAVES_AFTER))
+                self._say(Left(now(), id_))
+                self.close()
+                return 0
+            pause = 0.02 if asked.manner is Manner.SLOW else 0.0
+            found = await read_message(self.reader, pause, 16384)
+        self._say(_answered(id_, found))
+        if found.headers.get(b"connection", b"").lower() == b"close":
+            self.close()
+        return found.status
+
+    def _say(self, event: Event) -> None:
+        self.history.write(event)
+
+
+def _bytes_of(id_: str, asked: Asked) -> bytes:
+    headers = {
+        "Host": VHOST,
+        "X-Myrtlehatch-Request-Id": id_,
+        "X-Myrtlehatch-Time-Left": str(int(LIMIT * 1000)),
+        "Authorization": f"Bearer {asked.key}",
+    }
+    if asked.manner not in (Manner.BODY, Manner.CHUNKED):
+        return request("GET" if asked.repeatable else "POST", asked.path, headers, b"")
+    body = body_of(id_, random.randrange(1, 40_000))
+    return request("POST", asked.path, headers, body, asked.manner is Manner.CHUNKED)
+
+
+def _answered(id_: str, found: Message) -> Answered:
+    echo = found.headers.get(b"x-myrtlehatch-request-id", b"").decode("latin-1")
+    own = found.status != 200 or (bool(found.body) and is_body_of(id_, found.body))
+    return Answered(now(), id_, found.status, echo, own)
--- /dev/null
+++ b/coralvale/cluster/soak/hosts.py
@@ -0,0 +1,152 @@
+"""Hosts of a soak: run requests, record each run by the request's id, beat, leave and crash."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+
+from coralvale.cluster.soak.cluster import SoakCluster
+from coralvale.cluster.soak.history import Broke, Done, HostState, Ran, Writer, now
+from coralvale.cluster.soak.relay import Relay
+from coralvale.cluster.soak.wire import body_of, is_body_of, read_message
+from coralvale.standins.cluster import BEAT, CTL, call
+from coralvale.standins.wire import Message, answer
+
+LONG = 192 * 1024  # bytes of a long answer
+LINGER = 7.0  # s for which a host serves on after its leave was acknowledged
+UNHEARD = 5.0  # s after which a host that leaves goes without an acknowledgement
+
+
+class SoakHost:
+    """One life of a host, behind a relay."""
+
+    def __init__(self, history: Writer, service: str, cluster: SoakCluster, zone: str) -> None:
+        self.history, self.service, self.cluster, self.zone = history, service, cluster, zone
+        self.ip = cluster.ips[0]
+        self.work = 0.02  # s
+        self.state = "up"
+        self.slots = 8
+        self.running = self.calls = 0
+        self.id = f"i-{random.randrange(1 << 40):010x}"
+        self.relay = Relay(self.ip)
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> SoakHost:
+        self.server = await asyncio.start_server(self._serve, self.ip, 0)
+        self.port = await self.relay.start(self.server.sockets[0].getsockname()[1])
+        self._say("up")
+        self.beats = asyncio.create_task(self._beats())
+        return self
+
+    def crash(self) -> None:
+        """Gone at once, without a word."""
+        self._end("crash")
+
+    async def leave(self) -> None:
+        """Says that it drains until that is acknowledged, serves on for a while, deregisters and ends."""
+        self.state = "draining"
+        self._say("draining")
+        ends = now() + UNHEARD
+        while now() < ends:
+            gateway = await self._beat()
+            if gateway >= 0:
+                self._say("acknowledged", gateway)
+                await asyncio.sleep(LINGER)
+                ip = random.choice(self.cluster.addresses())
+                await call(ip, CTL, "POST", f"/rpc?call=instances.deregister&of={self.id}")
+                break
+            await asyncio.sleep(0.1)
+        self._end("gone")
+
+    def _end(self, what: str) -> None:
+        if self.state == "ended":
+            return
+        self.state = "ended"
+        self._say(what)
+        self.beats.cancel()
+        self.server.close()
+        self.relay.stop()
+        for task in list(self.tasks):
+            task.cancel()
+
+    def _say(self, what: str, gateway: int = -1) -> None:
+        self.history.write(HostState(now(), self.id, self.service, what, gateway))
+
+    async def _beats(self) -> None:
+        while True:
+            await self._beat()
+            await asyncio.sleep(BEAT)
+
+    async def _beat(self) -> int:
+        """The gateway that acknowledged; -1: none did."""
+        self.calls += 1
+        body = {
+            "Svc": self.service,
+            "Address": f"{self.ip}:{self.port}",
+            "Az": self.zone,
+            "Ver": "v1",
+            "Capacity": self.slots,
+            "State": self.state,
+            "WarmupMs": 0,
+            "Calls": self.calls,
+        }
+        path = f"/rpc?call=instances.heartbeat&of={self.id}"
+        addresses = self.cluster.addresses()
+        for ip in random.sample(addresses, min(3, len(addresses))):
+            found = await call(ip, CTL, "POST", path, json.dumps(body).encode(), 1.0)
+            if found and found.status == 200:
+                return self.cluster.number_of(ip)
+        return -1
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task
+        self.tasks.add(task)
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                while True:
+                    await self._answer(await read_message(reader), reader, writer)
+        finally:
+            self.tasks.discard(task)
+            writer.close()
+
+    async def _answer(
+        self, message: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if b"/healthz" in message.first:
+            writer.write(answer(200, b"", X_Myrtlehatch_Served_By=self.id))
+            return
+        id_ = message.headers.get(b"x-myrtlehatch-request-id", b"").decode()
+        if message.headers.get(b"x-myrtlehatch-want-instance", b"").decode() != self.id:
+            writer.write(answer(421, b"", X_Myrtlehatch_Not_Executed="1"))
+            return
+        if self.running >= self.slots * 4:
+            writer.write(answer(503, b"", X_Myrtlehatch_Not_Executed="1"))
+            return
+        tenant = message.headers.get(b"x-myrtlehatch-tenant", b"").decode()
+        self.history.write(Ran(now(), id_, self.id, tenant, is_body_of(id_, message.body)))
+        self.running += 1
+        try:
+            await asyncio.sleep(self.work * (0.5 + random.random()))
+            size = LONG if b"/long/" in message.first else 200
+            writer.write(
+                answer(
+                    200,
+                    body_of(id_, size),
+                    X_Myrtlehatch_Request_Id=id_,
+                    X_Myrtlehatch_Seal=f"seal.{self.id}",
+                    X_Myrtlehatch_Load=f"{self.running},0,{self.slots}",
+                )
+            )
+            await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            self.history.write(Broke(now(), id_, self.id))
+            raise
+        finally:
+            self.running -= 1
+        if writer.is_closing() or reader.at_eof():
+            self.history.write(Broke(now(), id_, self.id))
+        else:
+            self.history.write(Done(now(), id_, self.id))
--- /dev/null
+++ b/coralvale/cluster/soak/main.py
@@ -0,0 +1,122 @@
+"""`myrtlehatch soak`: seeds one after another or some at once, shrinking, replays, and what is printed."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+import msgspec
+from attrs import frozen
+
+from coralvale.cluster.soak import checker, report
+from coralvale.cluster.soak.history import read
+from coralvale.cluster.soak.play import Outcome, SoakError, play
+from coralvale.cluster.soak.schedule import Schedule, draw, dump
+from coralvale.cluster.soak.shrink import shrink
+from coralvale.cluster.soak.terms import Terms
+
+NETS = 40_000  # address ranges 127.x.y that runs side by side are spread over
+
+
+@frozen
+class Options:
+    """How the runs of a command are played."""
+
+    folder: Path
+    terms: Terms
+    at_once: int = 1
+    level: str = "INFO"
+    as_json: bool = False
+    plot: bool = False
+    shrink: bool = False
+
+
+def net(place: int) -> str:
+    """An address range of this process's own, for a run."""
+    lot = (os.getpid() * 64 + place % 64) % NETS + 20_000
+    return f"127.{lot >> 8}.{lot & 255}"
+
+
+def play_all(schedules: list[Schedule], options: Options) -> int:
+    """Plays all; the exit code: 0 none broken, 1 some rule was broken, 2 a run could not be played."""
+    return asyncio.run(_play_all(schedules, options))
+
+
+async def _play_all(schedules: list[Schedule], options: Options) -> int:
+    turns = asyncio.Semaphore(options.at_once)
+
+    async def one(place: int, schedule: Schedule) -> int:
+        async with turns:
+            return await _play_one(place, schedule, options)
+
+    codes = await asyncio.gather(*(one(place, schedule) for place, schedule in enumerate(schedules)))
+    if not options.as_json:
+        print(
+            f"{len(codes)} runs, {codes.count(0)} well, {codes.count(1)} broken, {codes.count(2)} not played"
+        )
+    return max(codes, default=0)
+
+
+async def _play_one(place: int, schedule: Schedule, options: Options) -> int:
+    folder = options.folder / f"seed-{schedule.seed}"
+    try:
+        outcome = await _play(place, schedule, folder, options)
+    except SoakError as error:
+        print(f"seed {schedule.seed}: not played: {error}", file=sys.stderr)
+        return 2
+    _tell(outcome, folder, options)
+    if outcome.violations and options.shrink:
+        await _shrink(place, outcome, folder, options)
+    return 1 if outcome.violations else 0
+
+
+async def _play(place: int, schedule: Schedule, folder: Path, options: Options) -> Outcome:
+    return await play(schedule, folder, net(place), level=options.level, terms=options.terms)
+
+
+def _tell(outcome: Outcome, folder: Path, options: Options) -> None:
+    summary = report.summarise(outcome.events, outcome.violations, outcome.left_out)
+    if options.as_json:
+        print(msgspec.json.encode(summary).decode(), flush=True)
+    else:
+        print(report.text(summary), flush=True)
+    broken = []
+    for violation in outcome.violations:
+        broken += [f"{violation.at:.3f} {violation.rule} {violation.subject}: {violation.text}"]
+        broken += [f"  {line}" for line in report.around(outcome.events, violation)]
+    (folder / "broken.txt").write_text("\n".join(broken))
+    if options.plot:
+        report.plot(outcome.events, folder / "plot.png")
+
+
+async def _shrink(place: int, outcome: Outcome, folder: Path, options: Options) -> None:
+    """Writes the least schedule found that breaks one of the same rules."""
+    rules = {violation.rule for violation in outcome.violations}
+
+    async def fails(schedule: Schedule) -> bool:
+        try:
+            found = await _play(place, schedule, folder / "shrink", options)
+        except SoakError:
+            return False
+        return any(violation.rule in rules for violation in found.violations)
+
+    least = await shrink(outcome.schedule, fails)
+    dump(least, folder / "least.toml")
+    print(
+        f"seed {least.seed}: {len(least.acts)} of {len(outcome.schedule.acts)} acts: {folder / 'least.toml'}"
+    )
+
+
+def check_again(path: Path, as_json: bool) -> int:
+    """Checks a history that was written before. Raises HistoryError."""
+    events = read(path)
+    violations = checker.check(events)
+    summary = report.summarise(events, violations)
+    print(msgspec.json.encode(summary).decode() if as_json else report.text(summary))
+    return 0 if summary.well else 1
+
+
+def drawn(first: int, seeds: int, gateways: int, seconds: float) -> list[Schedule]:
+    return [draw(seed, gateways, seconds) for seed in range(first, first + seeds)]
--- /dev/null
+++ b/coralvale/cluster/soak/measure.py
@@ -0,0 +1,59 @@
+"""What is read of processes while a soak runs: descriptors, memory, waits for a processor, own stalls."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+
+from coralvale.cluster.soak.cluster import SoakCluster
+from coralvale.cluster.soak.history import Sample, Stall, Writer, now
+from coralvale.standins.cluster import CTL, call
+
+EVERY = 0.5  # s between samples of a process
+LOOK = 0.05  # s between looks at the own event loop
+LATE = 0.05  # s of lateness that is recorded
+PAGE = os.sysconf("SC_PAGE_SIZE") // 1024  # KiB
+
+
+async def sample(cluster: SoakCluster, history: Writer) -> None:
+    """Samples all processes for as long as it is let."""
+    while True:
+        for number, process in list(cluster.processes.items()):
+            if number not in cluster.frozen:
+                await _sample(cluster, history, number, process.pid)
+        await asyncio.sleep(EVERY)
+
+
+async def _sample(cluster: SoakCluster, history: Writer, number: int, pid: int) -> None:
+    life = cluster.lives[number]
+    tasks = await _tasks(cluster, number)
+    with contextlib.suppress(OSError, ValueError, IndexError):
+        descriptors = len(os.listdir(f"/proc/{pid}/fd"))
+        memory = int(_read(f"/proc/{pid}/statm").split()[1]) * PAGE
+        waited = int(_read(f"/proc/{pid}/schedstat").split()[1]) / 1e9
+        if cluster.lives[number] == life:
+            history.write(Sample(now(), number, life, descriptors, memory, waited, tasks))
+
+
+def _read(path: str) -> str:
+    with open(path) as file:
+        return file.read()
+
+
+async def _tasks(cluster: SoakCluster, number: int) -> int:
+    found = await call(cluster.ips[number], CTL, "POST", "/rpc?call=gateway.status", patience=0.5)
+    if found is None or found.status != 200:
+        return 0
+    return int(json.loads(found.body).get("tasks", 0))
+
+
+async def watch_own_loop(history: Writer) -> None:
+    """Records by how much this process is late: its clients' times are late by as much."""
+    while True:
+        begun = now()
+        await asyncio.sleep(LOOK)
+        late = now() - begun - LOOK
+        if late > LATE:
+            history.write(Stall(now(), late))
--- /dev/null
+++ b/coralvale/cluster/soak/nemesis.py
@@ -0,0 +1,274 @@
+"""Carries a schedule's acts out. What would lose more than the fault budget tolerates waits for its turn."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+from coralvale.cluster.soak import history as h
+from coralvale.cluster.soak.cluster import SoakCluster
+from coralvale.cluster.soak.history import Writer, now
+from coralvale.cluster.soak.schedule import Act, Schedule
+from coralvale.cluster.soak.workload import Workload
+from coralvale.standins.cluster import CTL, call
+
+SEATED = 30.0  # s for which a voter that comes back is waited for before it counts as back all the same
+SYNC = 4.0  # s for which it still counts as lost after its return, as the settings have it
+TURN = 20.0  # s for which an act waits for its turn; then it is left out
+HERD = 0.9  # s within which all are back that were killed at one moment
+
+
+class Nemesis:
+    """Each act is a task of its own: acts overlap where the budget lets them."""
+
+    def __init__(self, cluster: SoakCluster, workload: Workload, history: Writer, schedule: Schedule) -> None:
+        self.cluster, self.workload, self.history, self.schedule = cluster, workload, history, schedule
+        self.lost: Counter[int] = Counter()  # acts by which a voter counts as lost
+        self.busy: set[int] = set()  # gateways that an act of process or disk holds
+        self.herding = False
+        self.left_out = 0
+        self.acts: dict[str, Callable[[Act], Awaitable[object]]] = {
+            "restart": self._restart,
+            "kill": self._kill,
+            "herd": self._herd,
+            "freeze": self._freeze,
+            "hup": self._settings,
+            "hup-bad": self._settings,
+            "wipe": self._wipe,
+            "move": self._move,
+            "reset": self._reset,
+            "silence": self._silence,
+            "host-crash": self._host_crash,
+            "host-leave": self._host_leave,
+            "host-slow": self._host_slow,
+            "change-bad": lambda act: self.workload.operator.bad(),
+            "change-rival": lambda act: self.workload.operator.rivals(),
+            "change-burst": self._burst,
+        }
+
+    async def play(self) -> None:
+        """All acts at their times, and until the last is over."""
+        begun = now()
+        tasks = []
+        for act in self.schedule.acts:
+            await asyncio.sleep(max(0.0, begun + act.at - now()))
+            tasks.append(asyncio.create_task(self._play(act)))
+        await asyncio.sleep(max(0.0, begun + self.schedule.seconds - now()))
+        for found in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(found, BaseException):
+                raise found
+
+    async def _play(self, act: Act) -> None:
+        await self.acts[act.kind](act)
+
+    def _say(self, act: Act, target: object) -> None:
+        self.history.write(h.Act(now(), act.kind, str(target), act.series))
+
+    # Whose turn it is
+
+    async def _gateway(self, act: Act) -> int | None:
+        members = self.cluster.members()
+        if act.target >= 0:
+            return members[act.target % len(members)]
+        return await self._leader()
+
+    async def _leader(self) -> int | None:
+        for number in self.cluster.running():
+            ip = self.cluster.ips[number]
+            found = await call(ip, CTL, "POST", "/rpc?call=gateway.status", patience=0.5)
+            if found and found.status == 200:
+                leader = json.loads(found.body)["leader"]
+                if leader in self.cluster.ips:
+                    return self.cluster.number_of(leader)
+        return None
+
+    async def _turn(self, number: int, whole: bool = False) -> bool:
+        """Waits until the gateway may be lost; `whole`: with its disk, so that no other may be lost."""
+        ends = now() + TURN
+        while not self._may_lose(number, whole):
+            if now() > ends:
+                self.left_out += 1
+                return False
+            await asyncio.sleep(0.1)
+        self._lose(number)
+        return True
+
+    def _may_lose(self, number: int, whole: bool) -> bool:
+        if self.herding:
+            return False
+        if number not in self.cluster.holders:
+            return True
+        others = [n for n in self.lost if n != number]
+        return len(others) < (1 if whole else self.cluster.budget)
+
+    def _lose(self, number: int) -> None:
+        if number in self.cluster.holders:
+            self.lost[number] += 1
+
+    def _found(self, number: int) -> None:
+        self.lost[number] -= 1
+        self.lost = +self.lost
+
+    async def _back(self, number: int) -> None:
+        """A voter that returned counts as lost until it has its seat again, and for some time."""
+        if number not in self.cluster.holders:
+            return
+        ends = now() + SEATED
+        while now() < ends and not await self._seated(number):
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(SYNC)
+        self._found(number)
+
+    async def _seated(self, number: int) -> bool:
+        ip = self.cluster.ips[number]
+        found = await call(ip, CTL, "POST", "/rpc?call=gateway.status", patience=0.5)
+        return found is not None and found.status == 200 and json.loads(found.body)["replica"] == "voter"
+
+    # Processes
+
+    async def _restart(self, act: Act) -> None:
+        await self._end_and_begin(act, signal.SIGTERM)
+
+    async def _kill(self, act: Act) -> None:
+        await self._end_and_begin(act, signal.SIGKILL)
+
+    async def _end_and_begin(self, act: Act, how: int) -> None:
+        number = await self._gateway(act)
+        if number is None or number in self.busy:
+            return
+        self.busy.add(number)
+        try:
+            if not await self._turn(number):
+                return
+            self._say(act, number)
+            await self.cluster.kill(number, how)
+            await asyncio.sleep(act.seconds)
+            await self.cluster.begin(number)
+        finally:
+            self.busy.discard(number)
+        await self._back(number)
+
+    async def _herd(self, act: Act) -> None:
+        """All processes are killed at one moment, and come back within a second."""
+        ends = now() + TURN
+        while self.busy or self.lost or self.herding:
+            if now() > ends:
+                self.left_out += 1
+                return
+            await asyncio.sleep(0.1)
+        self.herding = True
+        self._say(act, "all")
+        numbers = self.cluster.running()
+        self.busy.update(numbers)
+        for number in numbers:
+            self._lose(number)
+        try:
+            await asyncio.gather(*(self.cluster.kill(n) for n in numbers))
+            await asyncio.sleep(min(HERD, act.seconds))
+            for number in numbers:
+                await self.cluster.begin(number)
+        finally:
+            self.busy.difference_update(numbers)
+            self.herding = False
+        await asyncio.gather(*(self._back(n) for n in numbers))
+
+    async def _freeze(self, act: Act) -> None:
+        number = await self._gateway(act)
+        if number is None or number in self.lost or not await self._turn(number):
+            return
+        if self.cluster.freeze(number):
+            self._say(act, number)
+            await asyncio.sleep(act.seconds)
+            self.cluster.thaw(number)
+        await self._back(number)
+
+    async def _settings(self, act: Act) -> None:
+        number = await self._gateway(act)
+        if number is None or number in self.busy:
+            return
+        self._say(act, number)
+        self.cluster.settings_changed(number, bad=act.kind == "hup-bad")
+        if act.kind == "hup-bad":
+            await asyncio.sleep(0.5)
+            if number not in self.busy:
+                self.cluster.settings_changed(number, bad=False)
+
+    async def _wipe(self, act: Act) -> None:
+        """A process is killed and its disk lost; it comes back at its address on an empty one."""
+        number = await self._gateway(act)
+        if number is None or number in self.busy:
+            return
+        self.busy.add(number)
+        try:
+            if not await self._turn(number, whole=True):
+                return
+            self._say(act, number)
+            await self.cluster.kill(number)
+            self.cluster.wipe(number)
+            await asyncio.sleep(act.seconds)
+            await self.cluster.begin(number)
+        finally:
+            self.busy.discard(number)
+        await self._back(number)
+
+    async def _move(self, act: Act) -> None:
+        """A gateway is told to end and does not come back; another begins at a new address."""
+        number = await self._gateway(act)
+        if number is None or number in self.busy or number == 0:
+            return  # hosts stand at the first gateway's address
+        self.busy.add(number)
+        if not await self._turn(number, whole=True):
+            self.busy.discard(number)
+            return
+        self._say(act, number)
+        await self.cluster.kill(number, random.choice((signal.SIGTERM, signal.SIGKILL)))
+        await asyncio.sleep(act.seconds)
+        fresh = await self.cluster.move(number)
+        self._lose(fresh)
+        self._found(number)
+        await self._back(fresh)
+
+    # Hosts and their links
+
+    async def _reset(self, act: Act) -> None:
+        host = self.workload.hosts[act.target % len(self.workload.hosts)]
+        self._say(act, host.id)
+        self.history.write(h.Link(now(), host.id, "reset"))
+        host.relay.reset()
+
+    async def _silence(self, act: Act) -> None:
+        host = self.workload.hosts[act.target % len(self.workload.hosts)]
+        self._say(act, host.id)
+        self.history.write(h.Link(now(), host.id, "silent"))
+        await host.relay.silence(act.seconds)
+        self.history.write(h.Link(now(), host.id, "well"))
+
+    async def _host_crash(self, act: Act) -> None:
+        host = self.workload.hosts[act.target % len(self.workload.hosts)]
+        self._say(act, host.id)
+        self.workload.hosts.remove(host)
+        host.crash()
+        await asyncio.sleep(act.seconds)
+        await self.workload.start_host(host.service, host.zone)
+
+    async def _host_leave(self, act: Act) -> None:
+        host = self.workload.hosts[act.target % len(self.workload.hosts)]
+        self._say(act, host.id)
+        self.workload.leave(host)
+        await self.workload.start_host(host.service, host.zone)
+
+    async def _host_slow(self, act: Act) -> None:
+        host = self.workload.hosts[act.target % len(self.workload.hosts)]
+        self._say(act, host.id)
+        usual, host.work = host.work, 0.6
+        await asyncio.sleep(act.seconds)
+        host.work = usual
+
+    async def _burst(self, act: Act) -> None:
+        self._say(act, "operator")
+        for _ in range(3):
+            await self.workload.operator.change()
--- /dev/null
+++ b/coralvale/cluster/soak/operator.py
@@ -0,0 +1,180 @@
+"""The soak's operator: changes and repeats one after another, bad ones, and two under one number."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import random
+from typing import Any
+
+from coralvale.cluster.soak.cluster import SoakCluster
+from coralvale.cluster.soak.history import Change, ChangeAnswer, ReadBack, Writer, now
+from coralvale.standins.cluster import CTL, call, configuration
+
+SERVICES = ("schedule", "archive")
+QUOTAS = {"station": (0.0, 0.0), "hot": (8.0, 8.0)}  # by tenant: requests a second, burst
+PATIENCE = 20.0  # s for which a change is sent again
+PROBES = 3  # routes of the newest changes that are kept
+
+
+def key_of(tenant: str) -> str:
+    return f"key-{tenant}"
+
+
+def first_configuration() -> dict[str, Any]:
+    """Version 1: two services, their routes, a tenant without a limit and one that presses."""
+    whole = configuration(1, list(SERVICES))
+    for route in whole["Routes"].values():
+        route["TimeoutMs"] = 5000
+    for name in SERVICES:
+        whole["Routes"][f"{name}-long"] = {
+            **whole["Routes"][f"{name}-read"],
+            "PathPrefix": f"/{name}/long/",
+        }
+    whole["Tenants"] = {
+        name: {"ApiKeys": [key_of(name)], "Prio": 1, "RatePerS": rate, "Burst": burst}
+        for name, (rate, burst) in QUOTAS.items()
+    }
+    return whole
+
+
+def digest(content: dict[str, Any]) -> str:
+    """Of what a configuration has in force: the names of its routes and the services that they lead to."""
+    routes = {name: (r["PathPrefix"], r.get("Svc")) for name, r in content["Routes"].items()}
+    text = json.dumps([content["Ver"], routes], sort_keys=True)
+    return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
+class Operator:
+    """Knows the configuration that should be in force, and sends what follows it."""
+
+    def __init__(self, cluster: SoakCluster, history: Writer, seed: int) -> None:
+        self.cluster, self.history = cluster, history
+        self.chance = random.Random(f"operator/{seed}")
+        self.current: dict[str, Any] = {"Ver": 0, "Routes": {}}
+        self.number = 0
+        self.base = 0  # of the newest change that was sent
+        self.turn = asyncio.Lock()
+
+    @property
+    def version(self) -> int:
+        return int(self.current["Ver"])
+
+    def probes(self) -> list[str]:
+        """Paths of the routes that changes have added and that are in force."""
+        return [r["PathPrefix"] for n, r in self.current["Routes"].items() if n.startswith("probe-")]
+
+    async def found(self) -> bool:
+        """The first configuration, sent until it is taken."""
+        whole = first_configuration()
+        status = await self._send("config.replace", whole, 0, whole, "good", (), ())
+        return status == 200
+
+    async def change(self) -> None:
+        """One proper change, and now and then the same again."""
+        async with self.turn:
+            call_, body, after, adds, removes = self._next()
+            status = await self._send(call_, body, self.version, after, "good", adds, removes)
+            if status == 0 or status == 412:
+                await self._look()
+            elif self.chance.random() < 0.3:
+                await self._post(call_, body, self.base, 3.0)
+
+    async def bad(self) -> None:
+        """One that names an unknown service: refused."""
+        async with self.turn:
+            call_, body, after, adds, removes = self._next()
+            for route in body["Upsert"]["Routes"].values():
+                route["Svc"] = "nobody"
+            await self._send(call_, body, self.version, after, "bad", adds, removes)
+
+    async def rivals(self) -> None:
+        """Two operators at once, under one number and on top of the same version: one may win."""
+        async with self.turn:
+            first = self._next()
+            second = self._next("rival", int(first[1]["Ver"]))
+            base = self.version
+            await asyncio.gather(
+                *(
+                    self._send(c, body, base, after, "rival", adds, removes)
+                    for c, body, after, adds, removes in (first, second)
+                )
+            )
+            await self._look()
+
+    async def read(self) -> dict[str, Any] | None:
+        """The configuration as some gateway gives it."""
+        sent = now()
+        ip = random.choice(self.cluster.addresses())
+        found = await call(ip, CTL, "POST", "/rpc?call=config.read", patience=1.5)
+        if found is None or found.status != 200:
+            return None
+        whole: dict[str, Any] = json.loads(found.body)
+        whole.setdefault("Routes", {})
+        self.history.write(ReadBack(now(), sent, whole["Ver"], digest(whole), self.cluster.number_of(ip)))
+        return whole
+
+    async def _look(self) -> None:
+        """After a change whose outcome is not known: what is in force."""
+        for _ in range(60):
+            if whole := await self.read():
+                if whole["Ver"] >= self.version:
+                    self.current = whole
+                return
+            await asyncio.sleep(0.2)
+
+    def _next(
+        self, suffix: str = "", version: int = 0
+    ) -> tuple[str, dict[str, Any], dict[str, Any], tuple[str, ...], tuple[str, ...]]:
+        """A change that adds a route and removes the oldest that changes added: call, body, what follows."""
+        version = version or self.version + self.chance.randint(1, 3)
+        name = f"probe-{version:06d}{suffix}"
+        route = {
+            **self.current["Routes"]["schedule-read"],
+            "PathPrefix": f"/{name}/",
+            "Svc": self.chance.choice(SERVICES),
+        }
+        probes = sorted(n for n in self.current["Routes"] if n.startswith("probe-"))
+        gone = probes[: max(0, len(probes) - PROBES + 1)]
+        removes = tuple(self.current["Routes"][n]["PathPrefix"] for n in gone)
+        body: dict[str, Any] = {"Ver": version, "Upsert": {"Routes": {name: route}}}
+        if gone:
+            body["Remove"] = {"Routes": gone}
+        routes = {n: r for n, r in self.current["Routes"].items() if n not in gone}
+        after = {**self.current, "Ver": version, "Routes": {**routes, name: route}}
+        return "config.update", body, after, (route["PathPrefix"],), removes
+
+    async def _send(
+        self,
+        call_: str,
+        body: dict[str, Any],
+        base: int,
+        after: dict[str, Any],
+        kind: str,
+        adds: tuple[str, ...],
+        removes: tuple[str, ...],
+    ) -> int:
+        self.number += 1
+        number = self.number
+        self.base = base
+        self.history.write(Change(now(), number, int(body["Ver"]), base, kind, digest(after), adds, removes))
+        status = await self._post(call_, body, base, PATIENCE)
+        self.history.write(ChangeAnswer(now(), number, status))
+        if status == 200:
+            self.current = after
+        return status
+
+    async def _post(self, call_: str, body: dict[str, Any], base: int, patience: float) -> int:
+        """Sent unchanged to one gateway after another until there is a clear answer; 0: there was none."""
+        ends = now() + patience
+        text = json.dumps(body).encode()
+        while now() < ends:
+            ip = random.choice(self.cluster.addresses())
+            found = await call(
+                ip, CTL, "POST", f"/rpc?call={call_}", text, 1.5, X_Myrtlehatch_Base_Version=str(base)
+            )
+            if found and found.status < 500 and found.status not in (408, 429):
+                return found.status
+            await asyncio.sleep(0.2)
+        return 0
--- /dev/null
+++ b/coralvale/cluster/soak/relay.py
@@ -0,0 +1,67 @@
+"""A relay on loopback before a host: passes bytes on, and can reset connections or hold all bytes back."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+PIECE = 1 << 16  # bytes read at once
+
+
+class Relay:
+    """Listens on a port of its own and passes on to `port` of the same address."""
+
+    def __init__(self, ip: str) -> None:
+        self.ip = ip
+        self.to = 0
+        self.passing = asyncio.Event()
+        self.passing.set()
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, to: int) -> int:
+        """Begins to pass on to port `to`; the port that it listens on."""
+        self.to = to
+        self.server = await asyncio.start_server(self._serve, self.ip, 0)
+        port: int = self.server.sockets[0].getsockname()[1]
+        return port
+
+    def reset(self) -> None:
+        """Resets all connections, on both sides."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def silence(self, seconds: float) -> None:
+        """Passes nothing on for a while; nothing is lost."""
+        self.passing.clear()
+        await asyncio.sleep(seconds)
+        self.passing.set()
+
+    def stop(self) -> None:
+        self.server.close()
+        self.reset()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            back_reader, back_writer = await asyncio.open_connection(self.ip, self.to)
+        except OSError:
+            writer.transport.abort()
+            self.writers.discard(writer)
+            return
+        self.writers.add(back_writer)
+        try:
+            await asyncio.gather(self._pass(reader, back_writer), self._pass(back_reader, writer))
+        finally:
+            for one in (writer, back_writer):
+                one.close()
+                self.writers.discard(one)
+
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(PIECE):
+                await self.passing.wait()
+                writer.write(data)
+                await writer.drain()
+        if not writer.is_closing():
+            with contextlib.suppress(OSError):
+                writer.close()
--- /dev/null
+++ b/coralvale/cluster/soak/report.py
@@ -0,0 +1,179 @@
+"""What a run was, for people: counts, delays, what broke with the history around it, and a plot."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from coralvale.cluster.soak import history as h
+from coralvale.cluster.soak.timeline import Timeline, Violation
+
+AROUND = 1.0  # s of history before and after a violation that are told
+MOST_LINES = 40  # of history for each violation
+MOST_DELAY = 60_000  # ms that the histogram takes
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Summary(msgspec.Struct, frozen=True):
+    """Figures of one run."""
+
+    seed: int
+    gateways: int
+    seconds: float
+    requests: int
+    answers: dict[str, int]  # by status; closed, left, silent
+    acts: dict[str, int]
+    changes: dict[str, int]  # by status of the answer
+    calls: dict[str, int]  # of applications, by kind and status
+    lives: int
+    descriptors: int  # the most of one process
+    memory_mb: float  # the most of all processes together
+    delay_ms: dict[str, float]  # of answers with success, by quantile
+    longest_stall: float  # s, of the player
+    violations: list[str]
+    left_out: int = 0
+
+    @property
+    def well(self) -> bool:
+        return not self.violations
+
+
+def summarise(events: list[h.Event], violations: list[Violation], left_out: int = 0) -> Summary:
+    line = Timeline(events)
+    answers: Counter[str] = Counter()
+    for request in line.requests.values():
+        answers[_end_of(request.end)] += 1
+    kinds = {called.number: called.call for called in line.of(h.Called)}
+    calls = Counter(f"{kinds[a.number]} {a.status or 'unclear'}" for a in line.of(h.CallAnswer))
+    samples = line.of(h.Sample)
+    return Summary(
+        line.began.seed,
+        line.began.gateways,
+        round(line.last - line.began.at, 1),
+        len(line.requests),
+        dict(sorted(answers.items())),
+        dict(sorted(Counter(act.kind for act in line.of(h.Act)).items())),
+        dict(sorted(Counter(str(a.status or "unclear") for a in line.of(h.ChangeAnswer)).items())),
+        dict(sorted(calls.items())),
+        len(line.lives),
+        max((s.descriptors for s in samples), default=0),
+        round(_most_memory(samples) / 1024, 1),
+        _delays(line),
+        round(max((s for _, s in line.stalls), default=0.0), 3),
+        [f"{v.rule}: {v.text} ({v.subject})" for v in violations],
+        left_out,
+    )
+
+
+def _end_of(end: h.Event | None) -> str:
+    if isinstance(end, h.Answered):
+        return str(end.status)
+    return type(end).__name__.lower() if end else "open"
+
+
+def _most_memory(samples: list[h.Sample]) -> int:
+    """KiB of all processes together, by their last samples."""
+    now: dict[int, int] = {}
+    most = 0
+    for sample in samples:
+        now[sample.gateway] = sample.memory
+        most = max(most, sum(now.values()))
+    return most
+
+
+def _delays(line: Timeline) -> dict[str, float]:
+    took = [
+        r.end.at - r.sent.at
+        for r in line.requests.values()
+        if isinstance(r.end, h.Answered) and r.end.status == 200
+    ]
+    try:
+        from hdrh.histogram import HdrHistogram
+    except ImportError:
+        return _exact(took)
+    histogram = HdrHistogram(1, MOST_DELAY, 3)
+    for seconds in took:
+        histogram.record_value(min(MOST_DELAY, max(1, round(seconds * 1000))))
+    return {f"p{q:g}": float(histogram.get_value_at_percentile(q)) for q in QUANTILES}
+
+
+def _exact(took: list[float]) -> dict[str, float]:
+    """Without the histogram's package."""
+    ranked = sorted(took)
+    if not ranked:
+        return {}
+    places = {q: min(len(ranked) - 1, int(len(ranked) * q / 100)) for q in QUANTILES}
+    return {f"p{q:g}": round(ranked[place] * 1000, 1) for q, place in places.items()}
+
+
+def around(events: Iterable[h.Event], violation: Violation) -> list[str]:
+    """Lines of the history that name what a violation is about, or stand around it."""
+    encode = msgspec.json.Encoder().encode
+    about, near = [], []
+    for event in events:
+        text = encode(event).decode()
+        if violation.subject and f'"{violation.subject}"' in text:
+            about.append(text)
+        elif abs(event.at - violation.at) < AROUND and isinstance(
+            event, h.Process | h.Act | h.HostState | h.Link | h.Change | h.ChangeAnswer | h.Stall
+        ):
+            near.append(text)
+    return about[:MOST_LINES] + near[:MOST_LINES]
+
+
+def text(summary: Summary) -> str:
+    """The summary as lines."""
+
+    def row(name: str, counts: dict[str, Any]) -> str:
+        return f"  {name:<10} " + ", ".join(f"{key} {value}" for key, value in counts.items())
+
+    lines = [
+        f"seed {summary.seed}: {summary.gateways} gateways, {summary.seconds} s, {summary.requests} requests, "
+        f"{summary.lives} lives, {'no rule broken' if summary.well else 'BROKEN'}",
+        row("answers", summary.answers),
+        row("delay ms", summary.delay_ms),
+        row("acts", {**summary.acts, "left out": summary.left_out}),
+        row("changes", summary.changes),
+        row("calls", summary.calls),
+        f"  processes  {summary.descriptors} descriptors at most, {summary.memory_mb} MB together; "
+        f"the player was late by {summary.longest_stall} s at most",
+    ]
+    return "\n".join(lines + [f"  BROKEN {line}" for line in summary.violations])
+
+
+def plot(events: list[h.Event], path: Path) -> None:
+    """Served, refused and failed requests over time, with the nemesis's acts. Needs matplotlib."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    line = Timeline(events)
+    counts: dict[str, Counter[int]] = {name: Counter() for name in ("served", "refused", "failed")}
+    for request in line.requests.values():
+        if request.end is not None and not isinstance(request.end, h.Left):
+            counts[_class_of(request.end)][int(request.end.at - line.began.at)] += 1
+    seconds = range(int(line.last - line.began.at) + 1)
+    figure, axes = pyplot.subplots(figsize=(12, 4))
+    for name, colour in (("served", "tab:green"), ("refused", "tab:orange"), ("failed", "tab:red")):
+        axes.plot(seconds, [counts[name][s] for s in seconds], label=name, color=colour)
+    for act in line.of(h.Act):
+        axes.axvline(act.at - line.began.at, color="grey", linewidth=0.5)
+        axes.text(act.at - line.began.at, axes.get_ylim()[1], act.kind, rotation=90, fontsize=6, va="top")
+    axes.set_xlabel("s")
+    axes.set_ylabel("requests a second")
+    axes.legend()
+    figure.savefig(path, dpi=120, bbox_inches="tight")
+    pyplot.close(figure)
+
+
+def _class_of(end: h.Event) -> str:
+    if isinstance(end, h.Answered):
+        if end.status == 200:
+            return "served"
+        return "refused" if end.status in (429, 503, 408, 421) else "failed"
+    return "failed"
--- /dev/null
+++ b/coralvale/cluster/soak/rules_coordination.py
@@ -0,0 +1,259 @@
+"""Rules on locks, numbers, keys and watches, as callers see them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from attrs import define
+
+from coralvale.cluster.soak import history as h
+from coralvale.cluster.soak.timeline import Timeline, Violation
+
+NOTHING_DONE = {412, 429, 503}
+RELEASED = "release"
+
+
+@define
+class Call:
+    """A call and its answer."""
+
+    sent: h.Called
+    answer: h.CallAnswer | None = None
+
+    @property
+    def good(self) -> bool:
+        return self.answer is not None and self.answer.status == 200
+
+    @property
+    def answered(self) -> float:
+        return self.answer.at if self.answer else float("inf")
+
+    @property
+    def count(self) -> int:
+        return self.answer.count if self.answer else 0
+
+
+@define
+class Hold:
+    """A span in which a caller regards itself as holder."""
+
+    owner: str
+    fence: int
+    sent: float
+    begin: float
+    end: float
+
+
+def _calls(line: Timeline) -> list[Call]:
+    found = {called.number: Call(called) for called in line.of(h.Called)}
+    for answer in line.of(h.CallAnswer):
+        found[answer.number].answer = answer
+    return list(found.values())
+
+
+def _by_name(calls: list[Call], *kinds: str) -> dict[str, list[Call]]:
+    found: dict[str, list[Call]] = defaultdict(list)
+    for call in calls:
+        if call.sent.call in kinds:
+            found[call.sent.name].append(call)
+    return found
+
+
+def _group(key: str) -> str:
+    prefix, dot, _ = key.partition(".")
+    return prefix + dot
+
+
+# Locks
+
+
+def locks(line: Timeline) -> Iterator[Violation]:
+    """ONE: one holder at a time, and fences that rise from holder to holder."""
+    for name, calls in _by_name(_calls(line), "acquire", "renew", RELEASED).items():
+        holds = sorted(_holds(calls), key=lambda hold: hold.begin)
+        for place, hold in enumerate(holds):
+            for other in holds[place + 1 :]:
+                yield from _compare(name, hold, other)
+
+
+def _compare(name: str, hold: Hold, other: Hold) -> Iterator[Violation]:
+    if hold.owner == other.owner:
+        return
+    if other.begin < hold.end:
+        text = f"{name}: {hold.owner} and {other.owner} hold it at the same moment"
+        yield Violation("ONE", other.begin, text, name)
+    if hold.begin < other.sent and other.fence <= hold.fence:
+        text = f"{name}: fence {other.fence} of {other.owner} came after {hold.fence} of {hold.owner}"
+        yield Violation("ONE", other.begin, text, name)
+    elif hold.fence == other.fence:
+        yield Violation("ONE", other.begin, f"{name}: fence {hold.fence} was given to two", name)
+
+
+def _holds(calls: list[Call]) -> Iterator[Hold]:
+    """Spans of holding: a good call lengthens the owner's span, unless the span was over when it came."""
+    open_: dict[str, Hold] = {}
+    moments = sorted(
+        [(c.sent.at, c) for c in calls if c.sent.call == RELEASED]
+        + [(c.answered, c) for c in calls if c.sent.call != RELEASED and c.answer],
+        key=lambda pair: pair[0],
+    )
+    for at, call in moments:
+        owner = call.sent.owner
+        hold = open_.get(owner)
+        if call.sent.call == RELEASED or not call.good:
+            if hold and (call.sent.call == RELEASED or (call.answer and call.answer.status == 409)):
+                hold.end = min(hold.end, at)
+                yield open_.pop(owner)
+            continue
+        until = call.sent.at + call.sent.hold
+        if call.sent.call == "acquire":
+            assert call.answer
+            if hold:
+                yield open_.pop(owner)
+            open_[owner] = Hold(owner, call.answer.fence, call.sent.at, at, until)
+        elif hold and call.sent.fence == hold.fence and at <= hold.end:
+            hold.end = max(hold.end, until)
+    yield from open_.values()
+
+
+# Numbers and revisions
+
+
+def numbers(line: Timeline) -> Iterator[Violation]:
+    """ORDER: numbers of one name are given once, and rise."""
+    for name, calls in _by_name(_calls(line), "number").items():
+        yield from _rising(name, [(c.sent.at, c.answered, c.count) for c in calls if c.good])
+
+
+def revisions(line: Timeline) -> Iterator[Violation]:
+    """ORDER: revisions of one group are given once, and rise; a put does not pass over a later revision."""
+    groups: dict[str, dict[str, list[Call]]] = defaultdict(lambda: defaultdict(list))
+    for key, calls in _by_name(_calls(line), "put").items():
+        for call in calls:
+            groups[_group(key)][call.sent.value].append(call)
+    for group, puts in groups.items():
+        given = []
+        for value, calls in puts.items():
+            good = [c for c in calls if c.good]
+            if len({c.count for c in good}) > 1:
+                yield Violation("MIXED", good[-1].answered, f"{group}: {value} has two revisions", value)
+            if good:
+                # Resent, a put may take effect by any of its calls, and is known from the first answer on.
+                given.append((calls[0].sent.at, min(c.answered for c in good), good[0].count))
+        yield from _rising(group, given)
+    yield from _passed_over(line)
+
+
+def _rising(name: str, given: list[tuple[float, float, int]]) -> Iterator[Violation]:
+    """`given`: when each was asked for, when it was known, and what it is."""
+    seen: dict[int, float] = {}
+    known = sorted(given, key=lambda one: one[1])
+    newest, place = 0, 0
+    for sent, at, count in sorted(given):
+        while place < len(known) and known[place][1] < sent:
+            newest = max(newest, known[place][2])
+            place += 1
+        if count in seen:
+            yield Violation("ORDER", at, f"{name}: {count} was given twice", name)
+        elif count <= newest:
+            yield Violation("ORDER", at, f"{name}: {count} was given after {newest}", name)
+        seen[count] = at
+
+
+def _passed_over(line: Timeline) -> Iterator[Violation]:
+    for key, calls in _by_name(_calls(line), "put").items():
+        good = [c for c in calls if c.good]
+        for call in good:
+            expected = call.sent.expected
+            if expected is None:
+                continue
+            between = [c.count for c in good if expected < c.count < call.count]
+            if between:
+                text = f"{key}: a put on revision {expected} succeeded over {between[0]}"
+                yield Violation("ORDER", call.answered, text, key)
+
+
+# Reads and watches
+
+
+def reads(line: Timeline) -> Iterator[Violation]:
+    """STALE, MIXED, REFUSED: a read is no older than what was acknowledged, and gives what was put."""
+    calls = _calls(line)
+    puts, gets = _by_name(calls, "put"), _by_name(calls, "get")
+    for key, asked in gets.items():
+        done = [c for c in puts.get(key, []) if c.good]
+        values = _values(puts.get(key, []))
+        for read in asked:
+            if read.answer is None or read.answer.status not in (200, 404):
+                continue
+            newest = max((c.count for c in done if c.answered < read.sent.at), default=0)
+            at = read.count if read.good else 0
+            if at < newest:
+                text = f"{key}: read at revision {at} after {newest} was acknowledged"
+                yield Violation("STALE", read.answered, text, key)
+            if read.good:
+                yield from _value(key, read.answer.value, at, read.answered, values)
+
+
+def _values(puts: list[Call]) -> dict[str, tuple[int, bool]]:
+    """By value: its revision, 0 where it is not known, and whether all calls for it were turned away."""
+    found: dict[str, tuple[int, bool]] = {}
+    for put in puts:
+        revision, refused = found.get(put.sent.value, (0, True))
+        turned_away = put.answer is not None and put.answer.status in NOTHING_DONE
+        found[put.sent.value] = (put.count if put.good else revision, refused and turned_away)
+    return found
+
+
+def _value(
+    key: str, value: str, revision: int, at: float, values: dict[str, tuple[int, bool]]
+) -> Iterator[Violation]:
+    known, refused = values.get(value, (-1, False))
+    if known < 0:
+        yield Violation("MIXED", at, f"{key}: {value!r} shows up, and nobody put it", key)
+    elif known and known != revision:
+        yield Violation("MIXED", at, f"{key}: {value} is at {known} and shows up at {revision}", key)
+    elif refused:
+        yield Violation("REFUSED", at, f"{key}: {value} shows up, and its put was turned away", key)
+
+
+def watches(line: Timeline) -> Iterator[Violation]:
+    """ORDER: the events of a watch rise, and skip no put inside their span."""
+    calls = _calls(line)
+    puts = _by_name(calls, "put")
+    values = {key: _values(found) for key, found in puts.items()}
+    known: dict[str, list[tuple[int, str]]] = defaultdict(list)
+    for key, found in puts.items():
+        known[_group(key)] += [(c.count, c.sent.value) for c in found if c.good]
+    for group, asked in _by_name(calls, "watch").items():
+        given: dict[int, float] = {}
+        for watch in sorted(asked, key=lambda call: call.answered):
+            if watch.answer is None:
+                continue
+            if watch.answer.status == 410 and _recent(line, watch, given):
+                text = f"{group}: 410 for revision {watch.sent.after}, which was given not long ago"
+                yield Violation("LOST", watch.answered, text, group)
+            if watch.good:
+                given[watch.count] = watch.answered
+                yield from _events(group, watch, known[group], values)
+
+
+def _recent(line: Timeline, watch: Call, given: dict[int, float]) -> bool:
+    return watch.sent.at - given.get(watch.sent.after, float("-inf")) < line.began.retain
+
+
+def _events(
+    group: str, watch: Call, known: list[tuple[int, str]], values: dict[str, dict[str, tuple[int, bool]]]
+) -> Iterator[Violation]:
+    assert watch.answer
+    told = [revision for _, _, revision in watch.answer.events]
+    if told != sorted(set(told)):
+        yield Violation("ORDER", watch.answered, f"{group}: the events {told} do not rise", group)
+    if watch.sent.after:
+        inside = {revision for revision, _ in known if watch.sent.after < revision <= watch.count}
+        if skipped := sorted(inside - set(told)):
+            text = f"{group}: a watch from {watch.sent.after} to {watch.count} skips {skipped}"
+            yield Violation("ORDER", watch.answered, text, group)
+    for key, value, revision in watch.answer.events:
+        yield from _value(key, value, revision, watch.answered, values.get(key, {}))
--- /dev/null
+++ b/coralvale/cluster/soak/rules_requests.py
@@ -0,0 +1,160 @@
+"""Rules on requests: answers, runs, ends of connections, hosts that leave, quotas."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterator
+
+from coralvale.cluster.soak import history as h
+from coralvale.cluster.soak.timeline import MARGIN, Life, Request, Timeline, Violation
+
+PROMISES = {408, 421, 429, 503}  # the request has not run and never will
+NEAR = 0.3  # s before its limit from which on a request may be ended for its time
+
+
+def answered(line: Timeline) -> Iterator[Violation]:
+    """LOST, REFUSED: a success has run at a host; what was promised not to have run has not."""
+    for id_, request in line.requests.items():
+        end = request.end
+        if not isinstance(end, h.Answered):
+            continue
+        if end.status == 200 and not request.ran:
+            yield Violation("LOST", end.at, "answered with success, and no host ran it", id_)
+        if end.status in PROMISES and request.ran and not request.sent.repeatable:
+            yield Violation(
+                "REFUSED", end.at, f"answered {end.status}, and {request.ran[0].host} ran it", id_
+            )
+
+
+def runs(line: Timeline) -> Iterator[Violation]:
+    """TWICE, UNASKED: what may not be repeated runs once; hosts run what clients sent, as they sent it."""
+    for id_, request in line.requests.items():
+        if len(request.ran) > 1 and not request.sent.repeatable:
+            hosts = ", ".join(ran.host for ran in request.ran)
+            yield Violation("TWICE", request.ran[1].at, f"ran at {hosts}", id_)
+        for ran in request.ran:
+            if not ran.whole:
+                yield Violation("UNASKED", ran.at, f"{ran.host} was handed another body", id_)
+            if ran.tenant != request.sent.tenant:
+                yield Violation("UNASKED", ran.at, f"ran as tenant {ran.tenant!r}", id_)
+    for ran in line.unknown:
+        yield Violation("UNASKED", ran.at, f"{ran.host} ran what no client sent", ran.id)
+
+
+def own_answers(line: Timeline) -> Iterator[Violation]:
+    """MIXED: each answer is its own request's."""
+    for id_, request in line.requests.items():
+        end = request.end
+        if not isinstance(end, h.Answered):
+            continue
+        if end.echo and end.echo != id_:
+            yield Violation("MIXED", end.at, f"got the answer to {end.echo}", id_)
+        elif not end.own:
+            yield Violation("MIXED", end.at, "got bytes that are not its answer's", id_)
+
+
+def ends(line: Timeline) -> Iterator[Violation]:
+    """ENDED: what was let in ends with a whole answer or a status, within its time, also around SIGTERM."""
+    for id_, request in line.requests.items():
+        if isinstance(request.end, h.Left) or request.end is None:
+            continue
+        if why := _bad_end(line, request):
+            yield Violation("ENDED", request.end.at, why, id_)
+
+
+def _bad_end(line: Timeline, request: Request) -> str:
+    end, life = request.end, line.life_of(request)
+    assert end is not None
+    since = request.sent.at
+    took, lost = end.at - since, line.lost_time(life, since, end.at)
+    if isinstance(end, h.Closed):
+        return _bad_close(line, request, end, life)
+    if isinstance(end, h.Silent) and _was_killed(life, end.at):
+        return ""
+    if took - lost > request.sent.limit + MARGIN:
+        what = "without an answer" if isinstance(end, h.Silent) else "until it was answered"
+        return (
+            f"{took:.2f} s {what}, of which {lost:.2f} s were not the gateway's, for {request.sent.limit} s"
+        )
+    return ""
+
+
+def _was_killed(life: Life | None, at: float) -> bool:
+    """Whether a process had been killed by then; a client may hear of it later than the kill."""
+    return life is None or (life.killed is not None and life.killed <= at)
+
+
+def _bad_close(line: Timeline, request: Request, end: h.Closed, life: Life | None) -> str:
+    if _was_killed(life, end.at):
+        return ""
+    took = end.at - request.sent.at
+    if took >= request.sent.limit - NEAR or _host_broke_off(line, request, end.at):
+        return ""
+    told = " after SIGTERM" if life and life.told and life.told <= end.at else ""
+    if request.ran or end.begun:
+        return f"closed{told} after it had been passed on, {took:.2f} s after it was sent"
+    if request.written is None:
+        return ""
+    late = end.at - request.written
+    lost = line.lost_time(life, request.written, end.at)
+    if late > line.began.loss + lost + MARGIN:
+        return f"closed{told} without an answer {late:.2f} s after its last byte, {lost:.2f} s not its own"
+    return ""
+
+
+def _host_broke_off(line: Timeline, request: Request, until: float) -> bool:
+    return request.broke or any(
+        any(ran.at - MARGIN <= at <= until + MARGIN for at in line.links.get(ran.host, []))
+        for ran in request.ran
+    )
+
+
+def drained(line: Timeline) -> Iterator[Violation]:
+    """DRAIN: no host gets a request later than `DrainMs` after its leave was acknowledged."""
+    left: dict[str, h.HostState] = {}
+    for state in line.of(h.HostState):
+        if state.what == "acknowledged" and line.in_touch(state.gateway, state.at, state.at):
+            left.setdefault(state.host, state)
+    for id_, request in line.requests.items():
+        for ran in request.ran:
+            state_ = left.get(ran.host)
+            if state_ is None:
+                continue
+            late = ran.at - state_.at
+            life, gateway = line.life_of(request), request.sent.gateway
+            bound = line.began.drain + line.lost_time(life, state_.at, ran.at)
+            if (
+                late > bound
+                and line.in_touch(gateway, request.sent.at, ran.at)
+                and line.link_well(ran.host, request.sent.at, ran.at)
+            ):
+                yield Violation("DRAIN", ran.at, f"{ran.host} got it {late:.2f} s after its leave", id_)
+
+
+def quotas(line: Timeline) -> Iterator[Violation]:
+    """QUOTA: in every window no more is sent and run than the tenant's terms bear."""
+    began = line.began
+    by_tenant: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    for request in line.requests.values():
+        if request.ran:
+            by_tenant[request.sent.tenant].append((request.sent.at, request.ran[0].at))
+    for tenant, (rate, burst) in began.quotas.items():
+        if not rate:
+            continue
+        most = (rate * began.quota_window + burst) * (1 + began.quota_excess) + began.quota_slack
+        at, count = _fullest(sorted(by_tenant[tenant]), began.quota_window)
+        if count > most:
+            text = f"{count} requests of {tenant} in {began.quota_window:g} s, {most:.0f} at most"
+            yield Violation("QUOTA", at, text, tenant)
+
+
+def _fullest(spans: list[tuple[float, float]], window: float) -> tuple[float, int]:
+    """The window in which the most are both sent and run."""
+    starts = [sent for sent, _ in spans]
+    best = (0.0, 0)
+    for first, begin in enumerate(starts):
+        last = bisect_right(starts, begin + window)
+        count = sum(ran <= begin + window for _, ran in spans[first:last])
+        best = max(best, (begin, count), key=lambda found: found[1])
+    return best
--- /dev/null
+++ b/coralvale/cluster/soak/terms.py
@@ -0,0 +1,65 @@
+"""What a soak takes from an operator's settings file: bounds, limits, the fault budget."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from coralvale.cluster.settings import Bounds, SettingsError, parse
+from coralvale.cluster.soak.history import Began
+
+TAKEN = ("Bounds", "Limits", "FaultBudget", "HeartbeatMs", "Guarantees")
+
+
+class Terms:
+    """Fields that stand in the settings of all gateways of a soak in place of its own."""
+
+    def __init__(self, fields: dict[str, Any] | None = None, bounds: Bounds | None = None) -> None:
+        self.fields, self.bounds = fields or {}, bounds
+
+    def put_into(self, text: str) -> str:
+        """A gateway's settings with these terms. The size of its disk stays: without one it has none."""
+        if not self.fields:
+            return text
+        settings = yaml.safe_load(text)
+        disk = settings["Limits"]["DiskMb"]
+        settings.update(self.fields)
+        if "Limits" in self.fields and not disk:
+            settings["Limits"] = {**self.fields["Limits"], "DiskMb": 0}
+        dumped: str = yaml.safe_dump(settings)
+        return dumped
+
+    def began(self, at: float, seed: int, gateways: int, quotas: dict[str, tuple[float, float]]) -> Began:
+        """The first event of a run, with the bounds that its rules hold."""
+        if self.bounds is None:
+            return Began(at, seed, gateways, quotas)
+        b = self.bounds
+        return Began(
+            at,
+            seed,
+            gateways,
+            quotas,
+            contact=b.ContactMs / 1000,
+            drain=b.DrainMs / 1000,
+            grace=b.GraceS,
+            apply=b.ApplyMs / 1000,
+            revert=b.RevertMs / 1000,
+            loss=b.LossMs / 1000,
+            quota_window=b.QuotaWindowS,
+            quota_excess=b.QuotaExcess,
+            quota_slack=b.QuotaSlack,
+            retain=b.RetainS,
+        )
+
+
+def read(path: Path) -> Terms:
+    """Raises SettingsError."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    parsed = parse(text, str(path))
+    raw = yaml.safe_load(text)
+    return Terms({name: raw[name] for name in TAKEN if name in raw}, parsed.Bounds)
--- a/coralvale/standins/cluster.py
+++ b/coralvale/standins/cluster.py
@@ -36,8 +36,11 @@
     folder: Path,
     bootstrap: bool,
     regions: tuple[str, str] = ("home", "home"),
+    seeds: list[str] | None = None,
+    budget: int = 1,
 ) -> str:
-    """A gateway's settings file. The first `disks` have a disk. `regions`: of the two zones."""
+    """A gateway's settings file. The first `disks` have a disk. `regions`: of the two zones; `seeds`: IP numbers,
+    the first three gateways without it; `budget`: machines with a disk that may be lost at once."""
     ip = ips[number]
     holds = number < disks
     return f"""Hostname: "gateway-{number}"
@@ -47,13 +50,13 @@
 Zones: {{zone-0: "{regions[0]}", zone-1: "{regions[1]}"}}
 Listen: {{Edge: "{ip}:{EDGE}", Readyz: "{ip}:{READY}", Ctl: "{ip}:{CTL}"}}
 PortRange: [{PEERS}, {PEERS + 15}]
-Seeds: {json.dumps([f"{i}:{CTL}" for i in ips[:3]])}
+Seeds: {json.dumps([f"{i}:{CTL}" for i in seeds or ips[:3]])}
 Bootstrap: {str(bootstrap).lower()}
 Voting: {str(holds).lower()}
 Limits: {{CpuFrac: 0.8, Ncpu: 1, MemMb: 300, MaxFds: 1000, NicMbps: 1000.0, DiskMb: {64 if holds else 0}}}
 Datadir: "{folder / f"data-{number}" if holds else ""}"
 HeartbeatMs: {int(BEAT * 1000)}
-FaultBudget: {{Nodes: 1, Zones: 0, Regions: 0}}
+FaultBudget: {{Nodes: {budget}, Zones: 0, Regions: 0}}
 Bounds: ["GraceS=6", "DrainMs=2500", "RetryRatio=0.2", "RetryWindowS=10", "RetryExtra=64", "QuotaWindowS=5",
   "QuotaExcess=0.1", "QuotaSlack=20", "ContactMs=3000", "ApplyMs=2500"]
 """
@@ -190,8 +193,12 @@
         level: str = "INFO",
         metrics: bool = False,
         regions: tuple[str, str] = ("home", "home"),
+        program: tuple[str, ...] = ("-m", "coralvale.cluster"),
+        budget: int = 1,
     ) -> None:
+        """`program`: what Python starts for a gateway."""
         self.level, self.metrics, self.regions = level, metrics, regions
+        self.program, self.budget = program, budget
         self.folder = tempfile.TemporaryDirectory(prefix="cluster-")
         self.path = Path(self.folder.name)
         self.ips = [f"{net}.{n + 1}" for n in range(gateways)]
@@ -199,14 +206,17 @@
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.hosts: list[StandIn] = []
 
+    def settings(self, number: int, bootstrap: bool = False) -> str:
+        """The text of a gateway's settings file."""
+        return settings(number, self.ips, self.disks, self.path, bootstrap, self.regions, budget=self.budget)
+
     async def begin(self, number: int, bootstrap: bool = False) -> None:
         file = self.path / f"settings-{number}.yaml"
-        file.write_text(settings(number, self.ips, self.disks, self.path, bootstrap, self.regions))
+        file.write_text(self.settings(number, bootstrap))
         log = (self.path / f"log-{number}").open("ab")
         self.processes[number] = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "coralvale.cluster",
+            *self.program,
             *(("run", "--metrics", f"{self.ips[number]}:{METRICS}") if self.metrics else ()),
             env={**os.environ, "MYRTLEHATCH_CONFIG": str(file), "MYRTLEHATCH_LOG": self.level},
             stdout=log,
