--- a/coralvale/cluster/soak/clients.py
+++ b/coralvale/cluster/soak/clients.py
@@ -136,6 +136,7 @@
                 await asyncio.sleep(random.uniform(0, LEAVES_AFTER))
                 self._say(Left(now(), id_))
                 self.close()
+                self.gateway = -1  # it comes back like a new client
                 return 0
             pause = 0.02 if asked.manner is Manner.SLOW else 0.0
             found = await read_message(self.reader, pause, 16384)
--- a/coralvale/cluster/soak/cluster.py
+++ b/coralvale/cluster/soak/cluster.py
@@ -10,7 +10,7 @@
 
 from coralvale.cluster.soak.history import Process, Writer, now
 from coralvale.cluster.soak.terms import Terms
-from coralvale.standins.cluster import LocalCluster, settings
+from coralvale.standins.cluster import READY, LocalCluster, call, settings
 
 GRACE = 6.0  # s, unless the terms name another
 PATIENCE = 3.0  # s beyond its grace after which a process that was told to end is killed
@@ -43,6 +43,8 @@
         self.frozen_at: dict[int, float] = {}
         self.frozen_for: dict[int, float] = {}  # s of the present life
         self.watchers: dict[int, asyncio.Task[None]] = {}
+        self.callers: dict[int, asyncio.Task[None]] = {}
+        self.answers: dict[int, asyncio.Event] = {}  # the present life has answered a call
         self.ended: dict[int, asyncio.Event] = {}
 
     def members(self) -> list[int]:
@@ -80,7 +82,25 @@
         self.say(number, "start")
         await super().begin(number, bootstrap)
         self.ended[number] = asyncio.Event()
+        self.answers[number] = asyncio.Event()
         self.watchers[number] = asyncio.create_task(self._watch(number))
+        self.callers[number] = asyncio.create_task(self._call(number, self.answers[number]))
+
+    async def _call(self, number: int, answers: asyncio.Event) -> None:
+        """Until the life that has just begun answers: before, its interpreter has no handlers of signals."""
+        while not answers.is_set() and not self.ended[number].is_set():
+            if await call(self.ips[number], READY, "GET", "/readyz", patience=0.5):
+                answers.set()
+            await asyncio.sleep(0.1)
+
+    async def has_begun(self, number: int, seconds: float) -> bool:
+        """Whether the present life answers, or has, within so many seconds."""
+        ends = now() + seconds
+        while now() < ends:
+            if number in self.processes and self.answers[number].is_set():
+                return True
+            await asyncio.sleep(0.05)
+        return False
 
     async def _watch(self, number: int) -> None:
         process = self.processes[number]
--- a/coralvale/cluster/soak/nemesis.py
+++ b/coralvale/cluster/soak/nemesis.py
@@ -142,6 +142,8 @@
             return
         self.busy.add(number)
         try:
+            if how == signal.SIGTERM and not await self.cluster.has_begun(number, TURN):
+                return
             if not await self._turn(number):
                 return
             self._say(act, number)
@@ -188,7 +190,7 @@
 
     async def _settings(self, act: Act) -> None:
         number = await self._gateway(act)
-        if number is None or number in self.busy:
+        if number is None or number in self.busy or not await self.cluster.has_begun(number, 1.0):
             return
         self._say(act, number)
         self.cluster.settings_changed(number, bad=act.kind == "hup-bad")
@@ -224,8 +226,9 @@
         if not await self._turn(number, whole=True):
             self.busy.discard(number)
             return
+        how = signal.SIGTERM if await self.cluster.has_begun(number, 1.0) else signal.SIGKILL
         self._say(act, number)
-        await self.cluster.kill(number, random.choice((signal.SIGTERM, signal.SIGKILL)))
+        await self.cluster.kill(number, random.choice((how, signal.SIGKILL)))
         await asyncio.sleep(act.seconds)
         fresh = await self.cluster.move(number)
         self._lose(fresh)
--- a/coralvale/cluster/soak/play.py
+++ b/coralvale/cluster/soak/play.py
@@ -47,8 +47,13 @@
     program: tuple[str, ...] = ("-m", "coralvale.cluster"),
     coordination: bool = True,
     terms: Terms | None = None,
+    to_the_end: bool = True,
 ) -> Outcome:
-    """Plays a schedule; `folder` keeps its history and its gateways' logs. Raises SoakError."""
+    """Plays a schedule; `folder` keeps its history and its gateways' logs. Raises SoakError.
+
+    `program`: what Python starts for a gateway; `to_the_end`: with the calm after the last act, and the end in
+    order.
+    """
     folder.mkdir(parents=True, exist_ok=True)
     with contextlib.suppress(ImportError):
         dump(schedule, folder / "schedule.toml")
@@ -65,7 +70,8 @@
         await _come_up(cluster, workload)
         workload.start()
         await nemesis.play()
-        await _end(cluster, workload)
+        if to_the_end:
+            await _end(cluster, workload)
     finally:
         await workload.stop()
         await cluster.stop_with_logs(folder)
