Soak: hosts leave in calm times too, some clients go on after Connection: close

Three hosts now leave in the calm before the end, and hosts linger for 5 to 14 s. A third of the clients use a connection until the gateway ends it, whatever its answers say. A soak that is told to end takes its gateways with it.

--- a/coralvale/cluster/soak/clients.py
+++ b/coralvale/cluster/soak/clients.py
@@ -56,8 +56,11 @@
 class Client:
     """One connection at a time, one request at a time on it."""
 
-    def __init__(self, cluster: SoakCluster, history: Writer, number: int) -> None:
+    def __init__(self, cluster: SoakCluster, history: Writer, number: int, heeds_close: bool = True) -> None:
+        """`heeds_close`: ends its connection after an answer with `Connection: close`; else it goes on using
+        it until the gateway ends it."""
         self.cluster, self.history, self.number = cluster, history, number
+        self.heeds_close = heeds_close
         self.gateway = self.life = self.connection = -1
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
@@ -141,7 +144,7 @@
             pause = 0.02 if asked.manner is Manner.SLOW else 0.0
             found = await read_message(self.reader, pause, 16384)
         self._say(_answered(id_, found))
-        if found.headers.get(b"connection", b"").lower() == b"close":
+        if self.heeds_close and found.headers.get(b"connection", b"").lower() == b"close":
             self.close()
         return found.status
 
--- a/coralvale/cluster/soak/hosts.py
+++ b/coralvale/cluster/soak/hosts.py
@@ -15,7 +15,7 @@
 from coralvale.standins.wire import Message, answer
 
 LONG = 192 * 1024  # bytes of a long answer
-LINGER = 7.0  # s for which a host serves on after its leave was acknowledged
+LINGER = (5.0, 14.0)  # s for which a host serves on after its leave was acknowledged: from, to
 UNHEARD = 5.0  # s after which a host that leaves goes without an acknowledgement
 
 
@@ -53,7 +53,7 @@
             gateway = await self._beat()
             if gateway >= 0:
                 self._say("acknowledged", gateway)
-                await asyncio.sleep(LINGER)
+                await asyncio.sleep(random.uniform(*LINGER))
                 ip = random.choice(self.cluster.addresses())
                 await call(ip, CTL, "POST", f"/rpc?call=instances.deregister&of={self.id}")
                 break
--- a/coralvale/cluster/soak/main.py
+++ b/coralvale/cluster/soak/main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -41,10 +42,18 @@
 
 def play_all(schedules: list[Schedule], options: Options) -> int:
     """Plays all; the exit code: 0 none broken, 1 some rule was broken, 2 a run could not be played."""
-    return asyncio.run(_play_all(schedules, options))
+    try:
+        return asyncio.run(_play_all(schedules, options))
+    except asyncio.CancelledError:
+        print("ended before all were played", file=sys.stderr)
+        return 2
 
 
 async def _play_all(schedules: list[Schedule], options: Options) -> int:
+    whole = asyncio.current_task()
+    assert whole
+    # Told to end, it ends its gateways too.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, whole.cancel)
     turns = asyncio.Semaphore(options.at_once)
 
     async def one(place: int, schedule: Schedule) -> int:
--- a/coralvale/cluster/soak/play.py
+++ b/coralvale/cluster/soak/play.py
@@ -20,7 +20,8 @@
 
 COMES_UP = 60.0  # s for all gateways to be ready at first
 SETTLES = 30.0  # s for all to be ready after the last act
-CALM = 4.0  # s of traffic after that
+CALM = 3.5  # s of traffic after that, and until all gateways are in touch
+LEAVES = 5.0  # s of traffic after hosts have said that they leave: past the end of DrainMs
 LAST_READ = 30.0  # s for the last read of the configuration
 
 
@@ -100,11 +101,14 @@
 
 
 async def _end(cluster: SoakCluster, workload: Workload) -> None:
-    """All come back, some calm, a last read, and the end of all under traffic."""
+    """All come back, some calm, hosts that leave in it, a last read, and the end of all under traffic."""
     for number in cluster.members():
         with contextlib.suppress(TimeoutError):
             await _ready(cluster, number, SETTLES)
     await asyncio.sleep(CALM)
+    for host in workload.hosts[:: len(workload.hosts) // 3]:
+        workload.leave(host)
+    await asyncio.sleep(LEAVES)
     workload.history.write(Act(now(), "last-read", ""))
     ends = now() + LAST_READ
     while now() < ends and not await workload.operator.read():
--- a/coralvale/cluster/soak/workload.py
+++ b/coralvale/cluster/soak/workload.py
@@ -118,7 +118,7 @@
             task.cancel()
 
     async def _client(self, number: int, pace: float) -> None:
-        client = Client(self.cluster, self.history, number)
+        client = Client(self.cluster, self.history, number, heeds_close=number % 3 != 0)
         self.clients.append(client)
         manners = [(manner, path) for manner, path, _ in MANNERS]
         weights = [weight for _, _, weight in MANNERS]
