--- a/coralvale/cluster/soak/nemesis.py
+++ b/coralvale/cluster/soak/nemesis.py
@@ -220,8 +220,8 @@
     async def _move(self, act: Act) -> None:
         """A gateway is told to end and does not come back; another begins at a new address."""
         number = await self._gateway(act)
-        if number is None or number in self.busy or number == 0:
-            return  # hosts stand at the first gateway's address
+        if number is None or number in self.busy:
+            return
         self.busy.add(number)
         if not await self._turn(number, whole=True):
             self.busy.discard(number)
