--- a/coralvale/cluster/soak/cluster.py
+++ b/coralvale/cluster/soak/cluster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import resource
 import shutil
 import signal
 from pathlib import Path
@@ -16,6 +17,16 @@
 PATIENCE = 3.0  # s beyond its grace after which a process that was told to end is killed
 
 
+def _bound_files(pid: int, size: int) -> bool:
+    """Whether a process' files may now grow to so many bytes at most."""
+    try:
+        _, most = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, most))
+    except OSError:  # it has ended
+        return False
+    return True
+
+
 class SoakCluster(LocalCluster):
     """Numbers of gateways are never used again; a restarted process is another life of its gateway."""
 
@@ -173,6 +184,21 @@
         if process and process.returncode is None:
             process.send_signal(how)
 
+    def fill_disk(self, number: int) -> bool:
+        """From now on its files may not grow: the kernel refuses such writes as a full disk does."""
+        process = self.processes.get(number)
+        if process is None:
+            return False
+        folder = self.path / f"data-{number}"
+        size = max((file.stat().st_size for file in folder.glob("*") if file.is_file()), default=0)
+        self.say(number, "disk-full")
+        return _bound_files(process.pid, size)
+
+    def clear_disk(self, number: int) -> None:
+        if process := self.processes.get(number):
+            self.say(number, "disk-well")
+            _bound_files(process.pid, resource.RLIM_INFINITY)
+
     def wipe(self, number: int) -> None:
         """The disk of a process that is not there is lost."""
         shutil.rmtree(self.path / f"data-{number}", ignore_errors=True)
--- a/coralvale/cluster/soak/history.py
+++ b/coralvale/cluster/soak/history.py
@@ -36,7 +36,8 @@
 class Process(Record, frozen=True):
     """What happened to a gateway's process.
 
-    `what`: start, ready, term, kill, stop, cont, hup, wipe, exit or overdue; `code` is the exit code.
+    `what`: start, ready, term, kill, stop, cont, hup, disk-full, disk-well, wipe, exit or overdue; `code` is
+    the exit code.
     """
 
     gateway: int
--- a/coralvale/cluster/soak/nemesis.py
+++ b/coralvale/cluster/soak/nemesis.py
@@ -39,6 +39,7 @@
             "hup": self._settings,
             "hup-bad": self._settings,
             "wipe": self._wipe,
+            "disk-full": self._fill_disk,
             "move": self._move,
             "reset": self._reset,
             "silence": self._silence,
@@ -217,6 +218,18 @@
             self.busy.discard(number)
         await self._back(number)
 
+    async def _fill_disk(self, act: Act) -> None:
+        """A voter's disk takes no more for a while."""
+        voters = [n for n in self.cluster.members() if n in self.cluster.holders]
+        number = voters[act.target % len(voters)]
+        if number in self.busy or not await self._turn(number):
+            return
+        if self.cluster.fill_disk(number):
+            self._say(act, number)
+            await asyncio.sleep(act.seconds)
+            self.cluster.clear_disk(number)
+        await self._back(number)
+
     async def _move(self, act: Act) -> None:
         """A gateway is told to end and does not come back; another begins at a new address."""
         number = await self._gateway(act)
--- a/coralvale/cluster/soak/schedule.py
+++ b/coralvale/cluster/soak/schedule.py
@@ -115,6 +115,15 @@
     return [Act(at, "wipe", chance.randrange(gateways), chance.uniform(0, 1), series)]
 
 
+def _full_disks(chance: random.Random, at: float, series: int, gateways: int) -> list[Act]:
+    return [
+        Act(
+            at + chance.uniform(0, 3), "disk-full", chance.randrange(gateways), chance.uniform(0.3, 3), series
+        )
+        for _ in range(2)
+    ]
+
+
 def _move(chance: random.Random, at: float, series: int, gateways: int) -> list[Act]:
     return [Act(at, "move", chance.randrange(gateways), chance.uniform(0, 1), series)]
 
@@ -160,6 +169,7 @@
     "freeze-and-end": _freeze_and_end,
     "settings": _settings,
     "empty": _empty,
+    "full-disks": _full_disks,
     "move": _move,
     "links": _links,
     "hosts": _hosts,
--- a/coralvale/cluster/soak/timeline.py
+++ b/coralvale/cluster/soak/timeline.py
@@ -13,7 +13,7 @@
 
 E = TypeVar("E")
 MARGIN = 1.0  # s that a process may take beside what it waited for: its own work in a crowd of requests
-TROUBLES = {"start", "term", "kill", "stop", "cont", "wipe", "exit", "overdue"}
+TROUBLES = {"start", "term", "kill", "stop", "cont", "wipe", "exit", "overdue", "disk-full", "disk-well"}
 
 
 @frozen
--- a/tests/cluster/test_soak_parts.py
+++ b/tests/cluster/test_soak_parts.py
@@ -33,7 +33,7 @@
     acts = [act for seed in range(50) for act in schedule.draw(seed, 5, 40.0).acts]
     assert {act.kind for act in acts} == {
         *("restart", "kill", "herd", "freeze", "hup", "hup-bad", "wipe", "move", "reset", "silence"),
-        *("host-crash", "host-leave", "host-slow", "change-bad", "change-rival", "change-burst"),
+        *("host-crash", "host-leave", "host-slow", "change-bad", "change-rival", "change-burst", "disk-full"),
     }
     series = [act.series for act in schedule.draw(1, 5, 40.0).acts]
     assert series != sorted(series)
