--- a/coralvale/cluster/soak/operator.py
+++ b/coralvale/cluster/soak/operator.py
@@ -13,7 +13,7 @@
 from coralvale.standins.cluster import CTL, call, configuration
 
 SERVICES = ("schedule", "archive")
-QUOTAS = {"station": (0.0, 0.0), "hot": (8.0, 8.0)}  # by tenant: requests a second, burst
+QUOTAS = {"station": (0.0, 0.0), "hot": (4.0, 4.0)}  # by tenant: requests a second, burst
 PATIENCE = 20.0  # s for which a change is sent again
 PROBES = 3  # routes of the newest changes that are kept
 
--- a/coralvale/cluster/soak/workload.py
+++ b/coralvale/cluster/soak/workload.py
@@ -17,7 +17,7 @@
 HOSTS = 4  # of each service
 RATE = 120.0  # requests a second of all clients, at most
 PACE = 0.12  # s between a client's requests, at least
-PRESSING = 3  # clients of the tenant that presses
+PRESSING = 4  # clients of the tenant that presses
 PRESSING_PACE = 0.08  # s between the requests of each of them
 PROBE_PACE = 0.25  # s between probes of the newest routes
 CHANGE_PACE = 1.5  # s between changes
