Soak: schedules fit the fault budget of the operator's settings

A settings file whose FaultBudget needs more disks than the soak had would never have had a change acknowledged.

--- a/coralvale/cluster/commands.py
+++ b/coralvale/cluster/commands.py
@@ -552,6 +552,8 @@
     :param shrink: play what failed again with parts left out, and write the least that still fails
     :param as_json: print one JSON object for each run
     """
+    from importlib.util import find_spec
+
     from coralvale.cluster.settings import SettingsError
     from coralvale.cluster.soak import main as runs
     from coralvale.cluster.soak import schedule, terms
@@ -562,10 +564,14 @@
             return runs.check_again(Path(check), as_json)
         if gateways < 3 or seconds <= 0 or at_once < 1:
             raise Fault("soak: at least 3 gateways, some seconds, and one run at once")
+        for wanted, package in ((shrink, "tomli_w"), (plot, "matplotlib")):
+            if wanted and find_spec(package) is None:
+                raise Fault("soak: --shrink and --plot need the extra lab (pip install '.[lab]')")
         schedules = [schedule.load(Path(replay))] if replay else runs.drawn(first, seeds, gateways, seconds)
         found = terms.read(Path(settings)) if settings else terms.Terms()
     except (SettingsError, schedule.ScheduleError, HistoryError, OSError) as error:
         raise Fault(str(error)) from None
+    schedules = [found.fit(one) for one in schedules]
     return runs.play_all(schedules, runs.Options(Path(folder), found, at_once, log, as_json, plot, shrink))
 
 
--- a/coralvale/cluster/soak/cluster.py
+++ b/coralvale/cluster/soak/cluster.py
@@ -14,6 +14,7 @@
 from coralvale.standins.cluster import READY, LocalCluster, call, settings
 
 GRACE = 6.0  # s, unless the terms name another
+APART = 0.05  # s between the first starts of two processes
 PATIENCE = 3.0  # s beyond its grace after which a process that was told to end is killed
 
 
@@ -87,6 +88,13 @@
             Process(now(), number, self.lives.get(number, 0), what, number in self.holders, code)
         )
 
+    async def start(self) -> SoakCluster:
+        """The first start of all; one after another in a row, or a hundred interpreters choke the machine."""
+        for number in range(len(self.ips)):
+            await self.begin(number, bootstrap=True)
+            await asyncio.sleep(APART)
+        return self
+
     async def begin(self, number: int, bootstrap: bool = False) -> None:
         self.lives[number] = self.lives.get(number, 0) + 1
         self.frozen_for[number] = 0.0
--- a/coralvale/cluster/soak/nemesis.py
+++ b/coralvale/cluster/soak/nemesis.py
@@ -104,7 +104,8 @@
         if number not in self.cluster.holders:
             return True
         others = [n for n in self.lost if n != number]
-        return len(others) < (1 if whole else self.cluster.budget)
+        budget = self.cluster.budget
+        return len(others) < (min(1, budget) if whole else budget)
 
     def _lose(self, number: int) -> None:
         if number in self.cluster.holders:
--- a/coralvale/cluster/soak/terms.py
+++ b/coralvale/cluster/soak/terms.py
@@ -5,10 +5,12 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import yaml
 
 from coralvale.cluster.settings import Bounds, SettingsError, parse
 from coralvale.cluster.soak.history import Began
+from coralvale.cluster.soak.schedule import Schedule
 
 TAKEN = ("Bounds", "Limits", "FaultBudget", "HeartbeatMs", "Guarantees")
 
@@ -19,6 +21,16 @@
     def __init__(self, fields: dict[str, Any] | None = None, bounds: Bounds | None = None) -> None:
         self.fields, self.bounds = fields or {}, bounds
 
+    def fit(self, schedule: Schedule) -> Schedule:
+        """A schedule with as many disks as the fault budget needs, and no more lost at once than it tolerates."""
+        if "FaultBudget" not in self.fields:
+            return schedule
+        nodes = int(self.fields["FaultBudget"].get("Nodes", 0))
+        disks = max(schedule.disks, 2 * nodes + 1)
+        return msgspec.structs.replace(
+            schedule, budget=nodes, disks=disks, gateways=max(schedule.gateways, disks)
+        )
+
     def put_into(self, text: str) -> str:
         """A gateway's settings with these terms. The size of its disk stays: without one it has none."""
         if not self.fields:
--- a/tests/cluster/test_soak_parts.py
+++ b/tests/cluster/test_soak_parts.py
@@ -78,6 +78,9 @@
     assert made.Bounds.GraceS == 9 and made.Limits.MemMb == 123
     assert made.Ip == "127.0.0.5" and not made.holds_state and made.Limits.DiskMb == 0
     assert found.began(0.0, 1, 5, {}).grace == 9
+    file.write_text(own.replace("{Nodes: 1", "{Nodes: 3"))
+    fitted = terms.read(file).fit(schedule.draw(1, 5, 20.0))
+    assert (fitted.gateways, fitted.disks, fitted.budget) == (7, 7, 3)
 
 
 def test_what_is_told_of_a_run(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
