--- a/coralvale/cluster/commands/__init__.py
+++ b/coralvale/cluster/commands/__init__.py
@@ -19,6 +19,7 @@
 from coralvale.cluster.commands.hosts import health
 from coralvale.cluster.commands.logs import events, explain
 from coralvale.cluster.commands.regions import audit, show_regions
+from coralvale.cluster.commands.soak import soak
 
 
 def main(words: list[str]) -> int:
@@ -38,6 +39,7 @@
                 "events": events,
                 "explain": explain,
                 "demo": demo,
+                "soak": soak,
                 "state": {"show": show, "check": check_state, "export": export, "restore": restore},
             },
             argv=words,
