A process that ends closes its disk behind the write in hand, not in the middle of it

Cause: at the end the loop's thread closed sqlite's connection while the disk's thread was in a write; sqlite's connection bears one thread at a time. A voter whose write was under way as its leave ended could meet it. Change: the close goes through the disk's own thread.

--- a/coralvale/cluster/server/core.py
+++ b/coralvale/cluster/server/core.py
@@ -225,6 +225,11 @@
         )
         self.act(self.replica.start(now))
 
+    async def close(self) -> None:
+        """Closes the disk, behind the write that is in hand: sqlite's connection bears one thread at a time."""
+        if self.store:
+            await self.runtime.loop.run_in_executor(self.disk, self.store.close)
+
     async def join(self) -> None:
         """A disk without a vote asks to be kept up to date; on the very first start one gateway names who
         founds the core."""
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -184,8 +184,7 @@
             server.close()
         self.hosts.close()
         self.runtime.peers.close()
-        if self.core.store:
-            self.core.store.close()
+        await self.core.close()
 
     def stop(self) -> None:
         if not self.runtime.stopping:
