Soak: growth is counted from when a process first told of itself, not from its start

The trace: that life had 3 descriptors and told nothing of itself for its first 10 s (it waited 8.5 s for a processor), then 31, and 52 at its end; its next life stays at 50 to 55. Five seconds from the start were no warm-up there. The check compares the same fifths by the same margins; histories that grow are found as before, one of a slow start is added.

--- a/coralvale/cluster/soak/rules_processes.py
+++ b/coralvale/cluster/soak/rules_processes.py
@@ -8,7 +8,7 @@
 from coralvale.cluster.soak import history as h
 from coralvale.cluster.soak.timeline import MARGIN, Timeline, Violation
 
-WARM = 5.0  # s of a life that are not looked at
+WARM = 5.0  # s from a process's first word of itself that are not looked at
 LONG = 10.0  # s of a life after that, at least: its first and last fifths are compared
 GROWN: tuple[tuple[str, Callable[[h.Sample], int], int], ...] = (
     ("descriptors", lambda sample: sample.descriptors, 40),
@@ -41,10 +41,17 @@
 def growth(line: Timeline) -> Iterator[Violation]:
     """GROWTH: what a long life holds in its last fifth is no more than in its first, but for a margin."""
     by_life: dict[tuple[int, int], list[h.Sample]] = defaultdict(list)
+    began: dict[
+        tuple[int, int], float
+    ] = {}  # when a life first told of its tasks: on a busy machine it starts slowly
     for sample in line.of(h.Sample):
-        life = line.lives.get((sample.gateway, sample.life))
-        if life and sample.at >= life.begun + WARM and (life.told is None or sample.at < life.told):
-            by_life[sample.gateway, sample.life].append(sample)
+        name = (sample.gateway, sample.life)
+        life = line.lives.get(name)
+        if sample.tasks:
+            began.setdefault(name, sample.at)
+        warm = name in began and sample.at >= began[name] + WARM
+        if life and warm and (life.told is None or sample.at < life.told):
+            by_life[name].append(sample)
     for (gateway, number), samples in by_life.items():
         span = samples[-1].at - samples[0].at
         if span < LONG:
--- a/tests/cluster/test_soak_checker.py
+++ b/tests/cluster/test_soak_checker.py
@@ -306,6 +306,11 @@
         set(),
     ),
     ("descriptors that stay", samples([50] * 30), set()),
+    (
+        "descriptors of a process that starts slowly",
+        [*(h.Sample(6.0 + n, 1, 1, 3, 30_000, 0.0) for n in range(12)), *samples([50] * 30)[12:]],
+        set(),
+    ),
     ("descriptors that grow", samples(range(50, 350, 10)), {"GROWTH"}),
     ("memory that grows", samples([50] * 30, tasks=21), {"GROWTH"}),
 ]
