--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -1,5 +1,5 @@
-"""One gateway's process: its gates, its machines, and the tasks between them. Carries out; the rooms
-decide."""
+"""One gateway's process: its servers, its state machines, and the tasks between them. It carries out what the
+other packages decide."""
 
 from __future__ import annotations
 
@@ -96,6 +96,7 @@
         self.core = Core(runtime, self.changes.in_force, self.arrivals.remember)
         self.changes.core = self.arrivals.core = self.core
         self.coordination = Coordination(runtime, self.core)
+        self.core.notice = self.coordination.notice
         self.shares = ShareClaims(runtime, self.core, self.limiter.holding)
         self.gossip = GossipExchange(
             runtime,
@@ -183,8 +184,7 @@
             server.close()
         self.hosts.close()
         self.runtime.peers.close()
-        if self.core.store:
-            self.core.store.close()
+        await self.core.close()
 
     def stop(self) -> None:
         if not self.runtime.stopping:
@@ -197,6 +197,7 @@
         begun = self.runtime.clock.monotonic()
         ends = begun + max(1.0, self.runtime.settings.Bounds.GraceS - SPARE)
         self.front.drain()
+        self.coordination.stop()
         self.core.leave()
         self.front.close_idle()
         await asyncio.sleep(min(ACCEPT, max(0.0, ends - self.runtime.clock.monotonic() - 0.5)))
@@ -317,6 +318,7 @@
         for tenant, count in self.limiter.refused.items():
             tell(Event.QUOTA, count=count, tenant=tenant)
         self.limiter.refused.clear()
+        self.coordination.look(now)
         if self.home.routes:
             self._tell_home(now)
         self.membership.near = None  # who only talks may have come or gone
