--- a/tests/cluster/coordination_world.py
+++ b/tests/cluster/coordination_world.py
@@ -40,6 +40,7 @@
 RETAIN_S = 2.0  # short, so that events are compacted within a schedule
 LATE = 0.04  # of the calls to the leader that are held up on their way
 LATEST = 6.0  # s
+TOLD_EVERY = 30  # schedules
 APART = 10  # entries
 EDGES = 2  # gateways without a replica
 LOCKS, KEYS, NUMBERS = ("l1", "l2"), ("g1.a", "g1.b", "g2.a"), ("n1",)
@@ -443,11 +444,13 @@
     schedules = [(s, n) for s in range(given.first, given.first + given.seeds) for n in MEMBERS]
     outcomes, late, broken = Counter[str](), 0, 0
     with Pool(given.jobs) as pool:
-        for problem, of_one, late_ones in pool.imap_unordered(play, schedules):
+        for done, (problem, of_one, late_ones) in enumerate(pool.imap_unordered(play, schedules), 1):
             outcomes, late = outcomes + of_one, late + late_ones
             if problem:
                 broken += 1
                 print(problem, flush=True)
+            if done % TOLD_EVERY == 0:
+                print(f"{done} of {len(schedules)} schedules, {broken} broken", flush=True)
     print(f"{len(schedules)} schedules, {outcomes.total()} calls, {late} late at the leader, {broken} broken")
     print(", ".join(f"{what} {count}" for what, count in sorted(outcomes.items())))
     return 1 if broken else 0
