Coordination: a lock through the leader's kill, a watch through the kill of all, over real sockets

A holder renews under its fence through the kill of the leader and its return, while a rival asks all the time: refused before and after, granted once the lock is given back, under a fence above. A lock whose holder has died changes hands not before its HoldMs.

--- /dev/null
+++ b/tests/cluster/test_coordination_kills.py
@@ -0,0 +1,195 @@
+"""Locks, watches, numbers and keys over real sockets, through the kill of the leader and of all processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import Any
+
+from attrs import define, field
+from test_coordination_processes import play, rpc
+
+from coralvale.standins.cluster import CTL, LocalCluster, call
+
+LONG_MS = 60_000  # longer than the test takes, however busy the machine is
+SHORT_MS = 2500
+RESTART_S = 60.0  # for all processes to start and to elect, on a busy machine
+POLL_MS = 500
+NOTHING_DONE = (429, 503)
+
+
+async def clear(cluster: LocalCluster, method: str, path: str, **body: Any) -> tuple[int, Any]:
+    """The clear answer, asked of one gateway after another."""
+    ends = time.monotonic() + RESTART_S
+    while time.monotonic() < ends:
+        for ip in cluster.ips:
+            found = await call(ip, CTL, method, path, json.dumps(body).encode())
+            if found and found.status < 500 and found.status not in NOTHING_DONE:
+                return found.status, json.loads(found.body)
+        await asyncio.sleep(0.05)
+    raise TimeoutError(f"no clear answer to {method} {path}")
+
+
+async def leader(cluster: LocalCluster) -> int:
+    """The number of the gateway that says itself that it leads."""
+    found: list[int] = []
+
+    async def known() -> bool:
+        for number, ip in enumerate(cluster.ips):
+            told = await call(ip, CTL, "POST", "/rpc?call=gateway.status")
+            if told and json.loads(told.body)["leader"] == ip:
+                found.append(number)
+        return bool(found)
+
+    await cluster.until(known)
+    return found[0]
+
+
+async def begin(cluster: LocalCluster, name: str, owner: str, hold_ms: int) -> tuple[int, Any]:
+    return await clear(cluster, "POST", f"/rpc?call=locks.begin&of={name}", Owner=owner, HoldMs=hold_ms)
+
+
+@define
+class Rival:
+    """Asks for a lock that another holds, again and again, until it is its own."""
+
+    cluster: LocalCluster
+    name: str
+    hold_ms: int
+    refused: int = 0
+
+    async def ask(self) -> tuple[float, int]:
+        """When it got the lock, and the fence."""
+        while True:
+            status, body = await begin(self.cluster, self.name, "rival", self.hold_ms)
+            if status == 200:
+                return time.monotonic(), body["fence"]
+            assert status == 409
+            self.refused += 1
+            await asyncio.sleep(0.02)
+
+
+@define
+class Watcher:
+    """Resumes, each time from the last revision that it was told, whatever befalls the gateways."""
+
+    cluster: LocalCluster
+    group: str
+    revision: int
+    events: list[tuple[str, str, int]] = field(factory=list)
+
+    async def follow(self) -> None:
+        while True:
+            path = f"/watch/{self.group}?after={self.revision}&PollMs={POLL_MS}"
+            status, body = await clear(self.cluster, "GET", path)
+            assert status == 200
+            self.events += [(e["Name"], e["Val"], e["Rev"]) for e in body["Events"]]
+            self.revision = body["Rev"]
+
+
+def test_a_lock_is_held_through_the_kill_of_the_leader() -> None:
+    async def scene(cluster: LocalCluster) -> None:
+        status, body = await begin(cluster, "kept", "holder", LONG_MS)
+        assert status == 200
+        fence = body["fence"]
+        words = {"Owner": "holder", "fence": fence}
+
+        async def renew(times: int) -> None:
+            for _ in range(times):
+                answered = await rpc(cluster, "locks.heartbeat", "kept", **words, HoldMs=LONG_MS)
+                assert answered[0] == 200
+
+        await renew(3)
+        sent = time.monotonic()
+        status, body = await begin(cluster, "left", "dies", SHORT_MS)
+        assert status == 200
+        left = body["fence"]
+
+        kept_rival, left_rival = Rival(cluster, "kept", LONG_MS), Rival(cluster, "left", LONG_MS)
+        kept, after_death = asyncio.create_task(kept_rival.ask()), asyncio.create_task(left_rival.ask())
+        await cluster.until(lambda: kept_rival.refused > 2)
+        killed = await leader(cluster)
+        await cluster.kill(killed)
+        await renew(5)
+        assert await leader(cluster) != killed
+        refused = kept_rival.refused
+        await cluster.until(lambda: kept_rival.refused > refused + 2)  # by the next leader too
+        at, next_fence = await after_death  # whom nobody renewed changes hands, and not before its time
+        assert at - sent >= SHORT_MS / 1000 and next_fence > left and next_fence > fence
+        await renew(2)
+        assert not kept.done()
+
+        await cluster.begin(killed)
+        await renew(5)
+        status, _ = await clear(cluster, "POST", "/rpc?call=locks.finish&of=kept", **words)
+        assert status == 200
+        _, last = await kept
+        assert last > next_fence
+        lost = await rpc(cluster, "locks.heartbeat", "kept", **words, HoldMs=LONG_MS)
+        assert lost[0] == 409
+
+    play(scene)
+
+
+def test_a_watch_resumes_after_the_kill_of_all_processes_and_numbers_and_keys_go_on() -> None:
+    async def scene(cluster: LocalCluster) -> None:
+        stored: dict[int, tuple[str, str]] = {}  # revision: key, value
+        numbers: list[int] = []
+
+        async def put(serial: int) -> None:
+            """One put, sent again with the same value until it is answered; then a number."""
+            key, value = f"g1.k{serial % 3}", f"value-{serial}"
+            status, body = await clear(cluster, "POST", f"/rpc?call=cells.replace&of={key}", Val=value)
+            assert status == 200 and body["Rev"] not in stored
+            stored[body["Rev"]] = key, value
+            status, body = await clear(cluster, "POST", "/numbers/n1")
+            assert status == 200
+            numbers.append(body["Val"])
+
+        async def puts(serials: range) -> None:
+            for serial in serials:
+                await put(serial)
+
+        await puts(range(5))
+        status, body = await begin(cluster, "kept", "holder", LONG_MS)
+        assert status == 200
+        fence = body["fence"]
+        saved = 2  # three more are stored before the kill, and are told after it
+        first_revision = next(revision for revision, (_, value) in stored.items() if value == "value-0")
+
+        watcher = Watcher(cluster, "g1.", max(stored))
+        following = asyncio.create_task(watcher.follow())
+        writing = asyncio.create_task(puts(range(5, 60)))
+        await cluster.until(lambda: len(stored) > 15)
+        assert not writing.done()
+        for number in range(len(cluster.ips)):
+            await cluster.kill(number)
+        for number in range(len(cluster.ips)):
+            await cluster.begin(number)
+        await writing
+        await puts(range(60, 65))
+
+        assert sorted(stored) == list(range(1, 66))  # each put once, and nothing between them
+        assert sorted(set(numbers)) == numbers
+        whole = [(*stored[revision], revision) for revision in sorted(stored)]
+        await cluster.until(lambda: following.done() or watcher.revision >= 65)
+        assert not following.done() and watcher.events == whole[5:]
+        following.cancel()
+        status, body = await clear(cluster, "GET", f"/watch/g1.?after={saved}&PollMs=0")
+        assert status == 200 and body["Rev"] == 65
+        assert [(e["Name"], e["Val"], e["Rev"]) for e in body["Events"]] == whole[saved:]
+
+        status, body = await clear(cluster, "POST", "/rpc?call=cells.replace&of=g1.k0", Val="value-0")
+        assert status == 200 and body["Rev"] == first_revision  # it comes again, from before the kill
+        for key in ("g1.k0", "g1.k1", "g1.k2"):
+            revision = max(r for r, (name, _) in stored.items() if name == key)
+            status, body = await clear(cluster, "POST", f"/rpc?call=cells.read&of={key}")
+            assert status == 200 and (body["Val"], body["Rev"]) == (stored[revision][1], revision)
+        status, _ = await begin(cluster, "kept", "rival", LONG_MS)
+        assert status == 409
+        words = {"Owner": "holder", "fence": fence}
+        renewed = await rpc(cluster, "locks.heartbeat", "kept", **words, HoldMs=LONG_MS)
+        assert renewed[0] == 200
+
+    play(scene)
