Benchmark of coordination: calls a second and delays at a leader, beside one sync a call

Five members with the real replica, desk and state on a model's clock: 2 ms a sync, 1.4 ms one way, and the processor time that each step took.

--- /dev/null
+++ b/benchmarks/coordination.py
@@ -0,0 +1,340 @@
+"""What one leader settles of applications' calls for coordination, and how long it takes, beside one sync a call.
+
+    python benchmarks/coordination.py [--quick]
+
+Five members with the real `Replica`, `CoordinationDesk` and `CoordinationState` on a clock of the model: 2 ms a
+sync, 1.4 ms one way between members, and the processor time that each step took on this machine, one core a
+member. Delays are counted at the leader, from a call's arrival there to its answer; the wire and the passing on
+are not in them.
+
+  full      twice as many callers as calls in a turn, each with one put under way: calls a second, and delay in
+            the middle and for 99 in 100, by the most calls in a turn. 1 is one sync a call.
+  reading   the same with reads, which cost a barrier and no sync.
+  offered   puts that come by chance at a steady rate, with turns as they are and with one sync a call.
+  bound     puts at a steady rate until the first is refused for what is remembered of late, or 150 s.
+  storage   ms of one synced write of the real store, in the folder for temporary files, by puts in its entry.
+
+The last line is one JSON object. Aim: 2,000 puts a second.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import json
+import random
+import sys
+import tempfile
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from itertools import count
+from pathlib import Path
+from typing import Any
+
+from attrs import define, field
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from coralvale.cluster.configuration.history import ChangeHistory  # noqa: E402
+from coralvale.cluster.consensus import messages as m  # noqa: E402
+from coralvale.cluster.consensus.replica import DurableState, Replica, Timing  # noqa: E402
+from coralvale.cluster.coordination import desk as desk_module  # noqa: E402
+from coralvale.cluster.coordination import model as c  # noqa: E402
+from coralvale.cluster.coordination.desk import CoordinationAnswer, CoordinationDesk  # noqa: E402
+from coralvale.cluster.coordination.state import MOST_PUTS, CoordinationState  # noqa: E402
+from coralvale.cluster.storage.store import Store  # noqa: E402
+
+MEMBERS = 5
+SYNC = 0.002  # s
+ONE_WAY = 0.0014  # s between members
+TICK = 0.05  # s
+RETAIN_S = 20.0
+KEYS = 40
+SIZES = (1, 4, 16, 64, 256)  # the most calls in a turn
+AS_IS = desk_module.MOST_IN_TURN
+AIM = 2000  # puts a second
+RATES = (120, 500, AIM, 4000)  # calls a second
+BOUND_RATES = (AIM, 600, 500)
+BOUND_S = 150.0
+SETTLE_S = 20.0  # for the members to be seated
+Job = Callable[[], list[Any]]
+
+
+@define(eq=False)
+class Machine:
+    """One member: its core does one thing after another, its disk one sync after another."""
+
+    replica: Replica
+    state: CoordinationState
+    desk: CoordinationDesk
+    history: ChangeHistory = field(factory=ChangeHistory)
+    jobs: deque[Job] = field(factory=deque)
+    busy: bool = False
+    unsynced: list[m.Write] = field(factory=list)
+    syncing: bool = False
+    cpu: float = 0.0  # s
+    syncs: int = 0
+
+
+class Model:
+    """Machines, and what is due, on a clock of its own."""
+
+    def __init__(self) -> None:
+        self.now, self.chance, self.serials = 0.0, random.Random(7), count()
+        self.tokens = count(1)
+        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.answered: Callable[[int, c.Outcome], None] = lambda token, outcome: None
+        self.machines = [self._machine(n) for n in range(MEMBERS)]
+        self.leader = self.machines[0]
+        self.by_id = {machine.replica.me.id: machine for machine in self.machines}
+        for machine in self.machines:
+            self.do(machine, lambda machine=machine: machine.replica.start(self.now))  # type: ignore[misc]
+            self.at(TICK * self.chance.random(), lambda machine=machine: self._tick(machine))  # type: ignore[misc]
+        self.do(self.leader, lambda: self.leader.replica.found(self.now))
+        self.run(SETTLE_S)
+        assert self.leader.replica.leading and len(self.leader.replica.voters.new) == MEMBERS
+
+    def _machine(self, number: int) -> Machine:
+        me = m.Member(f"disk-{number}", f"gateway-{number}", f"10.0.0.{number}")
+        chance = random.Random(number)
+        replica = Replica(me, DurableState(), Timing(least=MEMBERS), chance, self.now)
+        state = CoordinationState()
+        desk = CoordinationDesk(replica, state, lambda: next(self.tokens), chance, RETAIN_S)
+        return Machine(replica, state, desk)
+
+    def at(self, when: float, then: Callable[[], None]) -> None:
+        heapq.heappush(self.due, (when, next(self.serials), then))
+
+    def run(self, until: float) -> None:
+        while self.due and self.due[0][0] <= until:
+            self.now, _, then = heapq.heappop(self.due)
+            then()
+        self.now = until
+
+    def do(self, machine: Machine, job: Job) -> None:
+        machine.jobs.append(job)
+        if not machine.busy:
+            self._work(machine)
+
+    def _work(self, machine: Machine) -> None:
+        """The next job; what comes of it leaves the machine once its processor time has passed."""
+        machine.busy = True
+        begun = time.thread_time()
+        actions = self._carried_out(machine, machine.jobs.popleft()())
+        took = time.thread_time() - begun
+        machine.cpu += took
+        self.at(self.now + took, lambda: self._worked(machine, actions))
+
+    def _worked(self, machine: Machine, actions: list[Any]) -> None:
+        for action in actions:
+            self._let_out(machine, action)
+        machine.busy = False
+        if machine.jobs:
+            self._work(machine)
+
+    def _carried_out(self, machine: Machine, actions: list[Any]) -> list[Any]:
+        """Deliveries and decisions, inside the machine; the rest is what it lets out."""
+        left, out = deque(actions), list[Any]()
+        while left:
+            action = left.popleft()
+            match action:
+                case m.Deliver():
+                    if action.entry.kind == m.COORDINATION:
+                        left.extend(machine.desk.deliver(self.now, action.entry.body))
+                case m.Settled():
+                    left.extend(machine.desk.settled(self.now, action.token, action.accepted))
+                case m.Restore():
+                    image = machine.history.restore(action.snapshot.body)
+                    left.extend(machine.desk.restore(image.coordination))
+                case _:
+                    out.append(action)
+        return out
+
+    def _let_out(self, machine: Machine, action: Any) -> None:  # noqa: ANN401
+        match action:
+            case m.Send():
+                self.at(self.now + ONE_WAY, lambda: self._receive(machine, action))
+            case m.Write():
+                machine.unsynced.append(action)
+                if not machine.syncing:
+                    self._sync(machine)
+            case CoordinationAnswer():
+                self.answered(action.token, action.outcome)
+
+    def _receive(self, source: Machine, sent: m.Send) -> None:
+        other, ip = self.by_id[sent.to.id], source.replica.me.ip
+        self.do(other, lambda: other.replica.receive(self.now, sent.message, ip, sent.to.id))
+
+    def _sync(self, machine: Machine) -> None:
+        """All writes that wait are one transaction, as in the program."""
+        last, machine.unsynced, machine.syncing = machine.unsynced[-1].number, [], True
+        machine.syncs += 1
+        self.at(self.now + SYNC, lambda: self._synced(machine, last))
+
+    def _synced(self, machine: Machine, last: int) -> None:
+        machine.syncing = False
+        if machine.unsynced:
+            self._sync(machine)
+        self.do(machine, lambda: machine.replica.wrote(self.now, last))
+
+    def _tick(self, machine: Machine) -> None:
+        self.do(machine, lambda: self._ticked(machine))
+        self.at(self.now + TICK, lambda: self._tick(machine))
+
+    def _ticked(self, machine: Machine) -> list[Any]:
+        replica = machine.replica
+        actions: list[Any] = [*replica.tick(self.now), *machine.desk.tick(self.now)]
+        if replica.due_for_snapshot():
+            actions += replica.save(machine.history.image(b"", machine.state.image()))
+        if replica.needs_seat(self.now):
+            actions.append(m.Send(self.leader.replica.me, m.JoinRequest(replica.me)))
+        return actions
+
+
+class Load:
+    """Calls at the leader, from `begun` on, and what became of them."""
+
+    def __init__(self, in_turn: int) -> None:
+        desk_module.MOST_IN_TURN = in_turn
+        self.model = Model()
+        self.model.answered = self._answered
+        self.leader = self.model.leader
+        self.begun, self.cpu, self.syncs = self.model.now, self.leader.cpu, self.leader.syncs
+        self.turns = self.leader.desk.turns
+        self.sent: dict[int, float] = {}
+        self.delays: list[float] = []
+        self.outcomes: Counter[str] = Counter()
+        self.first_full = 0.0  # s after the beginning
+        self.again: Callable[[], None] = lambda: None
+        self.serials = count()
+
+    def put(self) -> None:
+        serial = next(self.serials)
+        self._ask(c.Put(f"g1.{serial % KEYS}", f"{serial:016x}"))
+
+    def get(self) -> None:
+        self._ask(c.Get(f"g1.{next(self.serials) % KEYS}"))
+
+    def _ask(self, call: c.Call) -> None:
+        token = next(self.model.tokens)
+        self.sent[token] = self.model.now
+        self.model.do(self.leader, lambda: self.leader.desk.call(self.model.now, token, call))
+
+    def _answered(self, token: int, outcome: c.Outcome) -> None:
+        self.outcomes[type(outcome).__name__] += 1
+        sent = self.sent.pop(token)
+        if isinstance(outcome, c.Full | c.Unavailable | c.Unknown):
+            self.first_full = self.first_full or self.model.now - self.begun
+        else:
+            self.delays.append(self.model.now - sent)
+        self.again()
+
+    def callers(self, number: int, ask: Callable[[], None], seconds: float) -> dict[str, Any]:
+        """Each with one call under way, all the time."""
+        self.again = ask
+        for _ in range(number):
+            ask()
+        self.model.run(self.begun + seconds)
+        return self.figures(seconds)
+
+    def offered(self, rate: float, seconds: float, until_full: bool = False) -> dict[str, Any]:
+        """Puts that come by chance."""
+
+        def come() -> None:
+            if not (until_full and self.first_full):
+                self.put()
+                self.model.at(self.model.now + self.model.chance.expovariate(rate), come)
+
+        self.model.at(self.begun, come)
+        ends = self.begun + seconds
+        while self.model.now < ends and not (until_full and self.first_full):
+            self.model.run(min(ends, self.model.now + 0.5))
+        return {"rate": rate, **self.figures(self.model.now - self.begun)}
+
+    def figures(self, seconds: float) -> dict[str, Any]:
+        good = sorted(self.delays)
+        turns = self.leader.desk.turns - self.turns
+        calls = sum(self.outcomes.values())
+        return {
+            "calls_a_second": round(len(good) / seconds),
+            "p50_ms": round(1e3 * good[len(good) // 2], 1) if good else None,
+            "p99_ms": round(1e3 * good[int(len(good) * 0.99)], 1) if good else None,
+            "calls_in_a_turn": round(calls / max(1, turns), 1),
+            "syncs_a_second": round((self.leader.syncs - self.syncs) / seconds),
+            "leader_us_a_call": round(1e6 * (self.leader.cpu - self.cpu) / max(1, calls), 1),
+            "first_refused_s": round(self.first_full, 1) or None,
+            "outcomes": dict(self.outcomes),
+        }
+
+
+def storage(puts: int, rounds: int) -> dict[str, Any]:
+    """The real store: one entry with so many puts, synced."""
+    operations = tuple(c.Put(f"g1.{n % KEYS}", f"{n:016x}") for n in range(puts))
+    body = c.pack_batch(c.Batch(1, 0, 0, 0, operations))
+    took = []
+    with tempfile.TemporaryDirectory(prefix="coordination-") as folder:
+        store = Store(folder)
+        for seq in range(1, rounds + 1):
+            entry = m.Entry(seq, 1, m.COORDINATION, body)
+            begun = time.perf_counter()
+            store.write([m.Write(seq, 1, "a", seq, None, (entry,))])
+            took.append(1e3 * (time.perf_counter() - begun))
+        store.close()
+    took.sort()
+    return {
+        "puts": puts,
+        "bytes": len(body),
+        "p50_ms": round(took[rounds // 2], 2),
+        "p99_ms": round(took[int(rounds * 0.99)], 2),
+    }
+
+
+def told(name: str, row: dict[str, Any]) -> dict[str, Any]:
+    print(f"{name:24s} {row}", flush=True)
+    return row
+
+
+def main() -> int:
+    arguments = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    arguments.add_argument("--quick", action="store_true", help="shorter rounds, and no bound")
+    quick = arguments.parse_args().quick
+    seconds = 0.5 if quick else 2.0
+    full = [
+        {"most_in_turn": size}
+        | told(f"full, {size} in a turn", (load := Load(size)).callers(2 * size, load.put, seconds))
+        for size in SIZES
+    ]
+    reading = told("reading, as it is", (load := Load(AS_IS)).callers(2 * AS_IS, load.get, seconds))
+    steady = 1.0 if quick else 5.0
+    offered = [told(f"offered, {rate} a second", Load(AS_IS).offered(rate, steady)) for rate in RATES]
+    one_each = told("offered, one sync a call", Load(1).offered(AIM, steady))
+    bound = [
+        told(f"bound, {rate} a second", Load(AS_IS).offered(rate, BOUND_S, until_full=True))
+        for rate in (() if quick else BOUND_RATES)
+    ]
+    desk_module.MOST_IN_TURN = AS_IS
+    disk = [told("storage", storage(size, 60 if quick else 400)) for size in SIZES]
+    at_aim = next(row for row in offered if row["rate"] == AIM)
+    summary = {
+        "benchmark": "coordination",
+        "sync_ms": 1e3 * SYNC,
+        "members": MEMBERS,
+        "full": full,
+        "reading": reading,
+        "offered": offered,
+        "offered_one_sync_a_call": one_each,
+        "bound": bound,
+        "puts_remembered": MOST_PUTS,
+        "storage": disk,
+        "aim": AIM,
+        "aim_met": at_aim["calls_a_second"] >= 0.95 * AIM and set(at_aim["outcomes"]) == {"Stored"},
+        "times_one_sync": round(full[-1]["calls_a_second"] / max(1, full[0]["calls_a_second"]), 1),
+    }
+    print(json.dumps(summary))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
