--- a/tests/cluster/quota_world.py
+++ b/tests/cluster/quota_world.py
@@ -43,6 +43,12 @@
 CLAIM_EVERY, CLAIM_SOON = 2.0, 0.3  # s between claims of a gateway; where it has something to learn
 TENANT = "t"
 CAPACITY_EVERY = 16  # requests let through, between looks at what all gateways own
+GRACE = 2.0  # s for which a gateway that is stopped serves on before it gives its parts up
+LAST_WORDS = 0.24  # s from then until its process has ended
+BUDGET, BUDGET_LEFT = 0.1, 0.02  # s: a core's period, and what of it its share lasts for
+REACHED = 0.01  # s on a free way to a host
+HELD = 1.0  # s after which a try that a host keeps silent on is made again elsewhere
+DEADLINE = 5.0  # s after which a client waits no longer
 Terms = tuple[float, float]  # rate a second, burst
 FIXED = random.Random(1)
 
@@ -106,13 +112,37 @@
     return limiter
 
 
+@frozen
+class HostsOf:
+    """What becomes of a request that was let in. `lost`: of tries that run, those whose answer does not come,
+    so that another follows while the first may still run; `unsent`: of requests, those that reach no host."""
+
+    lost: float = 0.0
+    unsent: float = 0.0
+    tries: int = 3
+
+
 class QuotaWorld:
     """Words and asks take half a millisecond to 40 ms, and `slow` s more; `loss` of them are lost. The core is
     on side 0 of a cut, and keeps the table of shares on disk; its leader may be lost."""
 
     def __init__(
-        self, seed: int, count: int, rate: float, burst: float, slow: float = 0.0, loss: float = 0.01
+        self,
+        seed: int,
+        count: int,
+        rate: float,
+        burst: float,
+        slow: float = 0.0,
+        loss: float = 0.01,
+        hosts: HostsOf | None = None,
+        late: float = 0.0,
     ) -> None:
+        """`hosts`: requests go on to hosts, and are counted when they first run there, by when their clients
+        sent them; without, when they are let in. `late`: s more that answers to claims take at most."""
+        self.hosts, self.late = hosts, late
+        self.ran: deque[tuple[float, float]] = deque()  # of requests that ran: when sent, when they first ran
+        self.runs: deque[float] = deque()  # of these, and of further tries
+        self.runs_worst = 0.0  # window of all runs, as a part of the bound
         self.env, self.chance = simpy.Environment(), random.Random(seed)
         self.slow, self.loss = slow, loss
         self.versions: list[Terms] = [(rate, burst)]  # of the tenant's terms, the newest last
@@ -122,7 +152,7 @@
         self.born: dict[str, float] = {}
         self.sides: dict[str, int] = {}
         self.frozen: set[str] = set()
-        self.queues: dict[str, int] = defaultdict(int)  # requests in the sockets of a frozen gateway
+        self.queues: dict[str, list[float]] = defaultdict(list)  # when what waits in a frozen one was sent
         self.inboxes: dict[str, list[Callable[[RateLimiter], None]]] = defaultdict(list)
         self.passed: deque[float] = deque()
         self.asked = self.refused = self.worst = 0
@@ -221,14 +251,18 @@
             behind = limiter.holding.version < newest or not limiter.holding.owns_any()
             yield self.env.timeout(CLAIM_SOON if behind else CLAIM_EVERY)
 
-    def claim(self, name: str, limiter: RateLimiter, version: int) -> Iterator[simpy.Event]:
+    def claim(
+        self, name: str, limiter: RateLimiter, version: int, left: bool = False
+    ) -> Iterator[simpy.Event]:
         asked_at = self.env.now
         yield self.env.timeout(self.delay())
         if self.core is None or self.sides.get(name, 0) or self.chance.random() < self.loss:
             return
-        answer = self.core.claim(self.env.now, ShareClaim(next(self.tokens), name, version))
-        if answer is None or not answer.settled:
+        answer = self.core.claim(self.env.now, ShareClaim(next(self.tokens), name, version, left))
+        if answer is None or not answer.settled or left:
             return
+        if self.late:
+            yield self.env.timeout(self.late * self.chance.random())
 
         def answered(to: RateLimiter) -> None:
             if to is limiter:
@@ -255,6 +289,12 @@
         yield self.env.timeout(back)
         self.core = Core(self.env.now, disk, self.chance)
 
+    def restore(self, after: float) -> Iterator[simpy.Event]:
+        """A snapshot takes the place of what the leader's desk has seen."""
+        yield self.env.timeout(after)
+        if self.core:
+            self.core.desk.restore(self.env.now, self.core.table.image())
+
     # Messages
 
     def delay(self) -> float:
@@ -302,7 +342,7 @@
                 r = action
                 self.send(name, r.to, lambda to: to.returned(self.env.now, name, r.number, r.tenant, r.count))
             case Decided():
-                self.decided(isinstance(action.verdict, Admitted))
+                self.decided(name, action.ticket, action.verdict)
 
     def expire(self, name: str, limiter: RateLimiter, wait: float) -> Iterator[simpy.Event]:
         yield self.env.timeout(wait + 0.001)
@@ -313,17 +353,19 @@
 
     # Clients
 
-    def arrive(self, name: str) -> None:
+    def arrive(self, name: str, sent: float | None = None) -> None:
+        """`sent`: by its client; now, where it is not said."""
         limiter = self.limiters.get(name)
         if limiter is None:
             return
+        sent = self.env.now if sent is None else sent
         if name in self.frozen:
-            self.queues[name] += 1
+            self.queues[name].append(sent)
             return
         self.asked += 1
-        verdict = limiter.request(self.env.now, TENANT, *self.terms(name), None, PATIENCE)
+        verdict = limiter.request(self.env.now, TENANT, *self.terms(name), sent, PATIENCE)
         if isinstance(verdict, Admitted | Refused):
-            self.decided(isinstance(verdict, Admitted))
+            self.decided(name, sent, verdict)
         self.carry_out(name)
 
     def capacity(self) -> float:
@@ -334,10 +376,55 @@
         ]
         return sum(e.depth + e.fill * window for e in escrows) / self.bound()
 
-    def decided(self, admitted: bool) -> None:
-        if not admitted:
+    def decided(self, name: str, sent: object, verdict: Admitted | Refused) -> None:
+        if isinstance(verdict, Refused):
             self.refused += 1
+        elif self.hosts is None:
+            self.count()
+        else:
+            assert isinstance(sent, float)
+            self.env.process(self.run(self.hosts, name, self.limiters[name], sent, verdict))
+
+    def run(
+        self, hosts: HostsOf, name: str, limiter: RateLimiter, sent: float, admitted: Admitted
+    ) -> Iterator[simpy.Event]:
+        """Its tries, each written when its gateway runs."""
+        if self.chance.random() < hosts.unsent:
+            yield self.env.timeout(self.chance.choice((REACHED, GRANT_LIFE / 2, DEADLINE)))
+            yield from self.alive(name, limiter)
+            limiter.refund(self.env.now, TENANT, admitted)
             return
+        for number in range(hosts.tries):
+            yield self.env.timeout(REACHED * self.chance.random())
+            yield from self.alive(name, limiter)
+            if self.limiters.get(name) is not limiter:
+                return
+            self.env.process(self.reach(sent, number == 0))
+            if self.chance.random() >= hosts.lost:
+                return
+            yield self.env.timeout(self.chance.choice((REACHED, HELD)))
+
+    def reach(self, sent: float, first: bool) -> Iterator[simpy.Event]:
+        """A try comes to a host, which runs it."""
+        yield self.env.timeout(REACHED * self.chance.random())
+        now, since = self.env.now, self.env.now - RULE.window
+        self.runs.append(sent)
+        self.runs_worst = max(self.runs_worst, sum(at >= since for at in self.runs) / self.bound())
+        while len(self.runs) > 1 and self.runs[0] < since:
+            self.runs.popleft()
+        if not first:
+            return
+        self.ran.append((sent, now))
+        while self.ran[0][1] < since:
+            self.ran.popleft()
+        window = sum(at >= since for at, _ in self.ran)
+        self.worst = max(self.worst, window)
+        self.excess = max(self.excess, window / self.bound())
+        if len(self.ran) % CAPACITY_EVERY == 0:
+            self.excess = max(self.excess, self.capacity())
+
+    def count(self) -> None:
+        """A request is let through."""
         self.passed.append(self.env.now)
         while self.env.now - self.passed[0] > RULE.window:
             self.passed.popleft()
@@ -385,14 +472,32 @@
         self.frozen.add(name)
         yield self.env.timeout(lasts)
         self.frozen.discard(name)
-        for _ in range(min(200, self.queues.pop(name, 0))):
-            self.arrive(name)
+        for sent in self.queues.pop(name, [])[:200]:
+            self.arrive(name, sent)
         for take in self.inboxes.pop(name, []):
             if name in self.limiters:
                 take(self.limiters[name])
         if name in self.limiters:
             self.carry_out(name)
 
+    def stall(self, name: str, after: float, lasts: float) -> Iterator[simpy.Event]:
+        """Its share of a core is a quota: it runs until that is spent, then not for the rest of a period."""
+        yield self.env.timeout(after + BUDGET * self.chance.random())
+        ends = self.env.now + lasts
+        while self.env.now < ends and name in self.limiters:
+            yield from self.freeze(name, BUDGET_LEFT, BUDGET - BUDGET_LEFT)
+
+    def stop(self, name: str, after: float, back: float) -> Iterator[simpy.Event]:
+        """SIGTERM: it serves on while its clients do, gives its parts up, ends, and starts again."""
+        yield self.env.timeout(after + GRACE)
+        if (limiter := self.limiters.get(name)) is None:
+            return
+        limiter.holding.give_up()
+        self.env.process(self.claim(name, limiter, limiter.holding.version, left=True))
+        yield self.env.timeout(LAST_WORDS)
+        if self.limiters.get(name) is limiter:
+            yield from self.kill(name, 0.0, back)
+
     def join(self, name: str, after: float) -> Iterator[simpy.Event]:
         """A gateway at an address that is new."""
         yield self.env.timeout(after)
@@ -406,6 +511,7 @@
     count: int
     rate: float
     worst: float  # window, as a part of the rule's bound
+    runs: float = 0.0  # the same, of further tries too
 
 
 KINDS = (
@@ -429,6 +535,14 @@
     "terms cut freeze kill twice",
     "terms leader kill all",
     "terms by side",
+    "hosts",
+    "hosts stall",
+    "hosts stall kill twice",
+    "hosts stop",
+    "hosts stop freeze restore late",
+    "hosts stop kill leader restore late",
+    "hosts terms stop stall restore late",
+    "hosts terms stop kill cut leader join late",
 )
 MILD = 8.0  # s of the usual load before the troubles
 LENGTH = 12.0  # s of a tenant that sends many times its quota, with the troubles
@@ -442,7 +556,10 @@
         rate = chance.uniform(10, 16)
     burst = rate * chance.choice((1, 1.5))
     slow = 0.5 if "slow" in kind else 0.1 if count > 16 else 0.0
-    world = QuotaWorld(seed, count, rate, burst, slow, 0.1 if "loss" in kind else 0.01)
+    hosts, late = None, 0.9 if "late" in kind else 0.0
+    if "hosts" in kind:
+        hosts = HostsOf(chance.choice((0.0, 0.05, 0.5)), chance.choice((0.0, 0.05, 0.3)))
+    world = QuotaWorld(seed, count, rate, burst, slow, 0.1 if "loss" in kind else 0.01, hosts, late)
     world.play(rate / 1.6, MILD)
     names = list(world.limiters)
     chance.shuffle(names)
@@ -451,7 +568,7 @@
     if "side" in kind:
         world.play(rate / 1.6, MILD)  # the troubles are over, buckets are full
     world.play(rate * chance.choice((3, 4.7, 7.5)), LENGTH)
-    return Played(seed, kind, count, rate, round(world.excess, 3))
+    return Played(seed, kind, count, rate, round(world.excess, 3), round(world.runs_worst, 3))
 
 
 def troubles(
@@ -476,6 +593,16 @@
         yield world.lose_leader(at, chance.uniform(0.5, 2))
         if "twice" in kind:
             yield world.lose_leader(at + 3.5, chance.uniform(0.5, 1))
+    if "stall" in kind:
+        for name in names[: int(count * chance.choice((0.3, 1.0)))]:
+            yield world.stall(name, chance.uniform(0, 2), LENGTH)
+    if "stop" in kind:
+        at, gap = chance.uniform(0, 2), chance.choice((0.0, 0.1, 0.5))
+        for n, name in enumerate(names):
+            yield world.stop(name, at + n * gap, chance.uniform(0.1, 1.5))
+    if "restore" in kind:
+        for _ in range(3):
+            yield world.restore(chance.uniform(0, LENGTH))
     if "side" in kind:
         yield from terms_by_side(world, names, chance)
     elif "terms" in kind:
@@ -512,16 +639,20 @@
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--sizes", default="12,24,68", help="gateways, drawn from")
+    parser.add_argument("--kinds", default=",".join(KINDS), help="of schedules")
     options = parser.parse_args()
     sizes = tuple(int(size) for size in options.sizes.split(","))
     seeds = range(options.first, options.first + options.seeds)
-    schedules = [(seed, kind, sizes) for kind in KINDS for seed in seeds]
+    kinds = options.kinds.split(",")
+    schedules = [(seed, kind, sizes) for kind in kinds for seed in seeds]
     with Pool(options.jobs) as pool:
         played = pool.starmap(play, schedules, chunksize=1)
     broken = [p for p in played if p.worst > 1]
-    for kind in KINDS:
+    for kind in kinds:
         worst = max(p.worst for p in played if p.kind == kind)
-        print(f"{kind}: worst {worst}, broken {sum(p.kind == kind for p in broken)} of {options.seeds}")
+        runs = max(p.runs for p in played if p.kind == kind)
+        count = sum(p.kind == kind for p in broken)
+        print(f"{kind}: worst {worst}, all runs {runs}, broken {count} of {options.seeds}")
     for p in broken[:20]:
         print(f"broken: play({p.seed}, {p.kind!r}): {p.count} gateways, rate {p.rate}: {p.worst}")
     print(f"{len(played)} schedules, {len(broken)} broken")
