--- a/tests/cluster/test_quota_shares.py
+++ b/tests/cluster/test_quota_shares.py
@@ -1,4 +1,5 @@
-"""Who owns which part of the quotas: the table in the log, the leader's plan, and claims behind a barrier."""
+"""Who owns which part of the quotas: the table in the log, the leader's plan, and claims behind a barrier; and
+what a request is charged by from its client to its host."""
 
 from __future__ import annotations
 
@@ -7,9 +8,15 @@
 from collections import Counter
 
 import pytest
-from quota_world import RULE, Core
+from quota_world import DEADLINE, RULE, Core, HostsOf, QuotaWorld
+from test_routing import router
 
 from coralvale.cluster.configuration.history import ChangeHistory
+from coralvale.cluster.errors import Problem
+from coralvale.cluster.rate_limit.actions import Admitted
+from coralvale.cluster.rate_limit.escrow import Escrow
+from coralvale.cluster.rate_limit.limiter import RateLimiter
+from coralvale.cluster.rate_limit.quota import CellSizes, Quota
 from coralvale.cluster.rate_limit.share_planner import ALIVE, GATHER, LEFT, MOST_CLAIMS, SharePlanner
 from coralvale.cluster.rate_limit.shares import (
     CELLS,
@@ -21,7 +28,10 @@
     even_table,
     pack_change,
 )
+from coralvale.cluster.routing.router import Job
+from coralvale.cluster.routing.tries import ENDS
 from coralvale.cluster.share_desk import ALLOWED_FOR, RENEWED, STARTED, TAKEN_WITHIN, ShareAnswer, ShareClaim
+from coralvale.interface import Outcome
 
 
 def founded(*names: str) -> tuple[ShareTable, SharePlanner]:
@@ -345,3 +355,72 @@
     second.holds = False
     second.do(102.1, second.desk.settled(102.1, spent.token, True))
     assert second.answers[1].allowed
+
+
+# From the client to the host
+
+
+def given_back_and_arrived(seed: int, monkeypatch: pytest.MonkeyPatch) -> tuple[int, bool]:
+    """How often the charge of a request whose tries end in any way is given back, and whether a host got it."""
+    chance, made = random.Random(seed), router()
+    refunds: list[Admitted] = []
+    monkeypatch.setattr(RateLimiter, "refund", lambda self, now, name, admitted: refunds.append(admitted))
+    job = made.enter(1.0, b"id", "a.example", chance.choice(("/x/1", "/x/y/1")), "k1", 1.5)
+    assert isinstance(job, Job) and job.admitted
+    now, arrived = 1.0, False
+    while not isinstance(copy := made.pick(now, job), Problem):
+        if chance.random() < 0.1:  # its client's time is over before anything was written
+            made.unsent(job, copy, job.tries)
+            made.give_up(now, job)
+            break
+        now += chance.uniform(0.0, 0.3)
+        outcome = chance.choice(list(Outcome))
+        arrived = arrived or ENDS[outcome].arrived
+        status = chance.choice((200, 500)) if outcome is Outcome.OK else 0
+        if made.ended(now, job, copy, job.tries, outcome, status, 0.1):
+            break
+        if outcome is Outcome.OK and not made.may_retry_answer(now, job, status):
+            break
+        if chance.random() < 0.1:
+            made.give_up(now, job)
+            break
+    return len(refunds), arrived
+
+
+def test_a_request_that_came_to_a_host_stays_charged_however_its_tries_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    seen = {given_back_and_arrived(seed, monkeypatch) for seed in range(300)}
+    assert seen == {(0, True), (1, False)}
+
+
+def test_a_tenant_that_turns_hot_gets_no_window_at_once_nor_another_five_seconds_later() -> None:
+    """96 gateways let through 559 in the first second, and 810 in five where 766 may be, by words 0.1 s late."""
+    rate = 113.0
+    world = QuotaWorld(0, 96, rate, rate, slow=0.1)
+    world.play(rate / 1.6, 4.0)
+    quota = Quota.of(CellSizes.of(RULE), rate, rate)
+    size = quota.bucket(range(quota.cells))
+    for _ in range(6):
+        before = world.asked - world.refused
+        world.play(rate / 1.6 * 14, 1.0)
+        assert world.asked - world.refused - before <= size.depth + size.fill * 1.25
+    assert world.worst <= world.most
+
+
+def test_the_schedules_find_tokens_that_come_back_late_on_top_of_a_full_bucket(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def at_any_time(self: Escrow, now: float, taken_at: float, count: int) -> None:
+        self.tokens += count
+
+    def passes(seed: int) -> bool:
+        world = QuotaWorld(seed, 12, 110.0, 110.0, hosts=HostsOf(unsent=1.0))
+        world.play(900.0, DEADLINE)
+        world.hosts = HostsOf()  # the hosts are in reach again
+        world.play(900.0, DEADLINE)
+        return world.excess > 1
+
+    assert not any(passes(seed) for seed in range(2))
+    monkeypatch.setattr(Escrow, "put_back", at_any_time)
+    assert any(passes(seed) for seed in range(2))
