E504: by whose tokens a refused tenant's other requests were let through

Change: beside each E501 its gateway says what it let through in the same second by its own part and by others' tokens, how many of these it gave back since they reached no host, and how many tokens it lent. A tally a tenant, taken once a second, in place of the count of those refused.

--- a/coralvale/cluster/events.py
+++ b/coralvale/cluster/events.py
@@ -57,6 +57,12 @@
     )
     QUOTA = 501, "WARNING", "refused {count} requests of {tenant} past its quota"
     SHARES = 503, "INFO", "owns {cells} cells of the quotas by table {version}"
+    CHARGED = (
+        504,
+        "INFO",
+        "beside those refused of {tenant}: {own} let through by the own part, {granted} by others' tokens; "
+        "{given_back} of them sent to no host; {lent} tokens lent",
+    )
     ANSWERS = 502, "INFO", "answers: {counts}"
     TAKEN = 511, "DEBUG", "request {id} on {route} of {tenant}"
     TRY = 512, "DEBUG", "request {id}: try {number} to host {host}"
--- a/coralvale/cluster/rate_limit/limiter.py
+++ b/coralvale/cluster/rate_limit/limiter.py
@@ -30,7 +30,7 @@
 from coralvale.cluster.rate_limit.escrow import Escrow
 from coralvale.cluster.rate_limit.holding import Holding
 from coralvale.cluster.rate_limit.quota import CellSizes, Quota, Rule
-from coralvale.cluster.rate_limit.tenant import Tenant, TenantBucket
+from coralvale.cluster.rate_limit.tenant import Tally, Tenant, TenantBucket
 from coralvale.cluster.rate_limit.usage import PERIOD, FleetUsage, Use, Window
 
 WHOLE_EVERY = 4  # words of which one tells of all tenants; the others of those of whom there is news
@@ -51,7 +51,6 @@
         self.holding = Holding(address)
         self.usage = FleetUsage(rule.window)
         self.tenants: dict[str, Tenant] = {}
-        self.refused: dict[str, int] = {}
         self.count = 1  # gateways that may be serving, this one too
         self.stepped = self.rated = -math.inf
         self.words = 0
@@ -86,7 +85,7 @@
         return self._refuse(tenant, self._pause(now, tenant))
 
     def _refuse(self, tenant: Tenant, wait: float) -> Refused:
-        self.refused[tenant.name] = self.refused.get(tenant.name, 0) + 1
+        tenant.tally.refused += 1
         return Refused(min(MOST_PAUSE, max(LEAST_PAUSE, wait)))
 
     def _pause(self, now: float, tenant: Tenant) -> float:
@@ -102,8 +101,10 @@
             self._follow_table(now, tenant)
         if tenant.stock.take(now):
             source = Source.GRANTED
+            tenant.tally.granted += 1
         elif self.holding.is_valid(now) and tenant.escrow.take(now, 1):
             source = Source.OWN
+            tenant.tally.own += 1
         else:
             return None
         tenant.charge(now)
@@ -113,6 +114,7 @@
         """A request that was let in was sent to no host: the bucket has it back, the meter keeps to the safe
         side. A granted token is not given back: its owner counts it as used."""
         if tenant := self.tenants.get(name):
+            tenant.tally.given_back += 1
             tenant.bucket.refund(1.0, 1.0)
             if admitted.source is Source.OWN:
                 tenant.escrow.put_back(now, admitted.at, 1)
@@ -193,6 +195,7 @@
             elif tenant.demand <= tenant.escrow.fill:
                 wait = max(EMPTY, tenant.escrow.wait())
         if granted:
+            tenant.tally.lent += granted
             tenant.lend(sender, number, now, granted)
         answer = GrantTokens(sender, number, name, granted, min(MOST_PAUSE, wait))
         self.borrowing.actions.append(answer)
@@ -220,6 +223,13 @@
         actions, self.borrowing.actions = self.borrowing.actions, []
         return actions
 
+    def take_tallies(self) -> dict[str, Tally]:
+        """Of tenants that were refused something since the last call, what became of their requests."""
+        found = {name: tenant.tally for name, tenant in self.tenants.items() if tenant.tally.refused}
+        for tenant in self.tenants.values():
+            tenant.tally = Tally()
+        return found
+
     # Words
 
     def told(self, now: float) -> tuple[Use, bool]:
--- a/coralvale/cluster/rate_limit/tenant.py
+++ b/coralvale/cluster/rate_limit/tenant.py
@@ -48,6 +48,17 @@
     sent_at: float
 
 
+@define
+class Tally:
+    """Requests and tokens of one tenant since the last tally."""
+
+    refused: int = 0
+    own: int = 0  # let through by this gateway's own part
+    granted: int = 0  # let through by tokens of other owners
+    given_back: int = 0  # let through and sent to no host
+    lent: int = 0  # tokens granted to others
+
+
 @define(eq=False)
 class Tenant:
     name: str
@@ -75,6 +86,7 @@
     demand: float = 0.0  # requests a second, smoothed
     use: float = 0.0  # let through by all gateways a second, smoothed
     told: tuple[int, int] = (0, 0)
+    tally: Tally = field(factory=Tally)
 
     def charge(self, now: float) -> None:
         """A request is let through."""
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -310,9 +310,16 @@
         for copy in self.copies.sweep():
             row = copy.life.row
             self._retire(row)
-        for tenant, count in self.limiter.refused.items():
-            tell(Event.QUOTA, count=count, tenant=tenant)
-        self.limiter.refused.clear()
+        for tenant, tally in self.limiter.take_tallies().items():
+            tell(Event.QUOTA, count=tally.refused, tenant=tenant)
+            tell(
+                Event.CHARGED,
+                tenant=tenant,
+                own=tally.own,
+                granted=tally.granted,
+                given_back=tally.given_back,
+                lent=tally.lent,
+            )
         if self.home.routes:
             self._tell_home(now)
         self.membership.near = None  # who only talks may have come or gone
--- a/tests/cluster/test_quota_shares.py
+++ b/tests/cluster/test_quota_shares.py
@@ -8,7 +8,7 @@
 from collections import Counter
 
 import pytest
-from quota_world import DEADLINE, RULE, Core, HostsOf, QuotaWorld
+from quota_world import DEADLINE, RULE, Core, HostsOf, QuotaWorld, alone
 from test_routing import router
 
 from coralvale.cluster.configuration.history import ChangeHistory
@@ -28,6 +28,7 @@
     even_table,
     pack_change,
 )
+from coralvale.cluster.rate_limit.tenant import Tally
 from coralvale.cluster.routing.router import Job
 from coralvale.cluster.routing.tries import ENDS
 from coralvale.cluster.share_desk import ALLOWED_FOR, RENEWED, STARTED, TAKEN_WITHIN, ShareAnswer, ShareClaim
@@ -394,6 +395,21 @@
     assert seen == {(0, True), (1, False)}
 
 
+def test_a_refused_tenants_tally_tells_by_whose_tokens_its_requests_went() -> None:
+    limiter = alone()
+    limiter.request(100.0, "calm", 60.0, 60.0)
+    admitted = limiter.request(100.0, "t", 1.0, 1.0)
+    assert isinstance(admitted, Admitted)
+    limiter.refund(100.0, "t", admitted)
+    limiter.asked(100.0, "other", 1, "t", 1.0, 1.0, 2)
+    limiter.tenants["t"].stock.add(101.0, 1)
+    while isinstance(limiter.request(100.0, "t", 1.0, 1.0), Admitted):
+        pass
+    (tally,) = limiter.take_tallies().values()
+    assert tally == Tally(refused=1, own=1, granted=1, given_back=1, lent=2)
+    assert limiter.take_tallies() == {}
+
+
 def test_a_tenant_that_turns_hot_gets_no_window_at_once_nor_another_five_seconds_later() -> None:
     """96 gateways let through 559 in the first second, and 810 in five where 766 may be, by words 0.1 s late."""
     rate = 113.0
