--- a/coralvale/cluster/host_health/watch.py
+++ b/coralvale/cluster/host_health/watch.py
@@ -47,6 +47,8 @@
 Z = 1.64
 
 Row = tuple[int, int, int]  # what stands for a life; well, ill
+Evidence = tuple[int, int, int, int]  # well, ill; the ill ones that count, of how many reporters
+ZoneRow = tuple[int, int, int, int, int]  # what stands for a life; the evidence of a zone's gateways
 
 
 class Verdict(IntEnum):
@@ -125,10 +127,23 @@
     return (middle - Z * math.sqrt(p * (1 - p) / all_ + z2 / (4 * all_ * all_))) / (1 + z2 / all_)
 
 
+def _sum(told: Iterable[Evidence]) -> Evidence:
+    well = ill = counted = reporters = 0
+    for each in told:
+        well += each[0]
+        ill += each[1]
+        counted += each[2]
+        reporters += each[3]
+    return well, ill, counted, reporters
+
+
 class Watch:
     def __init__(self) -> None:
         self.own: dict[int, Answers] = {}
         self.words: dict[str, tuple[float, dict[int, tuple[int, int]]]] = {}
+        self.zones: dict[
+            int, tuple[float, dict[int, Evidence]]
+        ] = {}  # of other zones, each all its reporters'
         self.cases: dict[int, Case] = {}
         self.begun: dict[int, float] = {}  # from when on answers of a life count that anyone has found ill
         self.news = False  # something ill came here, and was told to nobody yet
@@ -153,6 +168,7 @@
 
     def _mine(self, now: float) -> list[Row]:
         asked = {mark for _, told in self.words.values() for mark, (_, ill) in told.items() if ill}
+        asked |= {mark for _, rows in self.zones.values() for mark, row in rows.items() if row[1]}
         for mark, answers in list(self.own.items()):
             answers.forget(now)
             if not answers.times:
@@ -170,26 +186,48 @@
         else:
             self.words.pop(reporter, None)
 
-    def weigh(self, now: float, lives: Mapping[str, set[int]]) -> list[Change]:
-        """New verdicts; `lives`: those that may serve, by service."""
+    def hear_zone(self, now: float, zone: int, rows: Iterable[ZoneRow]) -> None:
+        """What all gateways of another zone tell, in place of what was told of it before."""
+        if told := {mark: (well, ill, counted, of) for mark, well, ill, counted, of in rows}:
+            self.zones[zone] = (now, told)
+        else:
+            self.zones.pop(zone, None)
+
+    def sum_here(self, now: float, lives: Mapping[str, set[int]]) -> list[ZoneRow]:
+        """What this gateway and those whose words come have found together: the evidence of their zone, the most
+        ill first. `lives`: those that may serve, by service."""
+        rows = [(mark, *_sum(told)) for mark, told in self._found_here(now, lives).items()]
+        return sorted(rows, key=lambda row: -row[2])
+
+    def _found_here(self, now: float, lives: Mapping[str, set[int]]) -> dict[int, list[Evidence]]:
+        """By life, what each reporter of words, and this gateway, has found of it."""
         self.words = {r: w for r, w in self.words.items() if now - w[0] <= HEARD}
         mine = {mark: (well, ill) for mark, well, ill in self._mine(now)}
-        reports = [*(told for _, told in self.words.values()), mine]
-        seen: dict[int, list[tuple[int, int]]] = {}
-        for told in reports:
+        seen: dict[int, list[Evidence]] = {}
+        for told in (*(told for _, told in self.words.values()), mine):
             for marks in lives.values():
                 here = [mark for mark in told if mark in marks]
                 ill = sum(2 * told[mark][1] > told[mark][0] + told[mark][1] for mark in here)
                 if ill >= SOME and ill > BLIND * len(marks):
                     continue  # for whom most are ill, is ill
                 for mark in here:
-                    seen.setdefault(mark, []).append(told[mark])
+                    well, ill_here = told[mark]
+                    seen.setdefault(mark, []).append((well, ill_here, min(EACH, ill_here), 1))
+        return seen
+
+    def weigh(self, now: float, lives: Mapping[str, set[int]]) -> list[Change]:
+        """New verdicts; `lives`: those that may serve, by service."""
+        seen = self._found_here(now, lives)
+        self.zones = {zone: told for zone, told in self.zones.items() if now - told[0] <= HEARD}
+        known = {mark for marks in lives.values() for mark in marks}
+        for _, rows in self.zones.values():
+            for mark in rows.keys() & known:
+                seen.setdefault(mark, []).append(rows[mark])
         changes = []
         for mark in {*seen, *self.cases}:
             change = self._judge(now, mark, seen.get(mark, []))
             if change:
                 changes.append(change)
-        known = {mark for marks in lives.values() for mark in marks}
         for mark in [m for m, c in self.cases.items() if m not in known or self._over(now, c)]:
             del self.cases[mark]
         return changes
@@ -197,13 +235,12 @@
     def _over(self, now: float, case: Case) -> bool:
         return case.verdict is Verdict.WELL and now - case.since > HOLD_MOST
 
-    def _judge(self, now: float, mark: int, told: list[tuple[int, int]]) -> Change | None:
-        well, ill = sum(w for w, _ in told), sum(i for _, i in told)
-        counted = sum(min(EACH, i) for _, i in told)
+    def _judge(self, now: float, mark: int, told: list[Evidence]) -> Change | None:
+        well, ill, counted, reporters = _sum(told)
         bound = lower_bound(ill, well + ill) if counted >= LEAST else 0.0
         case = self.cases.setdefault(mark, Case(since=now))
         before = case.verdict
-        case.share, case.reporters = bound, len(told)
+        case.share, case.reporters = bound, reporters
         found = Verdict.SOUR if bound >= SOUR else Verdict.SUSPECT if bound >= SUSPECT else Verdict.WELL
         if found is Verdict.SOUR and before is not Verdict.SOUR:
             case.times += 1
@@ -218,7 +255,7 @@
         if case.verdict is before:
             return None
         case.since = now
-        return Change(mark, before, case.verdict, well, ill, len(told))
+        return Change(mark, before, case.verdict, well, ill, reporters)
 
     def verdict(self, mark: int) -> Verdict:
         case = self.cases.get(mark)
@@ -229,6 +266,7 @@
         (other gateways; what this one found itself is not among them)."""
         case = self.cases.get(mark)
         by = sorted(who for who, (_, told) in self.words.items() if told.get(mark, (0, 0))[1])
+        by += [f"zone {zone}" for zone, (_, rows) in sorted(self.zones.items()) if rows.get(mark, (0, 0))[1]]
         return (case.since, case.share, by) if case else (0.0, 0.0, by)
 
     def weight(self, mark: int, once: bool = False) -> float:
--- a/coralvale/cluster/rate_limit/usage.py
+++ b/coralvale/cluster/rate_limit/usage.py
@@ -9,6 +9,7 @@
 
 import math
 from collections import deque
+from collections.abc import Iterable
 
 from attrs import define, field
 
@@ -70,6 +71,7 @@
     def __init__(self, window: float) -> None:
         self.window = window
         self.others: dict[str, Other] = {}
+        self.zones: dict[int, Other] = {}  # what the reports of other zones say, each for all its gateways
         self.sums: dict[str, Elsewhere] = {}
         self.met = -math.inf  # when another gateway was met last
 
@@ -99,6 +101,31 @@
             self._take(other, tenant, told)
         other.heard, other.left, other.version = now, False, version
 
+    def hear_zone(self, now: float, zone: int, use: Use) -> None:
+        """What all gateways of another zone let through, in place of what was told of it before."""
+        other = self.zones.setdefault(zone, Other())
+        for tenant in [t for t in other.use if t not in use]:
+            self._take(other, tenant, NOTHING)
+        for tenant, told in use.items():
+            self._take(other, tenant, told)
+        other.heard = now
+
+    def present(self, now: float, names: Iterable[str]) -> None:
+        """Gateways whose use is in the report of their zone: they are there, and count by it alone."""
+        for name in names:
+            other = self.others.get(name)
+            if other is None:
+                if len(self.others) >= MOST:
+                    return
+                other = self.others[name] = Other()
+            other.heard, other.left, other.spoke = now, False, True
+            if other.use:
+                self._forget_use(other)
+
+    def _forget_use(self, other: Other) -> None:
+        for tenant in list(other.use):
+            self._take(other, tenant, NOTHING)
+
     def _take(self, other: Other, tenant: str, told: tuple[int, int]) -> None:
         before = other.use.get(tenant, NOTHING)
         if told == before:
@@ -134,9 +161,8 @@
         much longer is gone, and makes room for others."""
         for name in [n for n, other in self.others.items() if now - other.heard > KEPT_FOR and not other.use]:
             del self.others[name]
-        for other in self.others.values():
+        for other in (*self.others.values(), *self.zones.values()):
             if other.use and now - other.heard > self.window:
-                for tenant in list(other.use):
-                    self._take(other, tenant, NOTHING)
+                self._forget_use(other)
         for name in [n for n, sums in self.sums.items() if not (sums.window or sums.newest)]:
             del self.sums[name]
--- /dev/null
+++ b/coralvale/cluster/reports/speaker.py
@@ -0,0 +1,48 @@
+"""Who speaks for a zone, and when.
+
+Each gateway hears the words of all in its zone, so each could report their sums. The first in an order that all
+of them know alike does, each period; the next ones hear its reports and speak when none has come for longer. A
+speaker that dies, freezes or is cut off is thus replaced within two periods, whatever membership says of it. Two
+that speak at once do no harm: a report takes the place of the one before (`zones`).
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from coralvale.cluster.rate_limit.usage import PERIOD
+
+STANDBYS = 2  # gateways beside the first that hear the zone's reports, and speak in its place
+LONGER = 0.5  # periods that each of them waits longer than the one before it
+HEARD = 1.2  # s without a word of a gateway, after which the sums are without it
+
+
+class Speaker:
+    """One gateway's part in it."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.reported = -math.inf  # when the zone was reported last, by anyone
+        self.gateways = 0  # that the report of this gateway sums
+
+    def order(self, here: Iterable[str], carriers: Iterable[str]) -> list[str]:
+        """The first ones that may speak, of the zone's gateways that were heard of; those that carry words have
+        the link for it, and go first."""
+        first = set(carriers)
+        return sorted(here, key=lambda ip: (ip not in first, ip))[: 1 + STANDBYS]
+
+    def heard(self, now: float, gateways: int) -> None:
+        """Another has reported this zone. One that hears much less of it does not speak for it."""
+        if 2 * gateways >= self.gateways:
+            self.reported = now
+
+    def due(self, order: list[str]) -> float:
+        """When this gateway is to report; inf where others do."""
+        if self.address not in order:
+            return math.inf
+        return self.reported + PERIOD * (1 + LONGER * order.index(self.address))
+
+    def reports(self, now: float, gateways: int) -> None:
+        """This gateway reports now."""
+        self.reported, self.gateways = now, gateways
--- /dev/null
+++ b/coralvale/cluster/reports/sums.py
@@ -0,0 +1,28 @@
+"""Sums over the gateways of one zone."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from coralvale.cluster.rate_limit.usage import Use
+
+Out = Iterable[tuple[int, int]]  # what stands for a copy, and tries that a gateway has out there
+
+
+def sum_use(uses: Iterable[Use]) -> Use:
+    """What several gateways let through of each tenant."""
+    sums: Use = {}
+    for use in uses:
+        for tenant, (window, newest) in use.items():
+            before = sums.get(tenant)
+            sums[tenant] = (window + before[0], newest + before[1]) if before else (window, newest)
+    return sums
+
+
+def sum_out(outs: Iterable[Out]) -> list[tuple[int, int]]:
+    """What several gateways have out at each copy, the most first."""
+    sums: dict[int, int] = {}
+    for out in outs:
+        for number, count in out:
+            sums[number] = sums.get(number, 0) + count
+    return sorted(sums.items(), key=lambda row: -row[1])
--- a/coralvale/cluster/routing/copies.py
+++ b/coralvale/cluster/routing/copies.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 
 from coralvale import interface as api
-from coralvale.cluster.host_health.watch import Change, Watch
+from coralvale.cluster.host_health.watch import Change, Watch, ZoneRow
 from coralvale.cluster.registry.register import Life, Register, State
 from coralvale.cluster.routing.home import Home
 from coralvale.health import Host
@@ -223,13 +223,25 @@
             return []
         return self.weigh(now)
 
-    def weigh(self, now: float) -> list[Change]:
-        """New verdicts of what all gateways have found."""
-        self.weighed = now
-        lives = {
+    def hear_zone(self, now: float, zone: int, rows: Iterable[ZoneRow]) -> list[Change]:
+        """What the gateways of another zone have found together."""
+        self.watch.hear_zone(now, zone, rows)
+        return self.weigh(now) if self.watch.zones and now - self.weighed >= SOON else []
+
+    def sum_health(self, now: float) -> list[ZoneRow]:
+        """What this gateway and those whose words come have found together."""
+        return self.watch.sum_here(now, self._serving())
+
+    def _serving(self) -> dict[str, set[int]]:
+        return {
             service: {mark(name) for name, life in of.items() if life.state is State.UP}
             for service, of in self.register.by_service.items()
         }
+
+    def weigh(self, now: float) -> list[Change]:
+        """New verdicts of what all gateways have found."""
+        self.weighed = now
+        lives = self._serving()
         changes = self.watch.weigh(now, lives)
         self.over = set()
         if self.watch.cases:
--- a/coralvale/cluster/server/gossip.py
+++ b/coralvale/cluster/server/gossip.py
@@ -12,7 +12,7 @@
 from coralvale.cluster.events import Event, tell
 from coralvale.cluster.host_health.watch import Change as Verdict
 from coralvale.cluster.rate_limit.limiter import RateLimiter
-from coralvale.cluster.rate_limit.usage import MOST, PERIOD
+from coralvale.cluster.rate_limit.usage import PERIOD
 from coralvale.cluster.routing.copies import SOON, Copies
 from coralvale.cluster.server import quotas, relay
 from coralvale.cluster.server.arrivals import Arrivals
@@ -41,6 +41,8 @@
     OUT,
     PASS,
     PASSED,
+    REPORT,
+    REPORTED,
     SLICE,
     SWIM,
     WORD,
@@ -49,6 +51,7 @@
 from coralvale.cluster.server.relay import Carriers, RelayBatch
 from coralvale.cluster.server.runtime import Runtime
 from coralvale.cluster.server.shares import ShareClaims
+from coralvale.cluster.server.zone_reports import ZoneReportExchange, hear_view
 from coralvale.members import wire as swim_wire
 from coralvale.members.model import MembersError
 
@@ -82,6 +85,18 @@
         self.register = arrivals.register
         self.out_in_words = False
         self.batch, self.carriers, self.relaying = RelayBatch(), Carriers(), False
+        self.reports = ZoneReportExchange(
+            runtime,
+            membership,
+            core,
+            changes,
+            arrivals,
+            limiter,
+            shares,
+            copies,
+            self.carriers,
+            is_ready,
+        )
 
     async def tell(self) -> None:
         """Every half second, to all: what was let through, which beats came, how loaded copies are."""
@@ -98,6 +113,8 @@
                 told_core, told_at = (view, core), now
             carries = self.carries(now)
             self.carriers.hear(now, self.runtime.settings.Ip, carries)
+            beats = self.register.told()
+            self.reports.note_beats(beats)
             word = Word(
                 self.changes.configuration.version,
                 self.register.digest,
@@ -106,7 +123,7 @@
                 core if whole or now - told_at < CORE_NEWS else (),
                 pack_use(use),
                 whole,
-                self.register.told(),
+                beats,
                 pack_health(self.copies.watch.say(now)),
                 pack_out(self.copies.out()) if self.out_in_words else None,
                 carries,
@@ -130,9 +147,10 @@
             if carried:
                 every = max(CARRIED_OUT_EVERY, len(near) * CARRIED_OUT_BYTES / (OUT_SHARE * link))
             else:
-                every = max(OUT_EVERY, count / OUT_A_SECOND, count * OUT_BYTES / (OUT_SHARE * link))
+                told = len(near) if self.membership.by_reports else count
+                every = max(OUT_EVERY, told / OUT_A_SECOND, told * OUT_BYTES / (OUT_SHARE * link))
             # In a large fleet other zones, whose part at a copy is small, are told in the other words.
-            self.out_in_words = large
+            self.out_in_words = large and not self.membership.by_reports
             self.runtime.peers.bytes_a_slice = LINK_SHARE * link * SLICE if large else 0.0
             self.membership.swim.settings = LARGE_FLEET if large else SMALL_FLEET
             data = pack_out(self.copies.out())
@@ -149,14 +167,20 @@
                 self.tell_all(HEALTH, pack_health(self.copies.watch.say(now)))
             await asyncio.sleep(every)
 
+    def onward(self, kind: bytes) -> bool:
+        """Whether other zones are told words of a kind, and not by reports."""
+        return kind not in NEAR_ONLY and not self.membership.by_reports
+
     def tell_all(self, kind: bytes, data: bytes) -> None:
-        """A word to all: by a carrier where there is one, else to each."""
+        """A word to all that are told it: by a carrier where there is one, else to each."""
         near, far = self.membership.zones()
+        if self.membership.by_reports:
+            far = []
         if self.membership.large:
             me, now = self.runtime.settings.Ip, self.runtime.clock.monotonic()
             if found := self.carriers.of(now, (*near, me), relay.NEAR):
                 if me in found:
-                    self.relay(me, kind + data, kind not in NEAR_ONLY)
+                    self.relay(me, kind + data, self.onward(kind))
                 else:
                     # What is out goes by one and the same: an older one behind a newer would stand for long.
                     at = found[crc32(me.encode()) % len(found)] if kind in NEAR_ONLY else ""
@@ -169,6 +193,8 @@
         near, _ = self.membership.zones()
         link = self.runtime.settings.Limits.NicMbps * 1e6 / 8
         gateways, replica = self.membership.swim.there, self.core.replica is not None
+        if self.membership.by_reports:
+            gateways = len(near) + 1 + relay.REPORT_WORDS * len(self.membership.far)
         self.carriers.most = relay.wanted(gateways, len(near), PERIOD)
         return (
             self.membership.large
@@ -222,10 +248,12 @@
                 self._said(*passed)
         elif kind == LOAD:
             if body and body[:1] in TOLD:
-                self.relay(ip, body, body[:1] not in NEAR_ONLY)
+                self.relay(ip, body, self.onward(body[:1]))
                 self._said(ip, body[:1], body[1:])
         elif kind in (CARRY, CARRIED):
             self._carried(ip, kind, body)
+        elif kind in (REPORT, REPORTED):
+            self.tell_health(self.reports.datagram(kind, body))
         elif kind in quotas.KINDS:
             self.quotas.datagram(ip, kind, body)
         else:
@@ -256,6 +284,8 @@
             except msgspec.MsgspecError:
                 return
         elif kind == HEALTH:
+            if self.reports.zones.covers(now, ip):
+                return
             try:
                 self.tell_health(self.copies.hear_health(now, ip, unpack_health(body)))
             except struct.error:
@@ -274,19 +304,18 @@
             self.membership.carry()
 
     def word(self, now: float, ip: str, word: Word) -> None:
-        if len(self.membership.talks) > MOST:
-            self.membership.talks.clear()
-        self.membership.talks[ip] = now
+        self.membership.hear(now, (ip,))
         if word.region and (strange := self.membership.strange(ip, word.region)):
             tell(Event.REGION_OF_OTHER, **strange)
         self.carriers.hear(now, ip, word.carries)
-        self.limiter.usage.hear(now, ip, unpack_use(word.use, self.changes.tenants), word.whole, word.version)
         self.shares.heard(word.shares)
+        hear_view(self.core, word.view, word.leader, word.core)
+        unknown = self.register.beats(now, word.beats)
+        if self.reports.zones.covers(now, ip):
+            return  # what it does is in the report of its zone, and would count twice
+        self.limiter.usage.hear(now, ip, unpack_use(word.use, self.changes.tenants), word.whole, word.version)
         self.tell_health(self.copies.hear_health(now, ip, unpack_health(word.health)))
         if word.out is not None:
             self.copies.hear(now, ip, unpack_out(word.out))
-        unknown = self.register.beats(now, word.beats)
-        view, _, core = self.core.heard
-        if word.view > view or (word.view == view and word.leader):
-            self.core.heard = (word.view, word.leader, word.core or core)
+        self.reports.note_beats(word.beats)
         self.arrivals.compare(now, ip, word.digest, unknown)
--- a/coralvale/cluster/server/membership.py
+++ b/coralvale/cluster/server/membership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from coralvale.cluster.events import Event, tell
 from coralvale.cluster.rate_limit.usage import MOST, FleetUsage
 from coralvale.cluster.server.messages import Gossip
@@ -25,6 +27,7 @@
     def __init__(self, runtime: Runtime, usage: FleetUsage) -> None:
         self.runtime, self.usage = runtime, usage
         self.large = False
+        self.by_reports = False  # zones report to each other, in place of words to all (`zone_reports`)
         self.talks: dict[str, float] = {}  # by address, when a word of theirs came
         self.near: list[str] | None = None  # addresses of the others in this zone; None: to be looked up
         self.far: dict[int, list[str]] = {}  # of those in others
@@ -47,6 +50,13 @@
                     return {"name": member.name, "zone": zone, "region": region, "by_zone": by_zone}
         return None
 
+    def hear(self, now: float, ips: Iterable[str]) -> None:
+        """Words of these gateways come, here or in their zone."""
+        if len(self.talks) > MOST:
+            self.talks.clear()
+        for ip in ips:
+            self.talks[ip] = now
+
     def others(self) -> list[Gateway]:
         """All others that are there: those that membership has alive, and those that it calls dead and whose
         words still come, which may be of one that is slow to answer probes, or of the probers."""
--- a/coralvale/cluster/server/messages.py
+++ b/coralvale/cluster/server/messages.py
@@ -8,6 +8,7 @@
 
 import struct
 from collections.abc import Mapping
+from socket import inet_aton, inet_ntoa
 from zlib import crc32
 
 import msgspec
@@ -15,14 +16,19 @@
 from coralvale.cluster.configuration.history import Change, News
 from coralvale.cluster.consensus.messages import Member, Message
 from coralvale.cluster.host_health.watch import Row as Row_
+from coralvale.cluster.host_health.watch import ZoneRow
 from coralvale.cluster.rate_limit.usage import Use
 from coralvale.cluster.registry.register import Row
+from coralvale.cluster.reports.model import Report
 
 FRAME = struct.Struct("!I")
 MOST = 96 * 1024 * 1024  # bytes of a frame
 MOST_USE = 160  # tenants in one word: what fits a datagram beside the rest
 MOST_HEALTH_ROWS = 24  # lives in one word
 MOST_OUT = 250  # copies in one word of what is out: what fits a datagram
+MOST_HEALTH_SUMS = 64  # lives in one report of a zone
+MOST_BEATS = 48  # in one part of a zone's report: what fits a datagram beside its gateways
+MOST_ADDRESSES = 128  # gateways in one part of a zone's report
 
 
 class ConsensusMessage(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -168,11 +174,14 @@
 decode_parcel = msgspec.msgpack.Decoder(Parcel).decode
 decode_rows = msgspec.msgpack.Decoder(Rows).decode
 decode_word = msgspec.msgpack.Decoder(Word).decode
+decode_report = msgspec.msgpack.Decoder(Report).decode
 
 
 OUT = struct.Struct("!IB")
 USE = struct.Struct("!IHB")
 HEALTH = struct.Struct("!IBB")
+USE_SUM = struct.Struct("!IHH")
+HEALTH_SUM = struct.Struct("!IHHHH")
 
 
 def pack_out(out: list[tuple[int, int]]) -> bytes:
@@ -203,6 +212,41 @@
     return list(HEALTH.iter_unpack(data))
 
 
+def pack_addresses(ips: list[str]) -> bytes:
+    return b"".join([inet_aton(ip) for ip in ips])
+
+
+def unpack_addresses(data: bytes) -> list[str]:
+    """Raises OSError for what is no list of addresses."""
+    return [inet_ntoa(data[at : at + 4]) for at in range(0, len(data), 4)]
+
+
+def pack_use_sum(use: Use) -> bytes:
+    """A zone's tenants, those that use most first: eight bytes each."""
+    rows = sorted(use.items(), key=lambda row: -row[1][0])[:MOST_USE]
+    return b"".join([USE_SUM.pack(crc32(n.encode()), min(65535, w), min(65535, p)) for n, (w, p) in rows])
+
+
+def unpack_use_sum(data: bytes, names: Mapping[int, str]) -> Use:
+    """As `unpack_use`."""
+    return {names[mark]: (w, p) for mark, w, p in USE_SUM.iter_unpack(data) if mark in names}
+
+
+def pack_health_sum(rows: list[ZoneRow]) -> bytes:
+    """Evidence of a zone on lives, the most ill first: twelve bytes each."""
+    return b"".join(
+        [
+            HEALTH_SUM.pack(mark, *(min(65535, count) for count in evidence))
+            for mark, *evidence in rows[:MOST_HEALTH_SUMS]
+        ]
+    )
+
+
+def unpack_health_sum(data: bytes) -> list[ZoneRow]:
+    """Raises struct.error for what is no such report."""
+    return list(HEALTH_SUM.iter_unpack(data))
+
+
 def unpack_out(data: bytes) -> list[tuple[int, int]]:
     """Raises struct.error for what is no such word."""
     return list(OUT.iter_unpack(data))
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -164,6 +164,7 @@
             self._pulse,
             self.gossip.tell,
             self.gossip.tell_out,
+            self.gossip.reports.tell,
             self.changes.follow,
             self._watch,
             self.core.join,
--- a/coralvale/cluster/server/peers.py
+++ b/coralvale/cluster/server/peers.py
@@ -24,6 +24,7 @@
 LINK_SHARE = 0.4  # of the link that it may take
 MOST_PACED = 4000  # datagrams that wait to be sent; past it new ones are left out, as a full link loses them
 SWIM, WORD, OUT, HEALTH, LIFE, PASS, PASSED = b"S", b"W", b"O", b"B", b"L", b"P", b"p"
+REPORT, REPORTED = b"Z", b"z"  # of a zone: to one in another, who tells all there; to those
 LOAD, CARRY, CARRIED = b"c", b"C", b"k"  # to a carrier; joined words to a carrier elsewhere; to all in a zone
 
 
--- a/coralvale/cluster/server/relay.py
+++ b/coralvale/cluster/server/relay.py
@@ -26,6 +26,7 @@
 PART_BYTES = 2.5e6  # bytes a second that one is to bring: beyond it more of them take turns
 WORD_BYTES = 280  # of a gateway's words in a period, about, all kinds: measured at 96 gateways
 NEAR, FAR = 0.8, 1.6  # s without a word of a carrier in this zone, or in another, after which it is none
+REPORT_WORDS = 10  # words that another zone's report weighs
 HEAD = struct.Struct("!4sH")
 
 
