--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	python benchmarks/lab.py $(ARGS)
 	python benchmarks/membership.py $(ARGS)
 	python benchmarks/cluster.py $(ARGS)
+	python benchmarks/large_fleet.py $(ARGS)
 
 $(VENV)/made: requirements.txt requirements-control.txt requirements-lab.txt requirements-cluster.txt requirements-dev.txt
 	rm -rf $(VENV)
--- a/coralvale/cluster/host_health/watch.py
+++ b/coralvale/cluster/host_health/watch.py
@@ -257,6 +257,10 @@
         case.since = now
         return Change(mark, before, case.verdict, well, ill, reporters)
 
+    def any_sour(self) -> bool:
+        """Whether a copy may have to be passed over."""
+        return any(case.verdict is Verdict.SOUR for case in self.cases.values())
+
     def verdict(self, mark: int) -> Verdict:
         case = self.cases.get(mark)
         return case.verdict if case else Verdict.WELL
--- a/coralvale/cluster/registry/register.py
+++ b/coralvale/cluster/registry/register.py
@@ -76,22 +76,17 @@
         self.lives: dict[str, Life] = {}
         self.by_service: dict[str, dict[str, Life]] = {}
         self.version = 0  # rises with each change of what `usable` may give
+        self.digest = 0  # of the whole register
         self.parts = [0] * PARTS  # digests of lives and states, the same at all that know the same
         self.fresh: dict[str, int] = {}  # beats heard here since they were last told: id, calls
 
-    @property
-    def digest(self) -> int:
-        """Of the whole register."""
-        whole = 0
-        for digest in self.parts:
-            whole ^= digest
-        return whole
-
     def _mark(self, life: Life) -> None:
         """Puts a life into its part's digest, or takes it out again. Those that are gone count for nothing:
         gateways forget them at different times."""
         if life.state is not State.GONE:
-            self.parts[part(life.id)] ^= zlib.crc32(f"{life.id} {int(life.state)}".encode())
+            mark = zlib.crc32(f"{life.id} {int(life.state)}".encode())
+            self.parts[part(life.id)] ^= mark
+            self.digest ^= mark
 
     def take(self, now: float, row: Row, direct: bool = False) -> bool:
         """Whether it tells something that others have to know: a new life, or a state."""
--- a/coralvale/cluster/reports/speaker.py
+++ b/coralvale/cluster/reports/speaker.py
@@ -15,6 +15,7 @@
 
 STANDBYS = 2  # gateways beside the first that hear the zone's reports, and speak in its place
 LONGER = 0.5  # periods that each of them waits longer than the one before it
+EARLIER = 0.7  # periods after which the first takes over again from one that has spoken in its place
 HEARD = 1.2  # s without a word of a gateway, after which the sums are without it
 
 
@@ -24,6 +25,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.reported = -math.inf  # when the zone was reported last, by anyone
+        self.speaks = False  # it was by this gateway
         self.gateways = 0  # that the report of this gateway sums
 
     def order(self, here: Iterable[str], carriers: Iterable[str]) -> list[str]:
@@ -35,14 +37,17 @@
     def heard(self, now: float, gateways: int) -> None:
         """Another has reported this zone. One that hears much less of it does not speak for it."""
         if 2 * gateways >= self.gateways:
-            self.reported = now
+            self.reported, self.speaks = now, False
 
     def due(self, order: list[str]) -> float:
         """When this gateway is to report; inf where others do."""
         if self.address not in order:
             return math.inf
-        return self.reported + PERIOD * (1 + LONGER * order.index(self.address))
+        if self.speaks:
+            return self.reported + PERIOD
+        rank = order.index(self.address)
+        return self.reported + PERIOD * (1 + LONGER * rank if rank else EARLIER)
 
     def reports(self, now: float, gateways: int) -> None:
         """This gateway reports now."""
-        self.reported, self.gateways = now, gateways
+        self.reported, self.gateways, self.speaks = now, gateways, True
--- a/coralvale/cluster/reports/zones.py
+++ b/coralvale/cluster/reports/zones.py
@@ -14,7 +14,9 @@
 from coralvale.cluster.rate_limit.usage import PERIOD
 from coralvale.cluster.reports.model import Head
 
-STALE = 1.5 * PERIOD  # s without a report, after which one that sums fewer gateways is followed as well
+# s without a report, after which one that sums fewer gateways is followed as well: less than a standby waits,
+# which may no longer hear the speaker in whose place it reports.
+STALE = 1.2 * PERIOD
 FRESH = 1.3  # s for which a report stands for the gateways that it sums
 
 
--- a/coralvale/cluster/routing/copies.py
+++ b/coralvale/cluster/routing/copies.py
@@ -81,6 +81,7 @@
         self.lists: dict[
             tuple[str, str], tuple[int, float, list[Copy], list[Copy]]
         ] = {}  # by service and region: the register's version, until when; near, far
+        self.serving: tuple[int, dict[str, set[int]]] = (-1, {})  # the register's version; marks by service
         self.over: set[int] = set()  # marks of copies that are passed over for what is held against them
         self.copies: dict[str, Copy] = {}
         self.marks: dict[int, Copy] = {}  # by what stands for a life in words of what is out
@@ -233,10 +234,14 @@
         return self.watch.sum_here(now, self._serving())
 
     def _serving(self) -> dict[str, set[int]]:
-        return {
-            service: {mark(name) for name, life in of.items() if life.state is State.UP}
-            for service, of in self.register.by_service.items()
-        }
+        """What stands for the lives that may serve, by service. Made anew when the register changes."""
+        if self.serving[0] != self.register.version:
+            lives = {
+                service: {mark(name) for name, life in of.items() if life.state is State.UP}
+                for service, of in self.register.by_service.items()
+            }
+            self.serving = (self.register.version, lives)
+        return self.serving[1]
 
     def weigh(self, now: float) -> list[Change]:
         """New verdicts of what all gateways have found."""
@@ -244,7 +249,7 @@
         lives = self._serving()
         changes = self.watch.weigh(now, lives)
         self.over = set()
-        if self.watch.cases:
+        if self.watch.any_sour():
             for marks in lives.values():
                 there = {m: copy for m in marks if (copy := self.marks.get(m))}
                 self.over |= self.watch.passed_over({m: (c.slots, c.there(now)) for m, c in there.items()})
--- a/coralvale/cluster/server/membership.py
+++ b/coralvale/cluster/server/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from coralvale.cluster.events import Event, tell
@@ -10,7 +11,7 @@
 from coralvale.cluster.server.peers import SWIM
 from coralvale.cluster.server.runtime import Runtime
 from coralvale.members import wire as swim_wire
-from coralvale.members.model import Changed, Stalled
+from coralvale.members.model import GONE, Changed, Stalled
 from coralvale.members.model import Member as Gateway
 from coralvale.members.model import Settings as SwimSettings
 from coralvale.members.model import State as GatewayState
@@ -41,8 +42,9 @@
             self.regions.clear()
         settings = self.runtime.settings
         zones = sorted(settings.Zones)
-        for member in self.swim.alive():
-            if member.address[0] == ip:
+        for known in self.swim.known.values():
+            member = known.update.member
+            if known.there and member.address[0] == ip:
                 self.regions[ip] = region
                 zone = zones[member.zone] if member.zone < len(zones) else ""
                 by_zone = settings.Zones.get(zone, "no region that is known")
@@ -61,14 +63,12 @@
         """All others that are there: those that membership has alive, and those that it calls dead and whose
         words still come, which may be of one that is slow to answer probes, or of the probers."""
         me, now = self.runtime.settings.Hostname, self.runtime.clock.monotonic()
-        found = [m for m in self.swim.alive() if m.name != me]
-        for known in self.swim.known.values():
-            member = known.update.member
-            if (
-                known.update.state is GatewayState.DEAD
-                and now - self.talks.get(member.address[0], -1e9) < TALKS
-            ):
-                found.append(member)
+        found = []
+        for name in sorted(self.swim.known):
+            update = self.swim.known[name].update
+            talks = now - self.talks.get(update.member.address[0], -math.inf) < TALKS
+            if name != me and (update.state not in GONE or (update.state is GatewayState.DEAD and talks)):
+                found.append(update.member)
         return found
 
     def zones(self) -> tuple[list[str], list[str]]:
--- a/coralvale/cluster/server/zone_reports.py
+++ b/coralvale/cluster/server/zone_reports.py
@@ -89,17 +89,21 @@
 
     async def tell(self) -> None:
         while True:
-            now = self.runtime.clock.monotonic()
-            self.membership.by_reports = by_reports(self.membership.swim.there, self.membership.by_reports)
-            order = self._order(now) if self.membership.by_reports else []
-            may_speak = self.speaker.address in order and self.is_ready() and not self.runtime.stopping
-            if not may_speak:
-                self.beats.clear()
-            elif now >= self.speaker.due(order):
-                self._report(now, order)
-            elif order[0] == self.speaker.address and now - self.health_at >= HEALTH_EVERY:
-                self._report_health(now, order)
-            await asyncio.sleep(LOOK if may_speak else PERIOD)
+            await asyncio.sleep(self.turn(self.runtime.clock.monotonic()))
+
+    def turn(self, now: float) -> float:
+        """Reports if that is due here; seconds until the next look."""
+        there, before = self.membership.swim.there, self.membership.by_reports
+        self.membership.by_reports = by_reports(there, before)
+        order = self._order(now) if self.membership.by_reports else []
+        if self.speaker.address not in order or not self.is_ready() or self.runtime.stopping:
+            self.beats.clear()
+            return PERIOD
+        if now >= self.speaker.due(order):
+            self._report(now, order)
+        elif order[0] == self.speaker.address and now - self.health_at >= HEALTH_EVERY:
+            self._report_health(now, order)
+        return LOOK
 
     def note_beats(self, beats: list[tuple[str, int]]) -> None:
         """Beats that gateways of this zone have heard."""
