A fleet of sixty in two zones, played by the real code: words at home, reports abroad

One test more of what 120 gateways do, with the threshold lowered: all hear of all, each counts what the others let through and have out once, beats, views and evidence cross by reports alone, and no word does.

--- a/tests/cluster/test_zone_reports.py
+++ b/tests/cluster/test_zone_reports.py
@@ -6,16 +6,25 @@
 import random
 from collections.abc import Generator
 from typing import Any
+from zlib import crc32
 
 import pytest
 import simpy
+from test_relay import MANY, play
+from test_relay import Fleet as Relayed
 
+from coralvale.cluster.configuration.model import Configuration
 from coralvale.cluster.host_health.watch import Verdict, Watch
 from coralvale.cluster.rate_limit.usage import PERIOD, FleetUsage
+from coralvale.cluster.registry.register import Row
+from coralvale.cluster.reports import model
 from coralvale.cluster.reports.model import BELOW, FROM, Head, OutSum, UseSum, by_reports
 from coralvale.cluster.reports.speaker import HEARD, Speaker
 from coralvale.cluster.reports.sums import sum_out, sum_use
 from coralvale.cluster.reports.zones import STALE, ZoneReports
+from coralvale.cluster.routing.copies import mark
+from coralvale.cluster.server.messages import Word, encode, pack_health, pack_out, pack_use
+from coralvale.cluster.server.peers import CARRY, HEALTH, OUT, PASS, REPORT, WORD
 
 ZONES, EACH = 3, 6
 LOOK = 0.1  # s
@@ -252,3 +261,52 @@
     changed, changed_far = one.weigh(0.2, lives), far.weigh(0.2, lives)
     assert changed == changed_far and changed[0].after is Verdict.SOUR and changed[0].reporters == 3
     assert far.against(7)[2] == ["zone 2"] and far.any_sour()
+
+
+def test_gateways_hear_their_zone_by_words_and_another_by_reports(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(model, "FROM", 2)
+    monkeypatch.setattr(model, "BELOW", 2)
+
+    def scene() -> None:
+        fleet = Relayed(2)
+        for one in fleet.all.values():
+            one.membership.by_reports, one.was_ready = True, True
+            one.membership.swim.there = MANY
+            one.changes.configuration = Configuration(1)
+            one.changes.tenants = {crc32(TENANT.encode()): TENANT}
+        first, last = fleet.ips[0], fleet.ips[-1]
+        row = Row("i-1", "s", "10.1.0.1", 1, "zone-0", "v1", 2, 0, 0.0, 1)
+        for one in fleet.all.values():
+            one.register.take(fleet.now, row)
+            one.copies.get(fleet.now, one.register.lives["i-1"])
+        for _ in range(2):
+            fleet.kinds.clear()
+            fleet.now += PERIOD
+            for ip, one in fleet.all.items():
+                one.gossip.carriers.hear(fleet.now, ip, ip in fleet.carriers)
+                use, beats = pack_use({TENANT: (4, 2)}), [("i-1", int(fleet.now * 10))]
+                word = Word(
+                    1, one.register.digest, 3, first, (first,), use, beats=beats, carries=ip in fleet.carriers
+                )
+                one.gossip.tell_all(WORD, encode(word))
+                one.gossip.tell_all(OUT, pack_out([(mark("i-1"), 1)]))
+                one.gossip.tell_all(HEALTH, pack_health([(mark("i-1"), 0, 3)] if ip == first else []))
+            fleet.deliver()
+            for one in fleet.all.values():
+                one.gossip.reports.turn(fleet.now)
+            fleet.deliver()
+        # No word goes to the other zone, and its report goes to one there.
+        assert not fleet.kinds[CARRY] and not fleet.kinds[PASS] and 2 * 3 <= fleet.kinds[REPORT] <= 2 * 5
+        near = MANY // 2 - 1
+        for ip, one in fleet.all.items():
+            usage, silent = one.limiter.usage, [at for at in one.membership.talks.values() if at < fleet.now]
+            assert len(one.membership.talks) == MANY - 1 and not silent
+            assert usage.heard_all() and usage.in_reach(fleet.now, last if ip != last else first)
+            # Its own zone's others by words; the other zone without what its speaker has let through itself.
+            assert usage.elsewhere(TENANT).newest == 2 * near + 2 * near
+            copy = one.copies.marks[mark("i-1")]
+            assert copy.elsewhere == near + near and copy.life.row.calls == int(fleet.now * 10)
+            assert one.core.heard == (3, first, (first,))
+            assert one.copies.watch.zones or one.membership.swim.me.zone == 0
+
+    play(scene)
