--- a/coralvale/cluster/errors.py
+++ b/coralvale/cluster/errors.py
@@ -81,7 +81,7 @@
     Kind.TOO_MANY: Answer(429, Promise.NOT_RUN),
     Kind.HELD: Answer(409),
     Kind.NOT_HELD: Answer(409),
-    Kind.OTHER_REVISION: Answer(412, Promise.NOT_RUN),
+    Kind.OTHER_REVISION: Answer(412),
     Kind.NO_SUCH_KEY: Answer(404),
     Kind.COMPACTED: Answer(410),
 }
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -331,7 +331,7 @@
         self.gossip.carriers.keep(known | {self.runtime.settings.Ip})
 
     def _tell_quotas(self) -> None:
-        """What was refused of tenants past their quota since the last time, and what was let through of theirs."""
+        """What was refused of tenants past their quota since the last time, and what was let through."""
         for tenant, tally in self.limiter.take_tallies().items():
             tell(Event.QUOTA, count=tally.refused, tenant=tenant)
             tell(
--- a/tests/cluster/test_quota_shares.py
+++ b/tests/cluster/test_quota_shares.py
@@ -194,8 +194,8 @@
 
 def test_the_table_is_kept_beside_the_configuration_and_an_older_image_has_none() -> None:
     history, table = ChangeHistory(), even_table(["a"])
-    assert ShareTable.restored(ChangeHistory().restore(history.image(table.image()))) == table
-    assert ChangeHistory().restore(history.image()) == b""
+    assert ShareTable.restored(ChangeHistory().restore(history.image(table.image())).shares) == table
+    assert ChangeHistory().restore(history.image()).shares == b""
 
 
 def users_of_cells(seed: int) -> int:
