--- a/benchmarks/coordination.py
+++ b/benchmarks/coordination.py
@@ -11,7 +11,8 @@
             the middle and for 99 in 100, by the most calls in a turn. 1 is one sync a call.
   reading   the same with reads, which cost a barrier and no sync.
   offered   puts that come by chance at a steady rate, with turns as they are and with one sync a call.
-  bound     puts at a steady rate until the first is refused for what is remembered of late, or 150 s.
+  bound     puts at a steady rate until the first is refused for what is remembered of late, or 150 s; and what
+            an image of the state is then.
   storage   ms of one synced write of the real store, in the folder for temporary files, by puts in its entry.
 
 The last line is one JSON object. Aim: 2,000 puts a second.
@@ -291,6 +292,13 @@
     }
 
 
+def image(state: CoordinationState) -> dict[str, Any]:
+    """A snapshot's part of coordination; it is made every 512 entries, and all else waits for it."""
+    begun = time.thread_time()
+    body = state.image()
+    return {"image_ms": round(1e3 * (time.thread_time() - begun), 1), "image_bytes": len(body)}
+
+
 def told(name: str, row: dict[str, Any]) -> dict[str, Any]:
     print(f"{name:24s} {row}", flush=True)
     return row
@@ -311,7 +319,10 @@
     offered = [told(f"offered, {rate} a second", Load(AS_IS).offered(rate, steady)) for rate in RATES]
     one_each = told("offered, one sync a call", Load(1).offered(AIM, steady))
     bound = [
-        told(f"bound, {rate} a second", Load(AS_IS).offered(rate, BOUND_S, until_full=True))
+        told(
+            f"bound, {rate} a second",
+            (load := Load(AS_IS)).offered(rate, BOUND_S, until_full=True) | image(load.leader.state),
+        )
         for rate in (() if quick else BOUND_RATES)
     ]
     desk_module.MOST_IN_TURN = AS_IS
