--- a/tests/cluster/test_coordination_kills.py
+++ b/tests/cluster/test_coordination_kills.py
@@ -10,10 +10,13 @@
 from attrs import define, field
 from test_coordination_processes import play, rpc
 
-from coralvale.standins.cluster import CTL, LocalCluster, call
+from coralvale.cluster.consensus.replication import SNAPSHOT_BYTES
+from coralvale.cluster.storage.keeper import look
+from coralvale.standins.cluster import CTL, LocalCluster, call, configuration
 
 LONG_MS = 60_000  # longer than the test takes, however busy the machine is
 SHORT_MS = 2500
+CHANGE_BYTES = 1024 * 1024  # of one change of the configuration
 RESTART_S = 60.0  # for all processes to start and to elect, on a busy machine
 POLL_MS = 500
 NOTHING_DONE = (429, 503)
@@ -193,3 +196,56 @@
         assert renewed[0] == 200
 
     play(scene)
+
+
+def test_what_is_in_a_snapshot_is_there_after_the_kill_of_all_processes() -> None:
+    async def scene(cluster: LocalCluster) -> None:
+        for serial in range(4):
+            path = f"/rpc?call=cells.replace&of=g1.k{serial % 2}"
+            assert await clear(cluster, "POST", path, Val=f"value-{serial}") == (200, {"Rev": serial + 1})
+        _, number = await clear(cluster, "POST", "/numbers/n1")
+        status, body = await begin(cluster, "kept", "holder", LONG_MS)
+        assert status == 200
+        words = {"Owner": "holder", "fence": body["fence"]}
+
+        changes = SNAPSHOT_BYTES // CHANGE_BYTES + 1
+        for version in range(2, 2 + changes):
+            large = configuration(version, ["schedule"], 0.0) | {"Note": "x" * CHANGE_BYTES}
+            taken = await cluster.send("config.replace", large, version - 1)
+            assert taken and taken.status == 200
+        for gateway in range(len(cluster.ips)):
+            await cluster.kill(gateway)
+        seen = [look(cluster.path / f"data-{gateway}") for gateway in range(cluster.disks)]
+        kinds = [
+            [entry["kind"] for entry in disk["entries"] if entry["seq"] > disk["snapshot"]] for disk in seen
+        ]
+        assert (
+            sum(
+                disk["snapshot"] > 0 and "coordination" not in after
+                for disk, after in zip(seen, kinds, strict=True)
+            )
+            >= 2
+        )
+        for gateway in range(len(cluster.ips)):
+            await cluster.begin(gateway)
+
+        status, body = await clear(cluster, "GET", "/watch/g1.?after=1&PollMs=0")
+        assert status == 200 and body["Rev"] == 4
+        assert [(e["Name"], e["Val"], e["Rev"]) for e in body["Events"]] == [
+            (f"g1.k{serial % 2}", f"value-{serial}", serial + 1) for serial in range(1, 4)
+        ]
+        path = "/rpc?call=cells.replace&of=g1.k0"
+        assert await clear(cluster, "POST", path, Val="value-0") == (200, {"Rev": 1})  # it comes again
+        assert await clear(cluster, "POST", path, Val="value-4", Duty=3) == (200, {"Rev": 5})
+        found = await clear(cluster, "POST", "/rpc?call=cells.read&of=g1.k1")
+        assert found == (200, {"Val": "value-3", "Rev": 4})
+        status, body = await clear(cluster, "POST", "/numbers/n1")
+        assert status == 200 and body["Val"] > number["Val"]
+        status, _ = await begin(cluster, "kept", "rival", LONG_MS)
+        assert status == 409
+        renewed = await rpc(cluster, "locks.heartbeat", "kept", **words, HoldMs=LONG_MS)
+        assert renewed[0] == 200
+        status, body = await begin(cluster, "other", "rival", LONG_MS)
+        assert status == 200 and body["fence"] > words["fence"]
+
+    play(scene)
