A report that is older than a gateway's leave does not bring it back

Cause: a report names the gateways heard in its speaker's last 1.2 s; one that had said that it ends was set back to there by it, and counted in the budgets' division for a minute. Change: what has left stays so until membership has it alive again; a speaker leaves it out. Words are as before. Tests: a new one for both ways.

--- a/coralvale/cluster/rate_limit/usage.py
+++ b/coralvale/cluster/rate_limit/usage.py
@@ -78,7 +78,9 @@
     def know(self, now: float, name: str) -> None:
         """Another gateway is there, though it has said nothing of tenants yet."""
         self.met = now
-        if name not in self.others and len(self.others) < MOST:
+        if other := self.others.get(name):
+            other.left = False  # it is back
+        elif len(self.others) < MOST:
             self.others[name] = Other(heard=now)
 
     def left(self, name: str) -> None:
@@ -111,14 +113,17 @@
         other.heard = now
 
     def present(self, now: float, names: Iterable[str]) -> None:
-        """Gateways whose use is in the report of their zone: they are there, and count by it alone."""
+        """Gateways whose use is in the report of their zone: they are there, and count by it alone. One that has
+        said that it ends stays so until membership has it back: a report may be older than its leave."""
         for name in names:
             other = self.others.get(name)
             if other is None:
                 if len(self.others) >= MOST:
                     return
                 other = self.others[name] = Other()
-            other.heard, other.left, other.spoke = now, False, True
+            if other.left:
+                continue
+            other.heard, other.spoke = now, True
             if other.use:
                 self._forget_use(other)
 
--- a/coralvale/cluster/server/zone_reports.py
+++ b/coralvale/cluster/server/zone_reports.py
@@ -116,8 +116,8 @@
     def _here(self, now: float) -> list[str]:
         """This zone's gateways whose words come, this one too."""
         others, (near, _) = self.limiter.usage.others, self.membership.zones()
-        heard = [ip for ip in near if ip in others and now - others[ip].heard <= HEARD]
-        return [*heard, self.speaker.address]
+        known = [ip for ip in near if ip in others and not others[ip].left]
+        return [*(ip for ip in known if now - others[ip].heard <= HEARD), self.speaker.address]
 
     def _order(self, now: float) -> list[str]:
         here = self._here(now)
--- a/tests/cluster/test_zone_reports.py
+++ b/tests/cluster/test_zone_reports.py
@@ -226,6 +226,17 @@
     assert usage.elsewhere(TENANT).newest == 0
 
 
+def test_a_report_older_than_a_leave_does_not_bring_it_back_and_membership_does() -> None:
+    usage = FleetUsage(WINDOW)
+    usage.present(0.0, ["a"])
+    usage.left("a")
+    usage.present(0.1, ["a"])
+    assert not usage.in_reach(0.2, "a") and usage.count(0.2) == 1 and usage.heard_all()
+    usage.know(1.0, "a")
+    usage.present(1.1, ["a"])
+    assert usage.in_reach(1.2, "a") and usage.count(1.2) == 2
+
+
 def test_a_report_counts_once_and_the_fuller_one_first() -> None:
     zones = ZoneReports()
     assert zones.takes(0.0, Head(1, "a", 5, 1), UseSum) and not zones.takes(0.0, Head(1, "a", 5, 1), UseSum)
