Reports of what is ill: sent at once only for what is newly ill, weighed no oftener than words

Well answers change the sums all the time, and each report led to a weighing.

Change: between reports only more ill answers of a copy are told at once; a zone's evidence leads to a weighing as words do, if something in it is ill.

--- a/coralvale/cluster/routing/copies.py
+++ b/coralvale/cluster/routing/copies.py
@@ -219,15 +219,16 @@
         """What another gateway has found; where it is ill of something, verdicts come soon, not with the next
         word."""
         self.watch.hear(now, gateway, rows)
+        return self._weigh_soon(now) if any(ill for _, _, ill in rows) else []
+
+    def _weigh_soon(self, now: float) -> list[Change]:
         soon = max(SOON, EACH_WORD * len(self.watch.words))
-        if now - self.weighed < soon or not any(ill for _, _, ill in rows):
-            return []
-        return self.weigh(now)
+        return self.weigh(now) if now - self.weighed >= soon else []
 
-    def hear_zone(self, now: float, zone: int, rows: Iterable[ZoneRow]) -> list[Change]:
+    def hear_zone(self, now: float, zone: int, rows: list[ZoneRow]) -> list[Change]:
         """What the gateways of another zone have found together."""
         self.watch.hear_zone(now, zone, rows)
-        return self.weigh(now) if self.watch.zones and now - self.weighed >= SOON else []
+        return self._weigh_soon(now) if any(row[2] for row in rows) else []
 
     def sum_health(self, now: float) -> list[ZoneRow]:
         """What this gateway and those whose words come have found together."""
--- a/coralvale/cluster/server/zone_reports.py
+++ b/coralvale/cluster/server/zone_reports.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from coralvale.cluster.host_health.watch import Change as Verdict
-from coralvale.cluster.host_health.watch import ZoneRow
 from coralvale.cluster.rate_limit.limiter import RateLimiter
 from coralvale.cluster.rate_limit.usage import PERIOD, Use
 from coralvale.cluster.reports.model import (
@@ -84,7 +83,7 @@
         self.serial = runtime.process
         self.present: dict[int, tuple[bytes, list[str]]] = {}  # by zone: its gateways, packed and not
         self.beats: dict[str, int] = {}  # heard in this zone since its last report
-        self.health: list[ZoneRow] = []  # told last
+        self.ill: dict[int, int] = {}  # ill answers by copy, as told last
         self.health_at = 0.0
 
     # This zone's
@@ -133,7 +132,7 @@
         told = self.copies.told
         outs = [[(copy.mark, count) for copy, count in told[ip][1]] for ip in here if ip in told]
         self._send(order, OutSum(self._head(), pack_out(sum_out([*outs, self.copies.out()]))))
-        self._report_health(now, order, again=bool(self.health))
+        self._report_health(now, order, again=bool(self.ill))
 
     def _head(self) -> Head:
         self.serial += 1
@@ -167,10 +166,11 @@
         return [own, *(others[ip].use for ip in here if ip in others)]
 
     def _report_health(self, now: float, order: list[str], again: bool = False) -> None:
-        """What is ill is told at once, not with the next report; `again`: though nothing of it has changed."""
+        """What is newly ill is told at once, not with the next report; `again`: though nothing is."""
         rows = self.copies.sum_health(now)
-        if rows != self.health or again:
-            self.health, self.health_at = rows, now
+        ill = {mark: count for mark, _, count, *_ in rows}
+        if again or any(count > self.ill.get(mark, 0) for mark, count in ill.items()):
+            self.ill, self.health_at = ill, now
             self._send(order, HealthSum(self._head(), pack_health_sum(rows)))
 
     def _send(self, order: list[str], report: Report) -> None:
