--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -169,6 +169,7 @@
             self._pulse,
             self.gossip.tell,
             self.gossip.tell_out,
+            self.gossip.reports.tell,
             self.changes.follow,
             self._watch,
             self.core.join,
@@ -315,9 +316,7 @@
         for copy in self.copies.sweep():
             row = copy.life.row
             self._retire(row)
-        for tenant, count in self.limiter.refused.items():
-            tell(Event.QUOTA, count=count, tenant=tenant)
-        self.limiter.refused.clear()
+        self._tell_quotas()
         self.coordination.look(now)
         if self.home.routes:
             self._tell_home(now)
@@ -331,6 +330,19 @@
         self.runtime.peers.keep(known)
         self.gossip.carriers.keep(known | {self.runtime.settings.Ip})
 
+    def _tell_quotas(self) -> None:
+        """What was refused of tenants past their quota since the last time, and what was let through."""
+        for tenant, tally in self.limiter.take_tallies().items():
+            tell(Event.QUOTA, count=tally.refused, tenant=tenant)
+            tell(
+                Event.CHARGED,
+                tenant=tenant,
+                own=tally.own,
+                granted=tally.granted,
+                given_back=tally.given_back,
+                lent=tally.lent,
+            )
+
     def _tell_home(self, now: float) -> None:
         for bound, count in self.home.refused.items():
             if news := count - self.abroad_told.get(bound, 0):
