--- a/coralvale/cluster/routing/copies.py
+++ b/coralvale/cluster/routing/copies.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 
 from coralvale import interface as api
-from coralvale.cluster.host_health.watch import Change, Watch
+from coralvale.cluster.host_health.watch import Change, Watch, ZoneRow
 from coralvale.cluster.registry.register import Life, Register, State
 from coralvale.cluster.routing.home import Home
 from coralvale.health import Host
@@ -81,6 +81,7 @@
         self.lists: dict[
             tuple[str, str], tuple[int, float, list[Copy], list[Copy]]
         ] = {}  # by service and region: the register's version, until when; near, far
+        self.serving: tuple[int, dict[str, set[int]]] = (-1, {})  # the register's version; marks by service
         self.over: set[int] = set()  # marks of copies that are passed over for what is held against them
         self.copies: dict[str, Copy] = {}
         self.marks: dict[int, Copy] = {}  # by what stands for a life in words of what is out
@@ -218,21 +219,38 @@
         """What another gateway has found; where it is ill of something, verdicts come soon, not with the next
         word."""
         self.watch.hear(now, gateway, rows)
+        return self._weigh_soon(now) if any(ill for _, _, ill in rows) else []
+
+    def _weigh_soon(self, now: float) -> list[Change]:
         soon = max(SOON, EACH_WORD * len(self.watch.words))
-        if now - self.weighed < soon or not any(ill for _, _, ill in rows):
-            return []
-        return self.weigh(now)
+        return self.weigh(now) if now - self.weighed >= soon else []
+
+    def hear_zone(self, now: float, zone: int, rows: list[ZoneRow]) -> list[Change]:
+        """What the gateways of another zone have found together."""
+        self.watch.hear_zone(now, zone, rows)
+        return self._weigh_soon(now) if any(row[2] for row in rows) else []
+
+    def sum_health(self, now: float) -> list[ZoneRow]:
+        """What this gateway and those whose words come have found together."""
+        return self.watch.sum_here(now, self._serving())
+
+    def _serving(self) -> dict[str, set[int]]:
+        """What stands for the lives that may serve, by service. Made anew when the register changes."""
+        if self.serving[0] != self.register.version:
+            lives = {
+                service: {mark(name) for name, life in of.items() if life.state is State.UP}
+                for service, of in self.register.by_service.items()
+            }
+            self.serving = (self.register.version, lives)
+        return self.serving[1]
 
     def weigh(self, now: float) -> list[Change]:
         """New verdicts of what all gateways have found."""
         self.weighed = now
-        lives = {
-            service: {mark(name) for name, life in of.items() if life.state is State.UP}
-            for service, of in self.register.by_service.items()
-        }
+        lives = self._serving()
         changes = self.watch.weigh(now, lives)
         self.over = set()
-        if self.watch.cases:
+        if self.watch.any_sour():
             for marks in lives.values():
                 there = {m: copy for m in marks if (copy := self.marks.get(m))}
                 self.over |= self.watch.passed_over({m: (c.slots, c.there(now)) for m, c in there.items()})
