--- a/coralvale/cluster/consensus/replication.py
+++ b/coralvale/cluster/consensus/replication.py
@@ -21,10 +21,11 @@
 from coralvale.cluster.consensus.state import Progress
 
 KEPT = 512  # entries kept behind a snapshot: a replica that lags by less needs no snapshot
-KEPT_BYTES = 2 * 1024 * 1024  # of their bodies, unless one alone is larger
+KEPT_BYTES = 2 * 1024 * 1024  # of their bodies
 SNAPSHOT_EVERY = 512  # entries
 SNAPSHOT_BYTES = 4 * 1024 * 1024  # of entries' bodies: the disk has room for 64 MB
 MOST_KEPT = 2048  # entries, for replicas that are getting a snapshot
+MOST_KEPT_BYTES = 8 * 1024 * 1024  # of their bodies
 BATCH = 64  # entries in one message
 BATCH_BYTES = 256 * 1024  # of their bodies, unless one alone is larger
 SLOWEST = 64 * 1024  # bytes a second of a link, below which a long entry may be sent twice
@@ -268,18 +269,19 @@
         seq = self.applied
         self.applied_bytes = 0
         self.snapshot = Snapshot(seq, self._view_of(seq) or 0, self._voters_at(seq), body)
-        start = min([self._kept_from(seq), *(p.upload.seq for p in self.peers.values() if p.upload)])
-        self._trim(max(start, seq - MOST_KEPT))
+        wanted = [p.upload.seq for p in self.peers.values() if p.upload]
+        start = min([self._start(seq, self.kept, KEPT_BYTES), *wanted])
+        self._trim(max(start, self._start(seq, MOST_KEPT, MOST_KEPT_BYTES)))
         self._write([], snapshot=self.snapshot, trim=self.log_start)
 
-    def _kept_from(self, seq: int) -> int:
-        """The entry behind which entries are kept when a snapshot is made at `seq`."""
+    def _start(self, seq: int, most: int, most_bytes: int) -> int:
+        """The entry behind which at most so many entries, of so many bytes, stand up to `seq`."""
         size = 0
-        for start in range(seq, max(self.log_start, seq - self.kept), -1):
+        for start in range(seq, max(self.log_start, seq - most), -1):
             size += len(self.entries[start - self.log_start - 1].body)
-            if size > KEPT_BYTES:
+            if size > most_bytes:
                 return start
-        return seq - self.kept
+        return seq - most
 
     def _trim(self, start: int) -> None:
         """Forgets entries up to `start`, and voter sets that the snapshot has."""
--- a/tests/cluster/test_consensus.py
+++ b/tests/cluster/test_consensus.py
@@ -13,8 +13,10 @@
 
 from coralvale.cluster.configuration.history import Change
 from coralvale.cluster.consensus import messages as m
-from coralvale.cluster.consensus.replica import DurableState, Replica
-from coralvale.cluster.consensus.replication import KEPT, SNAPSHOT_EVERY
+from coralvale.cluster.consensus.replica import DurableState, Replica, Timing
+from coralvale.cluster.consensus.replication import KEPT, MOST_KEPT_BYTES, SNAPSHOT_BYTES, SNAPSHOT_EVERY
+from coralvale.cluster.consensus.snapshot import SnapshotUpload
+from coralvale.cluster.consensus.state import Progress
 from coralvale.cluster.consensus.voters import Limits, next_voters, pack_voters
 
 SEEDS = 80
@@ -399,3 +401,18 @@
     for token in range(MOST_IN_FLIGHT + 50):
         results.extend(leader.replica.propose(world.env.now, 10_000 + token, m.CHANGE, b""))
     assert sum(isinstance(a, m.Settled) and not a.accepted for a in results) == 50
+
+
+def test_a_peer_that_never_takes_its_snapshot_does_not_let_the_log_grow_past_its_bytes() -> None:
+    alone = m.VoterSet((m.Member("a", "gateway-a", "10.0.0.1"),))
+    replica = Replica(alone.new[0], DurableState(), Timing(least=1), random.Random(1), 0.0)
+    actions = replica.found(0.0)
+    size = 300_000
+    for number in range(2, 120):
+        actions += replica.propose(0.0, number, m.CHANGE, bytes(size))
+        for write in [a for a in actions if isinstance(a, m.Write)]:
+            actions = replica.wrote(0.0, write.number)
+        if replica.due_for_snapshot():
+            replica.peers["b"] = Progress(1, upload=SnapshotUpload.of(m.Snapshot(1, 1, alone, b"")))
+            replica.save(b"")
+    assert sum(len(entry.body) for entry in replica.entries) < MOST_KEPT_BYTES + SNAPSHOT_BYTES + 2 * size
