A process that ends answers the calls of hosts, operators and applications in hand first

Cause: at the end the control server was closed with calls in hand, whose callers got no answer; found in review. Change: it waits for them for a second, within its grace. Ruled out: waiting for watches, which are answered at once.

--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -59,6 +59,7 @@
 LOOK = 1.0  # s between looks at the settings file
 ACCEPT = 2.9  # s after SIGTERM for which new connections still come: the platform asks twice
 SPARE = 0.7  # s before the end of GraceS by which all is answered
+CALL = 1.0  # s within which a call of hosts, operators or applications is answered, but for large orders
 RESERVED = 300  # descriptors for files, peers and the loop
 HOSTS_PART = 0.45  # of the others, for connections to hosts
 UNHEARD = 2.0  # s for which one that starts waits until it knows hosts, and what all others let through
@@ -211,6 +212,7 @@
             await asyncio.sleep(0.02)
         if not self.core.may_end():
             tell(Event.ENDS_UNSAFE)
+        await self._answer_control(ends)
         self.runtime.spawn(self.shares.give_up())  # heard or not: they are kept for this address for a while
         self.membership.swim.leave(self.runtime.clock.monotonic())
         for _ in range(4):
@@ -219,6 +221,12 @@
         tell(Event.ENDED, open=len(self.edge.open))
         self.ended.set()
 
+    async def _answer_control(self, ends: float) -> None:
+        """Calls of hosts, operators and applications that are in hand get their answers first."""
+        left = min(CALL, ends - self.runtime.clock.monotonic())
+        if self.control.tasks and left > 0:
+            await asyncio.wait(set(self.control.tasks), timeout=left)
+
     def read_again(self) -> None:
         try:
             fresh = read(self.runtime.path)
