Coordination: copies of a refused put stay refused; a restored core gives nothing twice

Cause, found in review: a put that expects a revision still to come was answered 412, and a copy of it that came late, when the key had got there, was stored (REFUSED). And a core restored from an older export gave fences, numbers and revisions again that the lost one had given (ONE, ORDER). Change: such a put is remembered as refused as others are as stored; a restore leaves 2^32 of each out, and an export whose coordination cannot be read is refused before anything is written. Both tests fail without their change.

--- a/coralvale/cluster/coordination/desk.py
+++ b/coralvale/cluster/coordination/desk.py
@@ -277,7 +277,9 @@
         if known := self.state.stored(call.key, call.value):
             return Stored(known)
         revision = self.state.revision(call.key)
-        if call.expected is not None and revision > call.expected:
+        if self.state.refused(call.key, call.value) or (
+            call.expected is not None and revision > call.expected
+        ):
             return Conflict(revision)
         return call
 
--- a/coralvale/cluster/coordination/state.py
+++ b/coralvale/cluster/coordination/state.py
@@ -10,7 +10,7 @@
 3. A put takes effect once: the same value for the same key leads to its first revision for as long as it may
    come again.
 4. A group's revisions rise by one with each put; the events kept are all of those above `compacted`.
-5. What is refused has changed nothing.
+5. What is refused has changed nothing, and its copies are refused as well.
 """
 
 from __future__ import annotations
@@ -56,6 +56,7 @@
     8 * 1024 * 1024
 )  # of keys, values and events; the snapshot has to fit a disk of 64 MB several times
 MOST_EVENTS = 1000  # in one answer
+REFUSED = 0  # in place of a revision, of a put that was refused
 EVENT_OVERHEAD = 32  # bytes of an event beside its texts, about
 
 
@@ -145,6 +146,18 @@
         """Takes what `image` gave; nothing where a snapshot of an earlier version has none."""
         self.replace(_image(body) if body else Image())
 
+    def skip(self, numbers: int) -> None:
+        """Leaves out so many fences, numbers and revisions: a log that was lost may have given them. What
+        watches were told before is not kept any more."""
+        self.fence += numbers
+        self.numbers = {name: value + numbers for name, value in self.numbers.items()}
+        self.oldest_events.clear()
+        for group in self.groups.values():
+            group.revision += numbers
+            group.compacted = group.revision
+            self.bytes -= sum(_size(event.key, event.value) for event in group.events)
+            group.events.clear()
+
     # What the log orders
 
     def apply(self, batch: Batch) -> list[Outcome]:
@@ -214,12 +227,24 @@
         if known:
             return Stored(known)
         revision = self.revision(key)
-        if operation.expected is not None and operation.expected != revision:
+        if self.refused(key, value):
             return Conflict(revision)
+        if operation.expected is not None and operation.expected != revision:
+            return self._refuse(operation, revision)
         if problem := self._no_room(operation):
             return problem
         return Stored(self._store(key, value))
 
+    def _refuse(self, operation: Put, revision: int) -> Outcome:
+        """A copy of a put that expects a later revision than there is could come when the key has got there: it
+        is remembered as refused."""
+        assert operation.expected is not None
+        if operation.expected > revision:
+            if len(self.puts) >= MOST_PUTS:
+                return Full("too many puts of late")
+            self.puts[_digest(operation.key, operation.value)] = (REFUSED, self.time_ms)
+        return Conflict(revision)
+
     def _no_room(self, operation: Put) -> Full | None:
         if operation.key not in self.values and len(self.values) >= MOST_KEYS:
             return Full("too many keys are kept")
@@ -269,6 +294,11 @@
         current = self.values.get(key)
         return current.revision if current and current.value == value else 0
 
+    def refused(self, key: str, value: str) -> bool:
+        """Whether this very put was refused, and could be taken by now."""
+        known = self.puts.get(_digest(key, value))
+        return known is not None and known[0] == REFUSED
+
     def revision(self, key: str) -> int:
         """The revision that a key is at, 0 if it is not there."""
         current = self.values.get(key)
--- a/coralvale/cluster/storage/keeper.py
+++ b/coralvale/cluster/storage/keeper.py
@@ -31,6 +31,7 @@
 
 FORMAT = 1  # of an export
 LATER = 1000  # views by which a restored core is ahead of the one that was lost
+SKIPPED = 2**32  # fences, numbers and revisions: more than the lost one can have given since the export
 KINDS = {
     OPENING: "opening",
     CHANGE: "change",
@@ -113,6 +114,17 @@
     }
 
 
+def _skipped(body: bytes) -> bytes:
+    """The image for a core that begins with it: what the lost one may have given since is left out. Raises
+    ValueError or msgspec.MsgspecError where it cannot be used."""
+    msgspec.msgpack.decode(body, type=Image)
+    history, coordination = ChangeHistory(), CoordinationState()
+    image = history.restore(body)
+    coordination.restore(image.coordination)
+    coordination.skip(SKIPPED)
+    return history.image(image.shares, coordination.image())
+
+
 def restore(kept: dict[str, Any], folder: Path, hostname: str, ip: str) -> str:
     """Makes an empty disk the only member of a new core that begins with an export; its id.
 
@@ -123,9 +135,7 @@
     if (folder / NAME).exists():
         raise KeeperError(f"{folder / NAME}: is there already; a restore begins on an empty disk")
     try:
-        body = base64.b64decode(kept["image"])
-        msgspec.msgpack.decode(body, type=Image)
-        ChangeHistory().restore(body)
+        body = _skipped(base64.b64decode(kept["image"]))
         view, seq = int(kept["view"]) + LATER, int(kept["delivered"])
     except (KeyError, ValueError, TypeError, msgspec.MsgspecError) as error:
         raise KeeperError(f"the export cannot be used: {error}") from None
--- a/tests/cluster/test_coordination_state.py
+++ b/tests/cluster/test_coordination_state.py
@@ -46,6 +46,33 @@
     assert again.watch("g1.", 0) == c.Compacted() and isinstance(again.watch("g1.", 1), c.Watched)
 
 
+def test_a_put_that_was_refused_for_a_revision_to_come_is_refused_when_its_copy_arrives_there() -> None:
+    state = CoordinationState()
+    apply(state, c.Put("g1.a", "v1"))
+    early = c.Put("g1.a", "early", 3)
+    assert apply(state, early) == [c.Conflict(1)]
+    apply(state, c.Put("g1.b", "v2"), c.Put("g1.a", "v3", 1))
+    again = CoordinationState()
+    again.restore(state.image())
+    assert apply(again, early) == [c.Conflict(3)] and again.get("g1.a") == c.Found("v3", 3)
+    assert apply(again, c.Put("g1.a", "late", 3)) == [c.Stored(4)]
+
+
+def test_what_a_lost_log_may_have_given_is_left_out() -> None:
+    state = lived()
+    fence, given, revision = state.fence, state.numbers["n1"], state.group_revision("g1.")
+    state.skip(1000)
+    assert apply(state, c.Acquire("l9", "a", 500), c.NextNumber("n1"), c.Put("g1.a", "v9")) == [
+        c.Granted(fence + 1001),
+        c.Number(given + 1001),
+        c.Stored(revision + 1001),
+    ]
+    assert state.watch("g1.", revision) == c.Compacted()
+    again = CoordinationState()
+    again.restore(state.image())
+    assert again.image() == state.image() and again.bytes == state.bytes
+
+
 def test_an_image_goes_with_the_history_of_changes_and_an_older_one_has_none() -> None:
     state, history = lived(), ChangeHistory()
     assert ChangeHistory().restore(history.image(b"", state.image())).coordination == state.image()
