Storage: a disk that cannot be read for a moment is tried again, not put aside as damaged

Cause, found in review: reading the disk at the start took every error of sqlite for damage, an input error that may pass too; its contents were put aside, and acknowledged state with them if that met more members than may be lost. The test injects the error; without the change it is told Damaged.

--- a/coralvale/cluster/server/core.py
+++ b/coralvale/cluster/server/core.py
@@ -197,6 +197,8 @@
             return
         except (StoreError, sqlite3.Error, OSError) as error:
             tell(Event.DISK_FOREIGN, reason=str(error))
+            await self.close()  # it holds the file's lock, which the next try needs
+            self.store = None
             self.runtime.spawn(self._open_again())
             return
         self.remember(await self.runtime.loop.run_in_executor(self.disk, self.store.hosts))
--- a/coralvale/cluster/storage/store.py
+++ b/coralvale/cluster/storage/store.py
@@ -109,7 +109,8 @@
         self.db.execute("INSERT OR REPLACE INTO fact VALUES (?, ?)", (name, value))
 
     def load(self) -> DurableState:
-        """What is on disk. Raises Damaged where it cannot be read."""
+        """What is on disk. Raises Damaged where it is not what was written, sqlite3.OperationalError where the
+        disk cannot be read at the moment."""
         try:
             saved = self._fact("saved")
             rows = self.db.execute("SELECT seq, view, kind, body FROM entry ORDER BY seq").fetchall()
@@ -120,6 +121,8 @@
                 _snapshot(saved) if isinstance(saved, bytes) else None,
                 [Entry(*row) for row in rows],
             )
+        except sqlite3.OperationalError:
+            raise  # of the disk, and it may pass
         except (sqlite3.DatabaseError, msgspec.MsgspecError) as error:
             raise Damaged(f"{self.path}: {error}") from error
         self._check(state)
--- a/tests/cluster/test_storage.py
+++ b/tests/cluster/test_storage.py
@@ -3,20 +3,23 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import shutil
 import sqlite3
 from pathlib import Path
 
+import msgspec
 import pytest
 from test_configuration import WHOLE, body
 
 from coralvale.cluster import commands
-from coralvale.cluster.configuration.history import Change, pack
+from coralvale.cluster.configuration.history import Change, Image, pack
 from coralvale.cluster.consensus import messages as m
 from coralvale.cluster.consensus.voters import pack_voters
+from coralvale.cluster.coordination.state import CoordinationState
 from coralvale.cluster.registry.register import Row
-from coralvale.cluster.storage.keeper import KeeperError, export, look, restore
+from coralvale.cluster.storage.keeper import SKIPPED, KeeperError, export, look, restore
 from coralvale.cluster.storage.store import NAME, Store, StoreError
 
 VOTERS = m.VoterSet((m.Member("a", "gateway-a", "10.0.0.1"),))
@@ -95,6 +98,20 @@
     assert [len(e) for e in seen] == sorted(len(e) for e in seen) and {0, 1, 2} <= {len(e) for e in seen}
 
 
+def test_a_disk_that_cannot_be_read_for_a_moment_is_not_taken_for_damaged(tmp_path: Path) -> None:
+    store = filled(tmp_path)
+
+    class Unreadable:
+        def execute(self, *words: object) -> None:
+            raise sqlite3.OperationalError("disk I/O error")
+
+    right, store.db = store.db, Unreadable()  # type: ignore[assignment]
+    with pytest.raises(sqlite3.OperationalError):
+        store.load()
+    store.db = right
+    assert store.load().commit == 3
+
+
 def test_what_is_not_ours_or_newer_is_refused_by_name(tmp_path: Path) -> None:
     (tmp_path / "foreign").mkdir()
     (tmp_path / "foreign" / NAME).write_bytes(b"not a database at all" * 400)
@@ -134,6 +151,10 @@
     name = restore(kept, tmp_path / "new", "gateway-b", "10.0.0.2")
     again = look(tmp_path / "new")
     assert again["config"] == found["config"] and again["view"] > found["view"]
+    image = msgspec.msgpack.decode(base64.b64decode(again["image"]), type=Image)
+    coordination = CoordinationState()
+    coordination.restore(image.coordination)
+    assert coordination.fence >= SKIPPED  # what the lost core may have given is not given again
     assert [x["id"] for x in again["members"]] == [name]
     for wrong in ({}, {**kept, "image": "!"}, {**kept, "format": 2}):
         with pytest.raises(KeeperError):
