Test of peers: a port that is free at the addresses it is bound at

Cause: the port was looked up at 127.0.0.1, in the range that outgoing connections get theirs from, and bound at three other addresses, TCP and UDP. Change: it is looked for at these addresses, for both, below that range.

--- a/tests/cluster/test_peers.py
+++ b/tests/cluster/test_peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import random
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -36,10 +37,18 @@
 LONG = 20.0  # s, far past all that is waited for
 
 
-def free_port() -> int:
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return int(one.getsockname()[1])
+def free_port(ips: list[str]) -> int:
+    """Free at all of these addresses, for both protocols; below the ports that connections come from."""
+    while True:
+        port = random.randrange(10_000, 30_000)
+        try:
+            for ip in ips:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(type=kind) as one:
+                        one.bind((ip, port))
+        except OSError:
+            continue
+        return port
 
 
 def answers(frames: Frames, parcel: Parcel) -> None:
@@ -52,7 +61,7 @@
 def play(scene: Callable[[Peers, str, str], Awaitable[None]]) -> None:
     """One with a peer that answers, and one whose port takes connections and says nothing."""
     net = f"127.77.{os.getpid() % 250}"
-    port = free_port()
+    port = free_port([f"{net}.{n}" for n in (1, 2, 3)])
 
     async def whole() -> None:
         here, there = (Peers(f"{net}.{n}", port, answers, lambda ip, data: None) for n in (1, 2))
