Soak: a host that had nobody to answer does not excuse the gateway that closed

Cause: hosts write that a request broke off whenever its connection is gone, also where the gateway closed it, and the checker took that for the host's doing (ENDED passed over). Change: only what the schedule did to a host or its relay excuses a close. A history of such a close is added, and the one of a host that broke off has the reset that did it.

--- a/coralvale/cluster/soak/history.py
+++ b/coralvale/cluster/soak/history.py
@@ -120,7 +120,7 @@
 
 
 class Broke(Record, frozen=True):
-    """A host, or the relay before it, broke off while it ran a request."""
+    """A host ran a request whose answer had nobody to go to: somebody closed or reset its connection meanwhile."""
 
     id: str
     host: str
--- a/coralvale/cluster/soak/rules_requests.py
+++ b/coralvale/cluster/soak/rules_requests.py
@@ -104,7 +104,9 @@
 
 
 def _host_broke_off(line: Timeline, request: Request, until: float) -> bool:
-    return request.broke or any(
+    """Whether a host that ran it crashed or ended, or its relay reset or held connections. That its answer had
+    nobody to go to says nothing: a gateway that closes a client's connection closes the host's as well."""
+    return any(
         any(ran.at - MARGIN <= at <= until + MARGIN for at in line.links.get(ran.host, []))
         for ran in request.ran
     )
--- a/coralvale/cluster/soak/timeline.py
+++ b/coralvale/cluster/soak/timeline.py
@@ -51,7 +51,6 @@
     written: float | None = None
     end: h.Answered | h.Closed | h.Left | h.Silent | None = None
     ran: list[h.Ran] = field(factory=list)
-    broke: bool = False
 
 
 class Timeline:
@@ -95,9 +94,6 @@
                     request_.ran.append(event)
                 else:
                     self.unknown.append(event)
-            case h.Broke():
-                if request_ := self.requests.get(event.id):
-                    request_.broke = True
             case h.Link():
                 self.links[event.host].append(event.at)
             case h.HostState() if event.what in ("crash", "gone"):
--- a/tests/cluster/test_soak_checker.py
+++ b/tests/cluster/test_soak_checker.py
@@ -197,9 +197,14 @@
     ),
     (
         "closed because its host broke off",
-        [*lost("a", 10, 10.3, "i-1"), h.Broke(10.2, "a", "i-1")],
+        [*lost("a", 10, 10.3, "i-1"), h.Link(10.2, "i-1", "reset"), h.Broke(10.2, "a", "i-1")],
         set(),
     ),
+    (
+        "closed by its gateway, so that its host had nobody to answer",
+        [*lost("a", 10, 10.3, "i-1"), h.Broke(10.3, "a", "i-1")],
+        {"ENDED"},
+    ),
     ("left", [sent("a", 1), h.Left(1.1, "a"), h.Ran(1.2, "a", "i-1", "station")], set()),
     ("sent to a host within DrainMs", [*ACKNOWLEDGED, *request("a", 12.0, "i-1")], set()),
     ("sent to a host after DrainMs", [*ACKNOWLEDGED, *request("a", 13.0, "i-1")], {"DRAIN"}),
