--- a/coralvale/cluster/soak/history.py
+++ b/coralvale/cluster/soak/history.py
@@ -120,7 +120,7 @@
 
 
 class Broke(Record, frozen=True):
-    """A host ran a request whose answer had nobody to go to: somebody closed or reset its connection meanwhile."""
+    """A host ran a request whose answer had nobody to go to: its connection had been closed or reset."""
 
     id: str
     host: str
