Log how much of a request was written when a try of it ended

The log of a try (E513) said that it ended connect_failed, both where no connection came up and where an established one broke while the request was being written.

The HTTP/1.1 transport sets `Attempt.progress` (not written, written in part, written), and E513 ends with it. No behaviour changes.

--- a/coralvale/cluster/events.py
+++ b/coralvale/cluster/events.py
@@ -73,7 +73,7 @@
     TRY_ENDED = (
         513,
         "DEBUG",
-        "request {id}: attempt {number} at host {host} ended {outcome} {status} after {ms:.0f} ms",
+        "request {id}: attempt {number} at host {host} ended {outcome} {status} after {ms:.0f} ms, {written}",
     )
     ANSWERED = 514, "DEBUG", "request {id}: answered {status} after {ms:.0f} ms{why}"
     BOUND = 521, "INFO", "request {id} of {service}, bound to {bound}, answered {status} in {region}"
--- a/coralvale/cluster/server/edge.py
+++ b/coralvale/cluster/server/edge.py
@@ -304,6 +304,7 @@
                 outcome=result,
                 status=status,
                 ms=ms,
+                written=attempt.progress.value,
             )
         streaming = attempt.sink is not None
         problem = self.router.try_ended(now, job, instance, number, outcome, status, now - request.sent_at)
--- a/coralvale/net/transport.py
+++ b/coralvale/net/transport.py
@@ -11,6 +11,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum, unique
 from typing import Protocol
 
 from coralvale.interface import Outcome
@@ -19,6 +20,15 @@
 MAX_JOINED_BODY_BYTES = 64 * 1024  # larger bodies are not copied into one write with the head
 
 
+@unique
+class WriteProgress(Enum):
+    """How much of a request was handed to the socket before its attempt ended."""
+
+    NONE = "not written"
+    PART = "written in part"
+    WHOLE = "written"
+
+
 @dataclass(slots=True)
 class OutgoingRequest:
     """A request to a host, independent of the HTTP version. `headers` holds no connection-specific fields."""
@@ -91,6 +101,7 @@
     ended: bool = False
     broke: bool = False  # its connection was established and then broke
     alone: bool = True  # no other attempt's end reports the same broken connection
+    progress: WriteProgress = WriteProgress.NONE  # over HTTP/1.1; set when its connection ends it
     sink: Sink | None = None  # receives the answer once it is streamed
     streamed_at: float = 0.0  # when streaming began
     zone: int = -1
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -21,7 +21,7 @@
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address, HostInstance
 from coralvale.net.sockets import Sockets
-from coralvale.net.transport import Answer, Attempt
+from coralvale.net.transport import Answer, Attempt, WriteProgress
 
 MAX_BUFFERED_BYTES = 64 * 1024  # of an answer's body; a longer answer is streamed to the client
 MAX_STREAMED_BYTES = 1 << 40  # of a streamed answer's body
@@ -89,6 +89,10 @@
             self.pool.owner.written += 1
         self.write_pending = False
 
+    def write_progress(self) -> WriteProgress:
+        """How much of the current request was handed to the socket."""
+        return WriteProgress.PART if self.write_pending else WriteProgress.WHOLE
+
     def is_unusable(self, now: float) -> bool:
         """Whether the peer has closed the connection or may close it soon.
 
@@ -283,6 +287,8 @@
 
     def _finish(self, outcome: Outcome, answer: Answer | None = None, keep: bool = False) -> None:
         attempt, self.attempt = self.attempt, None
+        if attempt and not attempt.broke:
+            attempt.progress = self.write_progress()
         self.complete = False
         self._clear()
         if keep:
@@ -305,6 +311,7 @@
         if attempt := self.attempt:
             self.attempt = None
             self._record_break(attempt)
+            attempt.progress = self.write_progress()
             attempt.end(Outcome.CONNECT_FAILED if self.write_pending else Outcome.RESET)
 
     def _record_break(self, attempt: Attempt) -> None:
@@ -485,7 +492,8 @@
             attempt.end(Outcome.NOT_SENT)
             return
         connection.attempt = None
-        written = not connection.write_pending
+        attempt.progress = connection.write_progress()
+        written = attempt.progress is WriteProgress.WHOLE
         connection.close()
         attempt.end(outcome if written else Outcome.NOT_SENT)
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -15,7 +15,7 @@
 
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
-from coralvale.net.transport import Answer, Attempt, OutgoingRequest
+from coralvale.net.transport import Answer, Attempt, OutgoingRequest, WriteProgress
 from coralvale.net.upstream import IdleLimit, Upstreams, read_load, read_usage
 
 PAYLOAD = b"GET /api HTTP/1.1\r\nX-Request-ID: r1\r\n\r\n"
@@ -200,6 +200,27 @@
     run(test())
 
 
+def test_the_end_of_an_attempt_says_how_much_of_its_request_was_written() -> None:
+    async def test() -> None:
+        async with bench() as b:
+            whole = b.send()
+            (await b.host.next()).reset()
+            await b.outcome()
+            assert whole.progress is WriteProgress.WHOLE
+            part = b.send(b"x" * (64 * 1024 * 1024))
+            await until(lambda: b.host.connections == 2)
+            b.upstreams.abort(part, Outcome.TIMEOUT)
+            assert part.progress is WriteProgress.PART
+            with socket.socket() as closed:
+                closed.bind(("127.0.0.1", 0))
+                none = b.send(address=closed.getsockname())
+                for _ in range(2):
+                    await b.outcome()
+                assert none.progress is WriteProgress.NONE
+
+    run(test())
+
+
 def test_the_most_recently_used_connection_is_reused_first() -> None:
     async def test() -> None:
         async with bench() as b:
