Promise nothing about a request that was cut off while it was being written

What callers saw: a paid submission that a host was running was answered 503 with Retry-After at its deadline, the promise that it has not run and never will (REFUSED); callers may then send it again, as a new request. And a repeatable request that was given up at a silent host while its body was being written did not count against the retry budget (BUDGET).

Cause: beside the break of a connection, `Upstreams.abort` (deadline, silence, a client that leaves, a stalled answer) ended an attempt as NOT_SENT while its last byte was unwritten.

Change: `abort` goes by the same question as a break, whether the hosts of this program may run a request that was written in part.

Looked at and sound, each with a test here or before: a client that leaves while its run-once request is being written (written on, run once), hosts that refuse the connection or turn the request away at its head (sent again), HTTP/2 (what was encoded is unknown unless REFUSED_STREAM or GOAWAY says otherwise), calls between gateways (unknown after a lost connection, never sent again).

The new tests failed before: 503 where 504 is wanted; ['r-1', 'r-1'] where ['r-1'] is.

--- a/coralvale/interface.py
+++ b/coralvale/interface.py
@@ -59,7 +59,7 @@
     CONNECT_FAILED = "connect_failed"  # no connection, so nothing was sent
     RESET = "reset"  # the connection broke; the request may have run
     CANCELLED = "cancelled"  # by the gateway; the request may have run
-    NOT_SENT = "not_sent"  # nothing was sent, or a request without its end
+    NOT_SENT = "not_sent"  # nothing was sent, or too little of the request for it to run
 
 
 class Verdict(Enum):
--- a/coralvale/net/transport.py
+++ b/coralvale/net/transport.py
@@ -137,7 +137,7 @@
         """Starts an attempt. It ends exactly once: by the host's answer, a failure, or `abort`."""
 
     def abort(self, attempt: Attempt, outcome: Outcome) -> None:
-        """Ends an attempt with `outcome`, or with NOT_SENT if it cannot have reached a host."""
+        """Ends an attempt with `outcome`, or with NOT_SENT if a host cannot have run it."""
 
     def abandon(self, attempt: Attempt) -> None:
         """Called when the client has left and the attempt may be dropped.
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -490,10 +490,7 @@
         pool.send(attempt)
 
     def abort(self, attempt: Attempt, outcome: Outcome) -> None:
-        """Ends an attempt with `outcome` and closes its connection.
-
-        It ends with NOT_SENT if its request was not written completely.
-        """
+        """Ends an attempt with `outcome`, or with NOT_SENT if it cannot have run, and closes its connection."""
         connection = attempt.connection
         if not isinstance(connection, Connection):
             if not attempt.ended and (pool := self.pools.get(attempt.place)) and attempt in pool.waiting:
@@ -502,9 +499,9 @@
             return
         connection.attempt = None
         attempt.progress = connection.write_progress()
-        written = attempt.progress is WriteProgress.WHOLE
+        may_have_run = connection.may_have_run(attempt)
         connection.close()
-        attempt.end(outcome if written else Outcome.NOT_SENT)
+        attempt.end(outcome if may_have_run else Outcome.NOT_SENT)
 
     def abandon(self, attempt: Attempt) -> None:
         """Does nothing: cancelling would close the connection, which can be kept if the attempt goes on."""
--- a/tests/cluster/test_interrupted_writes.py
+++ b/tests/cluster/test_interrupted_writes.py
@@ -17,6 +17,7 @@
 from test_edge import BOOK, READ, Scene, reply, request_bytes, wait_until
 
 from coralvale.cluster.registry.register import Row
+from coralvale.cluster.settings import Bounds
 from coralvale.net.clock import Clock
 from coralvale.standins.wire import Message, read_message
 
@@ -124,6 +125,27 @@
     run_hosts(5, scene, changed(Routes__r__Tries=2))
 
 
+# Guards against REFUSED: a request that a host was running got 503, the promise that it has not run.
+def test_a_deadline_while_a_request_is_written_promises_nothing() -> None:
+    async def scene(s: WriteScene) -> None:
+        found = await post(s, BOOK, left=500)
+        assert s.runs() == ["r-1"]
+        assert found.status == 504 and b"retry-after" not in found.headers
+
+    run_hosts(2, scene)
+
+
+# Guards against BUDGET: a try at a silent host that had the head was left out of the retry budget.
+def test_a_silent_host_that_got_a_part_counts_against_the_retry_budget() -> None:
+    async def scene(s: WriteScene) -> None:
+        s.edge.router.bounds = Bounds(RetryRatio=0.0, RetryExtra=0)
+        s.edge.router.route_delays["r"] = 0.02
+        found = await post(s, READ, left=1500)
+        assert s.runs() == ["r-1"] and found.status == 502
+
+    run_hosts(5, scene)
+
+
 def test_a_request_being_written_when_its_client_leaves_runs_at_one_host() -> None:
     async def scene(s: WriteScene) -> None:
         writers: list[asyncio.StreamWriter] = []
