Give a surplus answer without a length to no other request

Cause: a surplus answer is told by the id that it echoes, and passed over at its end. One with neither a length nor chunks ends with the connection, and that end (`eof_received`) completed it for the request that waited there. Such an answer no longer ends with the connection: the connection's end is then a break, after which the request may have run. Ruled out by the new test's first half: an answer with a length, which was passed over already.

--- a/coralvale/cluster/server/hosts.py
+++ b/coralvale/cluster/server/hosts.py
@@ -60,6 +60,8 @@
             self.missing_id = not ids
             self.other_request = bool(ids) and any(i.decode("latin-1") != self.attempt.request for i in ids)  # type: ignore[attr-defined]
         super().on_headers_complete()
+        if self.other_request:  # the end of the connection must not complete it for this request
+            self.ends_with_connection = False
 
     def on_message_complete(self) -> None:
         if self.other_request and not self.complete:
--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -160,6 +160,40 @@
     run_scene(1, scene)
 
 
+def without_length(data: bytes) -> bytes:
+    """An answer that ends with its connection."""
+    lines = data.split(b"\r\n")
+    return b"\r\n".join(line for line in lines if not line.lower().startswith(b"content-length"))
+
+
+# Guards against issue 60, review/1, MIXED and REFUSED: a late second answer without a length, which ends with its
+# connection, was taken for the answer to the next request on it, or for its refusal.
+@pytest.mark.parametrize("refusal", [False, True])
+def test_a_surplus_answer_without_a_length_ends_no_other_request(refusal: bool) -> None:
+    if refusal:
+        surplus = without_length(reply("r-1", b"", 503, **{"X-Myrtlehatch-Not-Executed": "1"}))
+    else:
+        surplus = without_length(reply("r-1", b"surplus"))
+
+    async def scene(s: Scene) -> None:
+        for path, expected in ((BOOK, (502, b"")), (READ, (200, b"own"))):
+            first = asyncio.create_task(s.ask(path, "r-1"))
+            arrived = await next_request(s)
+            arrived.reply(reply("r-1", b"mine"))
+            assert (await first).body == b"mine"
+            second = asyncio.create_task(s.ask(path, "r-2"))
+            arrived = await next_request(s)
+            arrived.reply(surplus)
+            arrived.close()
+            if path == READ:  # sent again, on a connection of its own
+                (await next_request(s)).reply(reply("r-2", b"own"))
+            found = await second
+            assert (found.status, found.body) == expected
+            assert all(peer.arrived.empty() for peer in s.peers)
+
+    run_scene(1, scene)
+
+
 def test_an_invalid_or_mismatched_answer_of_a_host_is_an_error() -> None:
     wrong = [
         b"garbage that is no answer\r\n\r\n",
