Refuse a configuration whose services are no table, where its check raised

Cause: parse_configuration noted "Svcs: expected a table" and then looked into the raw value all the same, which raised TypeError. It goes by tables alone now. Ruled out by the new test, which replaces each value of a configuration by ten others: any other place that raises.

--- a/coralvale/cluster/configuration/model.py
+++ b/coralvale/cluster/configuration/model.py
@@ -194,6 +194,18 @@
     if version <= before.version:
         errors.append(f"Ver: {version} is not above {before.version}, which is current")
     configuration = Configuration(version, raw)
+    errors += _parse_sections(configuration, before)
+    errors += _index_routes(configuration, before)
+    errors += _index_keys(configuration)
+    if errors:
+        more = f", and {len(errors) - MAX_REPORTED_ERRORS} more" if len(errors) > MAX_REPORTED_ERRORS else ""
+        return Problem(Kind.INVALID, "; ".join(errors[:MAX_REPORTED_ERRORS]) + more)
+    return configuration
+
+
+def _parse_sections(configuration: Configuration, before: Configuration) -> list[str]:
+    """Parses all tables and the limits; returns error texts."""
+    raw, errors = configuration.raw, []
     for section in SECTIONS:
         table = raw.get(section) or {}
         if not isinstance(table, dict):
@@ -214,7 +226,14 @@
         configuration.limits = _converter.structure(raw.get("Limits") or {}, ClientLimits)
     except (cattrs.BaseValidationError, ValueError, TypeError, AttributeError):
         errors.append("Limits: cannot be read")
-    services = raw.get("Svcs") or {}
+    return errors
+
+
+def _index_routes(configuration: Configuration, before: Configuration) -> list[str]:
+    """Checks the routes and indexes them by host and prefix; returns error texts."""
+    errors: list[str] = []
+    named = configuration.raw.get("Svcs")
+    services = named if isinstance(named, dict) else {}
     bound = {n: s.Region for n, (_, s) in configuration.items.get("Svcs", {}).items() if s.Region}
     same = set(services) == set(before.services()) and bound == {
         n: s.Region for n, (_, s) in before.services().items() if s.Region
@@ -228,14 +247,17 @@
         host = route.Vhost.lower()
         configuration.prefixes.setdefault(host, {})[route.PathPrefix] = (name, route)
         configuration.max_depth[host] = max(configuration.max_depth.get(host, 0), route.PathPrefix.count("/"))
+    return errors
+
+
+def _index_keys(configuration: Configuration) -> list[str]:
+    """Indexes the tenants by their keys; returns error texts."""
+    errors: list[str] = []
     for name, (_, tenant) in configuration.items.get("Tenants", {}).items():
         for key in tenant.ApiKeys:
             if configuration.keys.setdefault(key, name) != name:
                 errors.append(f"Tenants.{name}.ApiKeys: a key that {configuration.keys[key]} has as well")
-    if errors:
-        more = f", and {len(errors) - MAX_REPORTED_ERRORS} more" if len(errors) > MAX_REPORTED_ERRORS else ""
-        return Problem(Kind.INVALID, "; ".join(errors[:MAX_REPORTED_ERRORS]) + more)
-    return configuration
+    return errors
 
 
 def differences(before: Mapping[str, Any], after: Mapping[str, Any]) -> dict[str, dict[str, list[str]]]:
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -92,6 +92,10 @@
         (changed(Ver="two"), "Ver"),
         (changed(Routes__r=["no table"]), "Routes.r: expected"),
         (changed(Svcs=[]), "Routes.r: unknown service"),
+        (changed(Svcs=[{"Name": "s"}]), "Svcs: expected a table"),
+        (changed(Svcs=5), "Svcs: expected a table"),
+        (changed(Routes=[ROUTE]), "Routes: expected a table"),
+        (changed(Tenants=["t"]), "Tenants: expected a table"),
     ],
 )
 def test_an_invalid_configuration_is_refused_with_the_place_of_the_error(config: Any, place: str) -> None:
@@ -105,6 +109,28 @@
     assert history.configuration is before and not history.deliver(pack(Change(1, True, body(config))))
 
 
+WRONG_VALUES: tuple[Any, ...] = (None, 5, -1.5, True, "text", [], [{"Name": "s"}], [[]], {}, {"s": {"s": []}})
+
+
+def with_wrong_values(value: Any, wrong: Any) -> list[Any]:
+    """Copies of a JSON value, each with one of its parts, or itself, replaced."""
+    found = [wrong]
+    if isinstance(value, dict):
+        found += [{**value, key: copied} for key in value for copied in with_wrong_values(value[key], wrong)]
+    return found
+
+
+# Guards against review/3, Acks: a table of the wrong type raised in the check, and no order was decided again.
+@pytest.mark.parametrize("wrong", WRONG_VALUES, ids=repr)
+def test_a_value_of_another_type_anywhere_raises_nothing(wrong: Any) -> None:
+    for config in with_wrong_values(WHOLE, wrong):
+        ChangeHistory().validate(Change(0, True, body(config)))
+        history = ChangeHistory()
+        history.deliver(pack(Change(0, True, body(WHOLE))))
+        for part in ("Upsert", "Remove"):
+            history.validate(Change(2, False, body({"Ver": 3, part: config})))
+
+
 def test_a_truncated_or_undecodable_body_is_refused() -> None:
     for cut in (b"", body(WHOLE)[:-1], b"\xff", b"[" * 100_000):
         found = ChangeHistory().validate(Change(0, True, cut))
