Let no order whose check raises hold up the ones behind it

Cause: the leader's ChangeRequestHandler took an order as the current one and checked it then. When the check raised, nothing was proposed, so nothing settled the order, and no other was begun. It is taken as current once its check has returned. The replica and its majority were sound meanwhile: reads of the configuration were answered.

The test failed before: [] == [2], the order behind it was not proposed.

--- a/coralvale/cluster/orders.py
+++ b/coralvale/cluster/orders.py
@@ -105,8 +105,9 @@
         replica = self.replica
         if not replica.leading or not replica.caught_up or not replica.in_contact(now):
             return [unsettled(request.token, "no longer the leader, or not yet")]
-        self.current = request
-        if self.history.validate(request.change) is not None:
+        problem = self.history.validate(request.change)
+        self.current = request  # only now: if the check raises, the requests behind it still get their turn
+        if problem is not None:
             return [*replica.barrier(now, request.token)]
         return self._propose(now, request)
 
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -4,7 +4,7 @@
 
 import copy
 import json
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 import pytest
@@ -19,7 +19,9 @@
     pack,
 )
 from coralvale.cluster.configuration.model import Configuration, parse_configuration
+from coralvale.cluster.consensus.replica import Replica
 from coralvale.cluster.errors import Kind, Problem
+from coralvale.cluster.orders import ChangeRequestHandler
 
 ROUTE = {
     "Vhost": "a.example", "PathPrefix": "/x/", "Kind": "idempotent", "TimeoutMs": 2500, "TargetMs": 400,
@@ -131,6 +133,30 @@
             history.validate(Change(2, False, body({"Ver": 3, part: config})))
 
 
+class LeaderOnly:
+    """A replica that leads and takes every proposal."""
+
+    leading = caught_up = True
+
+    def in_contact(self, now: float) -> bool:
+        return True
+
+    def propose(self, now: float, token: int, kind: int, body: bytes) -> list[Any]:
+        return [token]
+
+
+def test_a_check_that_raises_holds_up_no_other_order(monkeypatch: pytest.MonkeyPatch) -> None:
+    def check_fails(self: ChangeHistory, change: Change) -> None:
+        raise TypeError("unhashable")
+
+    handler = ChangeRequestHandler(cast(Replica, LeaderOnly()), ChangeHistory())
+    with monkeypatch.context() as patched:
+        patched.setattr(ChangeHistory, "validate", check_fails)
+        with pytest.raises(TypeError):
+            handler.submit(1.0, 1, Change(0, True, body(WHOLE)))
+    assert handler.submit(1.1, 2, Change(0, True, body(WHOLE))) == [2]
+
+
 def test_a_truncated_or_undecodable_body_is_refused() -> None:
     for cut in (b"", body(WHOLE)[:-1], b"\xff", b"[" * 100_000):
         found = ChangeHistory().validate(Change(0, True, cut))
