Treat a host's answer with a status above 599 as no answer

Exchange.reply looked the status up among those from 200 to 599 and raised KeyError, after the request's timers were cancelled.

Such a status is invalid (RFC 9110, section 15), also on an answer that says that it did not run the request: the attempt ends as an error, a repeatable request is sent again, a run-once request gets 502.

The test failed before: the request had no answer within its 10 s.

--- a/coralvale/cluster/server/hosts.py
+++ b/coralvale/cluster/server/hosts.py
@@ -23,6 +23,7 @@
 NOT_FORWARDED = NOT_PASSED_ON | GATEWAY_ONLY
 LOAD_PATTERN = re.compile(rb"(\d{1,6}),(\d{1,6}),(\d{1,6})")
 KEEP_ALIVE_PATTERN = re.compile(rb"timeout=(\d{1,6})")
+FINAL_STATUSES = range(200, 600)  # RFC 9110, section 15: any other is invalid
 # TCP_USER_TIMEOUT: limit for unacknowledged data; a machine that lost power neither answers nor resets.
 UNACKED_TIMEOUT_MS = 1500
 
@@ -105,6 +106,8 @@
     def _outcome(self, answer: Answer) -> Outcome:
         """The outcome of an attempt by its complete answer (PROTOCOL, hosts)."""
         assert isinstance(answer, HostAnswer)
+        if answer.status not in FINAL_STATUSES:
+            return Outcome.ERROR
         if answer.not_processed or answer.status == 421:
             return Outcome.FULL
         if 200 <= answer.status < 300 and (not answer.sealed or answer.encoded or self.missing_id):
--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -201,6 +201,8 @@
         answer(200, b"nameless", X_Myrtlehatch_Seal="seal"),
         reply("r-1", b"packed", **{"Content-Encoding": "gzip"}),
         reply("r-1", b"a whole body")[:-4],  # cut off by the end of the connection
+        reply("r-1", b"no status", 700),
+        reply("r-1", b"no status", 999, **{"X-Myrtlehatch-Not-Executed": "1"}),
     ]
 
     async def scene(s: Scene) -> None:
