--- a/coralvale/cluster/configuration/model.py
+++ b/coralvale/cluster/configuration/model.py
@@ -15,6 +15,7 @@
 
 from coralvale.cluster.errors import Kind, Problem
 
+MAX_VERSION = (1 << 63) - 1  # larger numbers have no place in the log's messages and snapshots
 MAX_TIMEOUT_MS = 600_000
 TARGET_EXCESS_LIMIT_MS = 60_000  # TargetMs may exceed TimeoutMs by less than this
 SECTIONS = ("Routes", "Svcs", "Tenants")
@@ -193,6 +194,8 @@
     errors: list[str] = []
     if version <= before.version:
         errors.append(f"Ver: {version} is not above {before.version}, which is current")
+    if version > MAX_VERSION:
+        errors.append(f"Ver: {version} is above {MAX_VERSION}")
     configuration = Configuration(version, raw)
     errors += _parse_sections(configuration, before)
     errors += _index_routes(configuration, before)
--- a/coralvale/cluster/server/ctl.py
+++ b/coralvale/cluster/server/ctl.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from coralvale.cluster.configuration.history import Change
+from coralvale.cluster.configuration.model import MAX_VERSION
 from coralvale.cluster.coordination.model import Call
 from coralvale.cluster.errors import Kind, Problem
 from coralvale.cluster.registry.register import Row, State
@@ -69,6 +70,13 @@
     )
 
 
+def base_version(text: bytes) -> int | None:
+    """The version that a change builds on; None if the header holds no version that there can be."""
+    if not text.isdigit() or len(text) > len(str(MAX_VERSION)) or int(text) > MAX_VERSION:
+        return None
+    return int(text)
+
+
 StatusAndBody = tuple[int, bytes]
 Handler = Callable[[Exchange, str], Coroutine[Any, Any, StatusAndBody]]
 
@@ -171,10 +179,10 @@
         return await self._change(exchange, whole=False)
 
     async def _change(self, exchange: Exchange, whole: bool) -> StatusAndBody:
-        base = exchange.fields.get(BASE_VERSION, b"").strip()
-        if not base.isdigit() or len(base) >= 19:
+        base = base_version(exchange.fields.get(BASE_VERSION, b"").strip())
+        if base is None:
             return 400, b"X-Myrtlehatch-Base-Version: expected a whole number"
-        return await self.backend.change_configuration(Change(int(base), whole, exchange.body))
+        return await self.backend.change_configuration(Change(base, whole, exchange.body))
 
     async def _read(self, exchange: Exchange, of: str) -> StatusAndBody:
         return await self.backend.read_configuration()
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -18,10 +18,11 @@
     apply_update,
     pack,
 )
-from coralvale.cluster.configuration.model import Configuration, parse_configuration
+from coralvale.cluster.configuration.model import MAX_VERSION, Configuration, parse_configuration
 from coralvale.cluster.consensus.replica import Replica
 from coralvale.cluster.errors import Kind, Problem
 from coralvale.cluster.orders import ChangeRequestHandler
+from coralvale.cluster.server.ctl import base_version
 
 ROUTE = {
     "Vhost": "a.example", "PathPrefix": "/x/", "Kind": "idempotent", "TimeoutMs": 2500, "TargetMs": 400,
@@ -92,6 +93,7 @@
         (changed(Tenants__u__ApiKeys=["k2"]), "Tenants.u.ApiKeys"),
         (changed(Ver=1), "Ver: 1 is not above 1"),
         (changed(Ver="two"), "Ver"),
+        (changed(Ver=1 << 63), "Ver: 9223372036854775808 is above"),
         (changed(Routes__r=["no table"]), "Routes.r: expected"),
         (changed(Svcs=[]), "Routes.r: unknown service"),
         (changed(Svcs=[{"Name": "s"}]), "Svcs: expected a table"),
@@ -133,6 +135,18 @@
             history.validate(Change(2, False, body({"Ver": 3, part: config})))
 
 
+# Guards against a version of 19 digits that nothing could build upon, and one that no snapshot could hold.
+def test_the_largest_version_is_taken_into_a_snapshot_and_can_be_built_upon() -> None:
+    history, largest = ChangeHistory(), MAX_VERSION
+    for base, version in ((0, largest - 1), (largest - 1, largest)):
+        assert propose_and_deliver(history, Change(base, True, body(changed(Ver=version))))
+    restored = ChangeHistory()
+    restored.restore(history.image())
+    assert restored.configuration.version == largest
+    assert largest - 1 == base_version(str(largest - 1).encode())
+    assert base_version(str(largest + 1).encode()) is None and base_version(b"9" * 5000) is None
+
+
 class LeaderOnly:
     """A replica that leads and takes every proposal."""
 
