Send long answers to their end before a gateway ends after SIGTERM

Cause: the process waited for requests that hosts were at work on. A host's long answer is taken as fast as it comes and kept for the client; with the host done, nothing counted as open, and the rest was thrown away with the process. It waits now, within the same part of GraceS, until no connection has an unanswered request or an unsent byte.

It reads from 4 s after SIGTERM on.

--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -229,7 +229,7 @@
             min(ACCEPT_AFTER_SIGTERM_S, max(0.0, deadline - self.runtime.clock.monotonic() - 0.5))
         )
         self.edge_server.stop_accepting()
-        while self.edge.open and self.runtime.clock.monotonic() < deadline:
+        while self.edge_server.is_sending() and self.runtime.clock.monotonic() < deadline:
             self.edge_server.close_idle()
             await asyncio.sleep(0.02)
         self.edge_server.close_idle()
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -604,6 +604,12 @@
             and self.transport is not None
         )
 
+    def is_sending(self) -> bool:
+        """Whether a request on it is unanswered, or a part of an answer has not been sent."""
+        if self.transport is None:
+            return False
+        return bool(self.exchanges) or self.transport.get_write_buffer_size() > 0
+
     def close_idle(self) -> bool:
         """Closes the connection if it is idle and the kernel has no unread data; returns whether it did."""
         if not self.is_idle() or self.has_unread():
@@ -870,6 +876,10 @@
         self.pause_accepting()
         self.socket.close()
 
+    def is_sending(self) -> bool:
+        """Whether any connection has an unanswered request or an unsent part of an answer."""
+        return any(connection.is_sending() for connection in self.connections)
+
     def close_idle(self) -> None:
         """Closes all idle connections."""
         for connection in list(self.connections):
--- a/coralvale/standins/cluster.py
+++ b/coralvale/standins/cluster.py
@@ -116,6 +116,7 @@
     ctl: list[str]
     work: float = 0.02  # s
     status: int = 200
+    padding: bytes = b""  # behind its id in its answers
     zone: str = "zone-0"
     slots: int = 4
     state: str = "up"
@@ -172,7 +173,9 @@
                 }
                 writer.write(
                     answer(
-                        self.status, self.id.encode(), **{n.replace("-", "_"): v for n, v in named.items()}
+                        self.status,
+                        self.id.encode() + self.padding,
+                        **{n.replace("-", "_"): v for n, v in named.items()},
                     )
                 )
         writer.close()
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -125,6 +125,28 @@
     run_scene(scene)
 
 
+# Guards against LOST: the end of a long answer that its client was still reading was cut after SIGTERM.
+def test_an_answer_that_its_client_still_reads_is_sent_whole_after_sigterm() -> None:
+    async def scene(cluster: LocalCluster) -> None:
+        for host in cluster.hosts:
+            host.padding = bytes(8_000_000)
+        reader, writer = await asyncio.open_connection(cluster.ips[3], EDGE, limit=1 << 16)
+        writer.write(
+            b"GET /schedule/read/1 HTTP/1.1\r\nHost: demo.example\r\nX-Myrtlehatch-Request-Id: 1\r\n"
+            b"X-Myrtlehatch-Time-Left: 2000\r\nAuthorization: Bearer demo-key\r\n\r\n"
+        )
+        assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+        ended = asyncio.create_task(cluster.kill(3, signal.SIGTERM))
+        await asyncio.sleep(4.0)  # the host has finished long ago, the gateway holds the rest
+        left = 8_000_000 + len(cluster.hosts[0].id)
+        while part := await reader.read(1 << 16):
+            left -= len(part)
+        assert left == 0 and await ended == 0
+        writer.close()
+
+    run_scene(scene)
+
+
 def test_a_changed_settings_file_is_reloaded_and_an_invalid_one_ignored() -> None:
     async def scene(cluster: LocalCluster) -> None:
         file = cluster.path / "settings-3.yaml"
