Refuse a request that is read whole when its gateway has begun to end

Cause: after SIGTERM the process waits until nothing is open, once. A connection whose request is still being read is neither idle nor open, so it stayed, and its request was sent on while the process was saying good-bye. From the end of that wait on, such a request is answered 503 with Retry-After: it has not run.

--- a/coralvale/cluster/server/edge.py
+++ b/coralvale/cluster/server/edge.py
@@ -78,6 +78,8 @@
 class EdgeServer(Server):
     """Accepts clients' connections and passes their requests to an `Edge`."""
 
+    refusing = False  # the process is about to end: a request read now could not be answered any more
+
     single_value_headers = {
         REQUEST_ID,
         TIME_LEFT,
@@ -106,7 +108,7 @@
         return problem.status if problem else 0
 
     def handle_request(self, exchange: Exchange) -> None:
-        if exchange.connection.over_limit:
+        if exchange.connection.over_limit or self.refusing:
             exchange.close = True
             exchange.reply(503, retry_after=0.2)
             return
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -232,6 +232,7 @@
         while self.edge_server.is_sending() and self.runtime.clock.monotonic() < deadline:
             self.edge_server.close_idle()
             await asyncio.sleep(0.02)
+        self.edge_server.refusing = True
         self.edge_server.close_idle()
         while not self.core.can_stop() and self.runtime.clock.monotonic() < deadline:
             await asyncio.sleep(0.02)
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -4,10 +4,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -147,6 +149,42 @@
     run_scene(scene)
 
 
+# Guards against LOST: a submission whose last byte came in a gateway's last moments was passed on, and then cut.
+def test_submissions_that_end_as_their_gateway_does_are_answered_or_not_run() -> None:
+    async def scene(cluster: LocalCluster) -> None:
+        for host in cluster.hosts:
+            host.work = 0.16
+        streams = [await asyncio.open_connection(cluster.ips[3], EDGE) for _ in range(8)]
+        for _, writer in streams:
+            writer.write(b"POST")  # so that it is not idle when SIGTERM comes
+        await asyncio.sleep(0.1)
+
+        async def submit(number: int) -> bytes:
+            reader, writer = streams[number]
+            await asyncio.sleep(1.5)
+            with contextlib.suppress(OSError):
+                writer.write(
+                    b" /schedule/book/1 HTTP/1.1\r\nHost: demo.example\r\nX-Myrtlehatch-Request-Id: %d\r\n"
+                    b"X-Myrtlehatch-Time-Left: 9000\r\nAuthorization: Bearer demo-key\r\n"
+                    b"Content-Length: 9\r\n\r\n12345" % number
+                )
+                await asyncio.sleep(1.2 + 0.19 * number)  # the gateway ends in one of the gaps
+                writer.write(b"6789")
+                return await reader.read(12)
+            return b""
+
+        ended = asyncio.create_task(cluster.kill(3, signal.SIGTERM))
+        answers = await asyncio.gather(*(submit(number) for number in range(len(streams))))
+        assert await ended == 0
+        ran = Counter(id_ for host in cluster.hosts for id_ in host.ran)
+        for number, answered in enumerate(answers):
+            assert answered[9:] == b"200" if ran[str(number)] else answered[9:] in (b"", b"503"), number
+        for _, writer in streams:
+            writer.close()
+
+    run_scene(scene)
+
+
 def test_a_changed_settings_file_is_reloaded_and_an_invalid_one_ignored() -> None:
     async def scene(cluster: LocalCluster) -> None:
         file = cluster.path / "settings-3.yaml"
