Soak with long uploads and hosts that run a request at its head

Two clients now upload 6 MB each, half of the hosts run a request at its head and read on after their answer (UNASKED if that body is another), and the sockets of hosts and relays have small buffers. The limit on bodies of the soak's configuration is 8 MB.

--- a/coralvale/cluster/soak/clients.py
+++ b/coralvale/cluster/soak/clients.py
@@ -28,15 +28,17 @@
 TIME_LIMIT_S = 2.5  # sent with each request; the routes' timeouts are longer
 GIVE_UP_AFTER_S = 15.0  # beyond the limit; then a client stops waiting
 CONNECT_TIMEOUT_S = 3.0
+UPLOAD_BYTES = 6_000_000  # more than the socket buffers between a gateway and a host hold
 MAX_LEAVE_DELAY_S = 0.05  # after which a client that abandons its request closes the connection
 
 
 class RequestStyle(Enum):
-    """How a request is sent and its answer read: with a body, slowly, or abandoned."""
+    """How a request is sent and its answer read: with a body, long or short, slowly, or abandoned."""
 
     PLAIN = "plain"
     BODY = "body"
     CHUNKED = "chunked"
+    UPLOAD = "upload"
     SLOW = "slow"
     LEAVES = "leaves"
 
@@ -162,9 +164,10 @@
         "X-Myrtlehatch-Time-Left": str(int(TIME_LIMIT_S * 1000)),
         "Authorization": f"Bearer {spec.key}",
     }
-    if spec.style not in (RequestStyle.BODY, RequestStyle.CHUNKED):
+    if spec.style not in (RequestStyle.BODY, RequestStyle.CHUNKED, RequestStyle.UPLOAD):
         return request("GET" if spec.repeatable else "POST", spec.path, headers, b"")
-    body = body_of(id_, random.randrange(1, 40_000))
+    size = UPLOAD_BYTES if spec.style is RequestStyle.UPLOAD else random.randrange(1, 40_000)
+    body = body_of(id_, size)
     return request("POST", spec.path, headers, body, spec.style is RequestStyle.CHUNKED)
 
 
--- a/coralvale/cluster/soak/history.py
+++ b/coralvale/cluster/soak/history.py
@@ -107,7 +107,7 @@
 
 
 class Ran(Record, frozen=True):
-    """A host has begun to run a request. `whole`: the body is as the client sent it."""
+    """A host has begun to run a request. `whole`: the body is as the client sent it, or is not read yet."""
 
     id: str
     host: str
@@ -115,6 +115,14 @@
     whole: bool = True
 
 
+class BodyRead(Record, frozen=True):
+    """A host that had run a request at its head has read the body. `whole`: it is as the client sent it."""
+
+    id: str
+    host: str
+    whole: bool
+
+
 class Done(Record, frozen=True):
     """A host has written the answer."""
 
@@ -229,6 +237,7 @@
     | Left
     | Silent
     | Ran
+    | BodyRead
     | Done
     | Broke
     | HostState
--- a/coralvale/cluster/soak/hosts.py
+++ b/coralvale/cluster/soak/hosts.py
@@ -8,9 +8,9 @@
 import random
 
 from coralvale.cluster.soak.cluster import SoakCluster
-from coralvale.cluster.soak.history import Broke, Done, HostState, Ran, Writer, now
-from coralvale.cluster.soak.relay import Relay
-from coralvale.cluster.soak.wire import body_of, is_body_of, read_message
+from coralvale.cluster.soak.history import BodyRead, Broke, Done, HostState, Ran, Writer, now
+from coralvale.cluster.soak.relay import READ_BYTES, Relay, small_listener
+from coralvale.cluster.soak.wire import body_of, is_body_of, read_body, read_head
 from coralvale.standins.cluster import BEAT, CTL, call
 from coralvale.standins.wire import Message, answer
 
@@ -22,7 +22,11 @@
 class SoakHost:
     """A simulated host, from start to end, behind a relay."""
 
-    def __init__(self, history: Writer, service: str, cluster: SoakCluster, zone: str) -> None:
+    def __init__(
+        self, history: Writer, service: str, cluster: SoakCluster, zone: str, runs_at_head: bool = False
+    ) -> None:
+        """`runs_at_head`: it runs a request and answers it before it reads the body."""
+        self.runs_at_head = runs_at_head
         self.history, self.service, self.cluster, self.zone = history, service, cluster, zone
         self.ip = cluster.ips[0]
         self.service_time = 0.02  # s
@@ -35,8 +39,9 @@
 
     async def start(self) -> SoakHost:
         """Starts the server, its relay and the heartbeats."""
-        self.server = await asyncio.start_server(self._serve, self.ip, 0)
-        self.port = await self.relay.start(self.server.sockets[0].getsockname()[1])
+        sock = small_listener(self.ip)
+        self.server = await asyncio.start_server(self._serve, sock=sock, limit=READ_BYTES)
+        self.port = await self.relay.start(sock.getsockname()[1])
         self._record("up")
         self.heartbeat_task = asyncio.create_task(self._heartbeat_loop())
         return self
@@ -108,11 +113,22 @@
         try:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
                 while True:
-                    await self._answer(await read_message(reader), reader, writer)
+                    await self._serve_one(reader, writer)
         finally:
             self.tasks.discard(task)
             writer.close()
 
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        first, headers = await read_head(reader)
+        if not self.runs_at_head:
+            await self._answer(Message(first, headers, await read_body(reader, headers)), reader, writer)
+            return
+        await self._answer(Message(first, headers, b""), reader, writer)
+        body = await read_body(reader, headers)
+        if body:
+            id_ = headers.get(b"x-myrtlehatch-request-id", b"").decode()
+            self.history.write(BodyRead(now(), id_, self.id, is_body_of(id_, body)))
+
     async def _answer(
         self, message: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/coralvale/cluster/soak/operator.py
+++ b/coralvale/cluster/soak/operator.py
@@ -12,6 +12,7 @@
 from coralvale.cluster.soak.history import Change, ChangeAnswer, ReadBack, Writer, now
 from coralvale.standins.cluster import CTL, call, configuration
 
+MAX_BODY_BYTES = 8_000_000  # that clients may send
 SERVICES = ("schedule", "archive")
 QUOTAS = {"station": (0.0, 0.0), "hot": (4.0, 4.0)}  # by tenant: requests a second, burst
 RETRY_S = 20.0  # for which a change is sent again
@@ -33,6 +34,7 @@
             **whole["Routes"][f"{name}-read"],
             "PathPrefix": f"/{name}/long/",
         }
+    whole["Limits"] = {**whole["Limits"], "BodyBytes": MAX_BODY_BYTES}
     whole["Tenants"] = {
         name: {"ApiKeys": [api_key(name)], "Prio": 1, "RatePerS": rate, "Burst": burst}
         for name, (rate, burst) in QUOTAS.items()
--- a/coralvale/cluster/soak/relay.py
+++ b/coralvale/cluster/soak/relay.py
@@ -4,8 +4,18 @@
 
 import asyncio
 import contextlib
+import socket
 
 READ_BYTES = 1 << 16  # at once
+BUFFER_BYTES = 1 << 16  # of its sockets: a host that does not read holds the gateway up
+
+
+def small_listener(ip: str) -> socket.socket:
+    """A socket bound to a free port, whose connections have small receive buffers."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    sock.bind((ip, 0))
+    return sock
 
 
 class Relay:
@@ -21,8 +31,9 @@
     async def start(self, target_port: int) -> int:
         """Begins to forward to `target_port`; returns the port that it listens on."""
         self.target_port = target_port
-        self.server = await asyncio.start_server(self._serve, self.ip, 0)
-        port: int = self.server.sockets[0].getsockname()[1]
+        sock = small_listener(self.ip)
+        self.server = await asyncio.start_server(self._serve, sock=sock, limit=READ_BYTES)
+        port: int = sock.getsockname()[1]
         return port
 
     def reset(self) -> None:
@@ -50,6 +61,8 @@
             self.writers.discard(writer)
             return
         self.writers.add(back_writer)
+        back_socket = back_writer.get_extra_info("socket")
+        back_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
         try:
             await asyncio.gather(self._forward(reader, back_writer), self._forward(back_reader, writer))
         finally:
--- a/coralvale/cluster/soak/rules_requests.py
+++ b/coralvale/cluster/soak/rules_requests.py
@@ -41,6 +41,11 @@
                 yield Violation("UNASKED", ran.at, f"{ran.host} received another body", id_)
             if ran.tenant != request.sent.tenant:
                 yield Violation("UNASKED", ran.at, f"ran as tenant {ran.tenant!r}", id_)
+    for read in timeline.events_of(h.BodyRead):
+        if not read.whole:
+            yield Violation(
+                "UNASKED", read.at, f"{read.host} received another body after its answer", read.id
+            )
     for ran in timeline.unknown_runs:
         yield Violation("UNASKED", ran.at, f"{ran.host} ran a request that no client sent", ran.id)
 
--- a/coralvale/cluster/soak/wire.py
+++ b/coralvale/cluster/soak/wire.py
@@ -36,18 +36,25 @@
 async def read_message(reader: asyncio.StreamReader, pause: float = 0.0, piece_bytes: int = 8192) -> Message:
     """A complete message. `pause`: seconds between pieces of the body, for a slow reader."""
     first, headers = await read_head(reader)
+    return Message(first, headers, await read_body(reader, headers, pause, piece_bytes))
+
+
+async def read_body(
+    reader: asyncio.StreamReader, headers: dict[bytes, bytes], pause: float = 0.0, piece_bytes: int = 8192
+) -> bytes:
+    """The body behind a head with these headers."""
     if headers.get(b"transfer-encoding", b"").lower() == b"chunked":
-        return Message(first, headers, await _read_chunks(reader))
+        return await _read_chunks(reader)
     left = int(headers.get(b"content-length", b"0"))
     if not pause:
-        return Message(first, headers, await reader.readexactly(left))
+        return await reader.readexactly(left)
     parts = []
     while left:
         part = await reader.readexactly(min(piece_bytes, left))
         parts.append(part)
         left -= len(part)
         await asyncio.sleep(pause)
-    return Message(first, headers, b"".join(parts))
+    return b"".join(parts)
 
 
 async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
--- a/coralvale/cluster/soak/workload.py
+++ b/coralvale/cluster/soak/workload.py
@@ -19,6 +19,8 @@
 MIN_INTERVAL_S = 0.12  # between a client's requests
 HOT_CLIENTS = 4  # clients of the tenant that exceeds its quota
 HOT_INTERVAL_S = 0.08  # between the requests of each of them
+UPLOAD_CLIENTS = 2
+UPLOAD_INTERVAL_S = 0.5  # between the uploads of each of them
 PROBE_INTERVAL_S = 0.25  # between probes of the newest routes
 CHANGE_INTERVAL_S = 1.5  # between configuration changes
 READ_INTERVAL_S = 1.0  # between reads of the configuration
@@ -43,6 +45,7 @@
         self.rng = random.Random(f"workload/{seed}")
         self.operator = Operator(cluster, history, seed)
         self.hosts: list[SoakHost] = []
+        self.hosts_started = 0
         self.tasks: set[asyncio.Future[None]] = set()
         self.failures: list[str] = []  # exceptions of the workload's own tasks
         self.clients: list[Client] = []
@@ -56,7 +59,9 @@
 
     async def start_host(self, service: str, zone: str) -> SoakHost:
         """Starts one host of a service."""
-        host = SoakHost(self.history, service, self.cluster, zone)
+        self.hosts_started += 1
+        runs_at_head = self.hosts_started % 4 in (1, 2)  # in both zones
+        host = SoakHost(self.history, service, self.cluster, zone, runs_at_head)
         self.hosts.append(await host.start())
         return host
 
@@ -76,6 +81,8 @@
         for number in range(HOT_CLIENTS):
             self._spawn(self._hot_client(count + number))
         self._spawn(self._probe_client(count + HOT_CLIENTS))
+        for number in range(UPLOAD_CLIENTS):
+            self._spawn(self._upload_client(count + HOT_CLIENTS + 1 + number))
         self._spawn(self._repeat(self.operator.change, CHANGE_INTERVAL_S))
         self._spawn(self._repeat(self.operator.read, READ_INTERVAL_S))
         self._spawn(sample_processes(self.cluster, self.history))
@@ -139,6 +146,15 @@
             await client.send(RequestSpec("/archive/read/1", True, api_key("hot"), "hot"))
             await asyncio.sleep(HOT_INTERVAL_S)
 
+    async def _upload_client(self, number: int) -> None:
+        client = Client(self.cluster, self.history, number)
+        self.clients.append(client)
+        while True:
+            service = self.rng.choice(SERVICES)
+            style = RequestStyle.UPLOAD
+            await client.send(RequestSpec(f"/{service}/book/1", False, api_key("station"), "station", style))
+            await asyncio.sleep(UPLOAD_INTERVAL_S)
+
     async def _probe_client(self, number: int) -> None:
         """Sends requests on the routes of the newest changes, to a randomly chosen gateway each."""
         client = Client(self.cluster, self.history, number)
--- a/tests/cluster/soak_mutants.py
+++ b/tests/cluster/soak_mutants.py
@@ -21,6 +21,7 @@
 from coralvale.cluster.routing.router import Router  # noqa: E402
 from coralvale.cluster.server.changes import Changes  # noqa: E402
 from coralvale.cluster.server.edge import Edge  # noqa: E402
+from coralvale.cluster.server.hosts import HostConnection  # noqa: E402
 from coralvale.cluster.server.node import GatewayNode  # noqa: E402
 from coralvale.cluster.start import run_gateway  # noqa: E402
 from coralvale.interface import Outcome  # noqa: E402
@@ -72,6 +73,12 @@
     Router.try_ended = try_ended  # type: ignore[method-assign]
 
 
+@mutant
+def takes_a_part_for_nothing() -> None:
+    """A request that was written in part counts as one that has not run."""
+    HostConnection.may_run_in_part = False
+
+
 @mutant
 def ends_without_waiting() -> None:
     """Stops at once, without waiting for open requests."""
--- a/tests/cluster/test_soak_mutants.py
+++ b/tests/cluster/test_soak_mutants.py
@@ -20,12 +20,14 @@
 HOSTS = range(8)
 SLOW_HOSTS = tuple(Act(0.1, "host-slow", host, 9.0) for host in HOSTS)
 LINK_RESETS = tuple(Act(1.0 + n / 4, "reset", n) for n in range(12))
+ALL_LINK_RESETS = tuple(Act(1.0 + n / 3, "reset", host) for n in range(12) for host in HOSTS)
 HOST_LEAVES = tuple(Act(4.0, "host-leave", 0) for _ in range(6))
 
 # Name of the mutant, the rules of which one must find it, seconds, acts.
 CASES: list[tuple[str, set[str], float, tuple[Act, ...]]] = [
     ("answers_to_the_wrong_connection", {"MIXED"}, 3.0, ()),
     ("resends_what_may_have_run", {"TWICE"}, 5.0, SLOW_HOSTS + LINK_RESETS),
+    ("takes_a_part_for_nothing", {"TWICE"}, 5.0, SLOW_HOSTS + ALL_LINK_RESETS),
     ("ends_without_waiting", {"ENDED"}, 4.0, SLOW_HOSTS + tuple(Act(2.0, "restart", n) for n in (0, 3))),
     ("closes_connections_under_requests", {"ENDED"}, 3.0, ()),
     ("acknowledges_first", {"LOST", "CONFIG"}, 8.0, ()),
