Hold both programs to their line for a request that was written in part

One test for both: the platform's hosts begin a request at its last byte (CONNECT_FAILED, NOT_SENT), those of the whole system may at its head (RESET, TIMEOUT).

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,10 +13,11 @@
 import pytest
 from net_helpers import Peer, answer, run, soon, until
 
+from coralvale.cluster.server.hosts import HostConnection
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
 from coralvale.net.transport import Answer, Attempt, OutgoingRequest, WriteProgress
-from coralvale.net.upstream import IdleLimit, Upstreams, read_load, read_usage
+from coralvale.net.upstream import Connection, IdleLimit, Upstreams, read_load, read_usage
 
 PAYLOAD = b"GET /api HTTP/1.1\r\nX-Request-ID: r1\r\n\r\n"
 
@@ -221,6 +222,33 @@
     run(test())
 
 
+# Guards against issue 60, in both directions: hosts of the two programs begin a request at its head, or at its end.
+@pytest.mark.parametrize(
+    ("kind", "broken", "given_up"),
+    [
+        (Connection, Outcome.CONNECT_FAILED, Outcome.NOT_SENT),
+        (HostConnection, Outcome.RESET, Outcome.TIMEOUT),
+    ],
+)
+def test_each_program_decides_whether_a_part_of_a_request_may_run(
+    kind: type[Connection], broken: Outcome, given_up: Outcome
+) -> None:
+    async def test() -> None:
+        async with bench() as b:
+            b.upstreams.connection_class = kind
+            request = b"POST / HTTP/1.1\r\nContent-Length: 64000000\r\n\r\n" + bytes(64_000_000)
+            b.send(request)
+            await until(lambda: b.host.connections == 1)
+            b.host.writers[0].transport.abort()
+            assert await b.outcome() is broken
+            attempt = b.send(request)
+            await until(lambda: b.host.connections == 2 and attempt.connection is not None)
+            b.upstreams.abort(attempt, Outcome.TIMEOUT)
+            assert await b.outcome() is given_up
+
+    run(test())
+
+
 def test_the_most_recently_used_connection_is_reused_first() -> None:
     async def test() -> None:
         async with bench() as b:
