--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -222,7 +222,7 @@
     run(test())
 
 
-# Guards against issue 60, in both directions: hosts of the two programs begin a request at its head, or at its end.
+# Guards against issue 60, both ways: hosts of the two programs begin a request at its head, or at its end.
 @pytest.mark.parametrize(
     ("kind", "broken", "given_up"),
     [
