Let the test of a gateway's last moments fail if no submission met them

Read again, the test could pass with nothing shown: while it was written its connections were once closed as idle, no host ran anything, and each check held. It now asks that the first submission was run and the last was not.

--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -177,6 +177,9 @@
         answers = await asyncio.gather(*(submit(number) for number in range(len(streams))))
         assert await ended == 0
         ran = Counter(id_ for host in cluster.hosts for id_ in host.ran)
+        assert (
+            ran["0"] == 1 and not ran[str(len(streams) - 1)]
+        )  # the gateway ended between the first and the last
         for number, answered in enumerate(answers):
             assert answered[9:] == b"200" if ran[str(number)] else answered[9:] in (b"", b"503"), number
         for _, writer in streams:
