Decide once, at the end of its head, whose answer a host sends, and count it

Whose answer it is was asked in five places by two flags, and one of them had been forgotten before. It is now one typed value, AnswerOwner, decided when the head is complete and read by all later steps; it also replaces `in_body`. An answer that names its own and another request counts as unknown and no longer as another's.

So that hypotheses can be told apart: the metric myrtlehatch_host_answers_total by owner, and at DEBUG E515 for each answer that is not its request's.

--- a/coralvale/cluster/events.py
+++ b/coralvale/cluster/events.py
@@ -75,6 +75,11 @@
         "DEBUG",
         "request {id}: attempt {number} at host {host} ended {outcome} {status} after {ms:.0f} ms, {written}",
     )
+    NOT_ITS_ANSWER = (
+        515,
+        "DEBUG",
+        "request {id}: host {host} sent an answer {status} that is not for it; requests named: {names}",
+    )
     ANSWERED = 514, "DEBUG", "request {id}: answered {status} after {ms:.0f} ms{why}"
     BOUND = 521, "INFO", "request {id} of {service}, bound to {bound}, answered {status} in {region}"
     ABROAD = 522, "WARNING", "refused {count} requests that are bound to {bound}"
--- a/coralvale/cluster/server/figures.py
+++ b/coralvale/cluster/server/figures.py
@@ -63,6 +63,12 @@
         for status, count in node.edge.answers.items():
             answers.add_metric([str(status)], float(count))
         yield answers
+        owners = CounterMetricFamily(
+            "myrtlehatch_host_answers", "answers of hosts, by the request that they name", labels=["request"]
+        )
+        for owner, count in node.hosts.answers.items():
+            owners.add_metric([owner.value], float(count))
+        yield owners
         hosts = GaugeMetricFamily(
             "myrtlehatch_hosts", "lives of hosts that are known", labels=["service", "state"]
         )
--- a/coralvale/cluster/server/hosts.py
+++ b/coralvale/cluster/server/hosts.py
@@ -11,8 +11,10 @@
 from dataclasses import dataclass
 from typing import Any
 
+from coralvale.cluster.events import Event, RequestEvents, log_event
 from coralvale.interface import Outcome
-from coralvale.net.transport import Answer, Attempt
+from coralvale.net.clock import Clock
+from coralvale.net.transport import Answer, AnswerOwner, Attempt
 from coralvale.net.upstream import NOT_PASSED_ON, Connection, Pool, Upstreams
 
 REQUEST_ID = b"x-myrtlehatch-request-id"
@@ -46,40 +48,28 @@
     # PROTOCOL, hosts: after a reset, a close or silence, a request that was sent may have run. NEWS-18, UNASKED:
     # a host may answer before it has read a long body, so it may run a request of which it has only the head.
     may_run_in_part = True
-    other_request = False  # the answer being read echoes the id of another request
-    missing_id = False  # the answer being read echoes no id
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
         super().connection_made(transport)
         if sock := transport.get_extra_info("socket"):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
 
-    def on_headers_complete(self) -> None:
-        self.other_request = self.missing_id = False
-        if not self.complete and self.parser.get_status_code() >= 200 and self.attempt:
-            ids = [value for name, value in self.headers if name.lower() == REQUEST_ID]
-            self.missing_id = not ids
-            self.other_request = bool(ids) and any(i.decode("latin-1") != self.attempt.request for i in ids)  # type: ignore[attr-defined]
-        super().on_headers_complete()
-        if self.other_request:  # the end of the connection must not complete it for this request
-            self.ends_with_connection = False
-
-    def on_message_complete(self) -> None:
-        if self.other_request and not self.complete:
-            heard = self.last_read_at
-            self._clear()
-            self.last_read_at, self.other_request = heard, False
-            return
-        super().on_message_complete()
-
-    def _read(self, data: bytes) -> None:
-        super()._read(data)
-        if self.other_request:
-            self.body.clear()
-
-    def _stream(self) -> None:
-        if not self.other_request:
-            super()._stream()
+    def _find_owner(self) -> AnswerOwner:
+        """The request whose id the answer echoes (PROTOCOL, hosts); unknown if it names none, or several."""
+        assert isinstance(self.attempt, HostAttempt) and isinstance(self.pool.owner, Hosts)
+        named = {value.decode("latin-1") for name, value in self.headers if name.lower() == REQUEST_ID}
+        own = self.attempt.request
+        if named == {own}:
+            owner = AnswerOwner.OWN
+        elif not any(named) or own in named:
+            owner = AnswerOwner.UNKNOWN
+        else:
+            owner = AnswerOwner.OTHER
+        self.pool.owner.answers[owner] += 1
+        if RequestEvents.enabled and owner is not AnswerOwner.OWN:
+            status, names = self.parser.get_status_code(), ", ".join(sorted(named)) or "none"
+            log_event(Event.NOT_ITS_ANSWER, id=own, status=status, host=self.attempt.server, names=names)
+        return owner
 
     def _make_answer(self) -> HostAnswer:
         passed_on = self.attempt is not None and self.attempt.sink is not None
@@ -110,7 +100,9 @@
             return Outcome.ERROR
         if answer.not_processed or answer.status == 421:
             return Outcome.FULL
-        if 200 <= answer.status < 300 and (not answer.sealed or answer.encoded or self.missing_id):
+        if 200 <= answer.status < 300 and (
+            not answer.sealed or answer.encoded or self.owner is AnswerOwner.UNKNOWN
+        ):
             return Outcome.ERROR  # not a valid answer of the host to this request
         return Outcome.OK
 
@@ -126,5 +118,9 @@
 
     connection_class = HostConnection
 
+    def __init__(self, clock: Clock, connect_timeout: float, idle: float, max_connections: int) -> None:
+        super().__init__(clock, connect_timeout, idle, max_connections)
+        self.answers = dict.fromkeys(AnswerOwner, 0)  # number of hosts' answers, by whose they are
+
 
 __all__ = ["HostAnswer", "HostAttempt", "HostConnection", "Hosts", "Pool"]
--- a/coralvale/net/transport.py
+++ b/coralvale/net/transport.py
@@ -29,6 +29,15 @@
     WHOLE = "written"
 
 
+@unique
+class AnswerOwner(Enum):
+    """Which request an answer belongs to. It is decided once, when the head of the answer is complete."""
+
+    OWN = "own"  # the request that waits for it
+    OTHER = "other"  # another request
+    UNKNOWN = "unknown"  # the answer does not say
+
+
 @dataclass(slots=True)
 class OutgoingRequest:
     """A request to a host, independent of the HTTP version. `headers` holds no connection-specific fields."""
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -22,7 +22,7 @@
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address, HostInstance
 from coralvale.net.sockets import Sockets
-from coralvale.net.transport import Answer, Attempt, WriteProgress
+from coralvale.net.transport import Answer, AnswerOwner, Attempt, WriteProgress
 
 MAX_BUFFERED_BYTES = 64 * 1024  # of an answer's body; a longer answer is streamed to the client
 MAX_STREAMED_BYTES = 1 << 40  # of a streamed answer's body
@@ -62,6 +62,7 @@
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.idle_since = self.idle_age = 0.0  # idle_age: s that it was idle before its latest request
+        self.last_read_at = 0.0
         self.kept = self.paused = False
         self.write_pending = self.complete = self.keep_alive = False
         self._clear()
@@ -72,9 +73,8 @@
         self.length: int | None = None
         self.ends_with_connection = False  # the end of the connection ends the answer
         self.headers_at: float | None = None  # when an answer of unknown length began to be buffered
-        self.last_read_at = 0.0
         self.size = self.status = self.head_size = self.interim = 0
-        self.in_body = False
+        self.owner: AnswerOwner | None = None  # of the answer being read; None until its head is complete
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
         self.transport = transport
@@ -140,7 +140,7 @@
             self._finish(Outcome.ERROR)
 
     def _read(self, data: bytes) -> None:
-        if not self.in_body:
+        if self.owner is None:
             self.head_size += len(data)
         self.last_read_at = self.pool.owner.clock.now()
         try:
@@ -152,10 +152,11 @@
                 return
         if self.complete:
             self._answered()
-        elif not self.in_body and self.head_size > MAX_HEAD_BYTES:
-            self._finish(Outcome.ERROR)
-        elif self.size > MAX_BUFFERED_BYTES or (
-            self.in_body and self.status == 200 and self._should_stream()
+        elif self.owner is None:
+            if self.head_size > MAX_HEAD_BYTES:
+                self._finish(Outcome.ERROR)
+        elif self.owner is not AnswerOwner.OTHER and (
+            self.size > MAX_BUFFERED_BYTES or (self.status == 200 and self._should_stream())
         ):
             self._stream()
 
@@ -220,10 +221,8 @@
         The event loop also reports EOF when a reset directly follows the last bytes; only the socket's
         pending error distinguishes the two.
         """
-        unframed = (
-            self.attempt is not None and self.in_body and self.ends_with_connection and not self.complete
-        )
-        if unframed and not self._was_reset():
+        unframed = self.owner not in (None, AnswerOwner.OTHER) and self.ends_with_connection
+        if self.attempt is not None and unframed and not self.complete and not self._was_reset():
             self.complete, self.keep_alive = True, False
             self.status = self.parser.get_status_code()
             self._answered()
@@ -240,13 +239,13 @@
             self.keep_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.complete and not self.in_body:  # trailers come after what was streamed
+        if not self.complete and self.owner is None:  # trailers come after what was streamed
             self.headers.append((name, value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
         if self.complete or self.parser.get_status_code() < 200:
             return
-        self.in_body = True
+        self.owner = self._find_owner()
         self.status, self.ends_with_connection = self.parser.get_status_code(), True
         for name, value in self.headers:
             if name.lower() == b"content-length":
@@ -256,8 +255,12 @@
             elif name.lower() == b"transfer-encoding":
                 self.ends_with_connection = False
 
+    def _find_owner(self) -> AnswerOwner:
+        """The request that the answer belongs to, by its head. Without request ids: the one that waits."""
+        return AnswerOwner.OWN
+
     def on_body(self, body: bytes) -> None:
-        if not self.complete:
+        if not self.complete and self.owner is not AnswerOwner.OTHER:
             self.body.append(body)
             self.size += len(body)
 
@@ -269,6 +272,8 @@
             self.interim += 1
             if self.interim > MAX_INTERIM_RESPONSES:
                 raise ValueError("too many interim answers")
+        elif self.owner is AnswerOwner.OTHER:
+            self._clear()  # the right answer is awaited on the same connection
         else:
             self.complete = True
             self.status = self.parser.get_status_code()
