Take nothing from a host's answer that does not say whose it is

What callers saw, in tests: with an answer that echoes no request id, a client got a long success as its own (200, streamed, also cut short), a 404 or a 500; a run-once request that was turned away so was sent to a second host, or answered 503 with Retry-After. All of them may have run, and the bytes may be anybody's.

Cause: only a buffered success was refused for a missing id. `_begin_stream` asked for the seal alone, and refusals and failures were believed as they stood.

Ruled out: that hosts leave the id out where they turn a request away. PROTOCOL, Hosts: "In their answers, hosts echo X-Myrtlehatch-Request-Id", and bytes after a whole answer "belong to no request".

Why this works: such an answer ends the attempt at the end of its head, as one that may have run, and its connection is closed. Nothing of it can be passed on or promise anything. A run-once request is answered 502; one that may be repeated goes to another host within its tries.

--- a/coralvale/cluster/server/hosts.py
+++ b/coralvale/cluster/server/hosts.py
@@ -2,6 +2,7 @@
 
 An answer belongs to the request whose id it echoes. A host may send a surplus answer, directly after another
 or in place of the next one. Such an answer is discarded, and the right one is awaited on the same connection.
+An answer that echoes no id ends the attempt: nothing is known of the request, so it may have run.
 """
 
 from __future__ import annotations
@@ -55,7 +56,11 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
 
     def _find_owner(self) -> AnswerOwner:
-        """The request whose id the answer echoes (PROTOCOL, hosts); unknown if it names none, or several."""
+        """The request whose id the answer echoes (PROTOCOL, hosts); unknown if it names none, or several.
+
+        An answer of unknown owner ends the attempt as one that may have run, whatever it says: an answer that
+        belongs to no request must not promise anything about this one.
+        """
         assert isinstance(self.attempt, HostAttempt) and isinstance(self.pool.owner, Hosts)
         named = {value.decode("latin-1") for name, value in self.headers if name.lower() == REQUEST_ID}
         own = self.attempt.request
@@ -100,9 +105,7 @@
             return Outcome.ERROR
         if answer.not_processed or answer.status == 421:
             return Outcome.FULL
-        if 200 <= answer.status < 300 and (
-            not answer.sealed or answer.encoded or self.owner is AnswerOwner.UNKNOWN
-        ):
+        if 200 <= answer.status < 300 and (not answer.sealed or answer.encoded):
             return Outcome.ERROR  # not a valid answer of the host to this request
         return Outcome.OK
 
--- a/coralvale/cluster/soak/hosts.py
+++ b/coralvale/cluster/soak/hosts.py
@@ -19,6 +19,11 @@
 LEAVE_TIMEOUT_S = 5.0  # after which a draining host ends without an acknowledgement
 
 
+def refusal(status: int, id_: str) -> bytes:
+    """The answer to a request that the host does not run."""
+    return answer(status, b"", X_Myrtlehatch_Request_Id=id_, X_Myrtlehatch_Not_Executed="1")
+
+
 class SoakHost:
     """A simulated host, from start to end, behind a relay."""
 
@@ -137,10 +142,10 @@
             return
         id_ = message.headers.get(b"x-myrtlehatch-request-id", b"").decode()
         if message.headers.get(b"x-myrtlehatch-want-instance", b"").decode() != self.id:
-            writer.write(answer(421, b"", X_Myrtlehatch_Not_Executed="1"))
+            writer.write(refusal(421, id_))
             return
         if self.in_flight >= self.slots * 4:
-            writer.write(answer(503, b"", X_Myrtlehatch_Not_Executed="1"))
+            writer.write(refusal(503, id_))
             return
         tenant = message.headers.get(b"x-myrtlehatch-tenant", b"").decode()
         self.history.write(Ran(now(), id_, self.id, tenant, is_body_of(id_, message.body)))
--- a/coralvale/net/transport.py
+++ b/coralvale/net/transport.py
@@ -34,8 +34,8 @@
     """Which request an answer belongs to. It is decided once, when the head of the answer is complete."""
 
     OWN = "own"  # the request that waits for it
-    OTHER = "other"  # another request
-    UNKNOWN = "unknown"  # the answer does not say
+    OTHER = "other"  # another request: it is read to its end and dropped
+    UNKNOWN = "unknown"  # the answer does not say: it ends the attempt, and nothing of it is used
 
 
 @dataclass(slots=True)
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -155,7 +155,7 @@
         elif self.owner is None:
             if self.head_size > MAX_HEAD_BYTES:
                 self._finish(Outcome.ERROR)
-        elif self.owner is not AnswerOwner.OTHER and (
+        elif self.owner is AnswerOwner.OWN and (
             self.size > MAX_BUFFERED_BYTES or (self.status == 200 and self._should_stream())
         ):
             self._stream()
@@ -221,7 +221,7 @@
         The event loop also reports EOF when a reset directly follows the last bytes; only the socket's
         pending error distinguishes the two.
         """
-        unframed = self.owner not in (None, AnswerOwner.OTHER) and self.ends_with_connection
+        unframed = self.owner is AnswerOwner.OWN and self.ends_with_connection
         if self.attempt is not None and unframed and not self.complete and not self._was_reset():
             self.complete, self.keep_alive = True, False
             self.status = self.parser.get_status_code()
@@ -246,6 +246,8 @@
         if self.complete or self.parser.get_status_code() < 200:
             return
         self.owner = self._find_owner()
+        if self.owner is AnswerOwner.UNKNOWN:
+            raise ValueError("no telling whose answer it is")
         self.status, self.ends_with_connection = self.parser.get_status_code(), True
         for name, value in self.headers:
             if name.lower() == b"content-length":
@@ -260,7 +262,7 @@
         return AnswerOwner.OWN
 
     def on_body(self, body: bytes) -> None:
-        if not self.complete and self.owner is not AnswerOwner.OTHER:
+        if not self.complete and self.owner is AnswerOwner.OWN:
             self.body.append(body)
             self.size += len(body)
 
--- a/tests/cluster/test_answer_owner.py
+++ b/tests/cluster/test_answer_owner.py
@@ -8,6 +8,7 @@
 import asyncio
 
 import pytest
+from test_configuration import changed
 from test_edge import BOOK, READ, Scene, next_request, reply, run_scene, wait_until, without_length
 
 from coralvale.cluster.server.hosts import HostConnection
@@ -161,3 +162,38 @@
         assert (found.status, found.body) == (200, b"own") and not scene.arrivals()
 
     run_scene(1, scene)
+
+
+@pytest.mark.parametrize("further", [False, True], ids=["first try", "further try"])
+@pytest.mark.parametrize("path", [READ, BOOK])
+@pytest.mark.parametrize("shape", [*framed(""), *unframed("")])
+def test_an_answer_that_names_no_request_is_given_to_no_client(shape: str, path: str, further: bool) -> None:
+    """Guards against MIXED, REFUSED and TWICE: whose answer it is can't be told, so the request may have run."""
+
+    async def scene(s: Scene) -> None:
+        scene = OwnerScene(s)
+        await scene.keep_connections()
+        asked, arrived = await scene.ask(path, further)
+        arrived.reply(without_id({**framed("first"), **unframed("first")}[shape]))
+        if shape in unframed(""):
+            arrived.close()
+        if path == READ:  # sent again, to a host that has not had it
+            (await next_request(s)).reply(reply("next", b"own"))
+        found = await asked
+        assert (found.status, found.body) == ((200, b"own") if path == READ else (502, b""))
+        assert b"retry-after" not in found.headers and not scene.arrivals()
+        assert s.hosts.answers[AnswerOwner.UNKNOWN] == 1
+
+    run_scene(3, scene, changed(Routes__r__Tries=3, Limits={"BodyBytes": 1000}))
+
+
+def test_an_answer_that_names_two_requests_is_given_to_no_client() -> None:
+    """Guards against MIXED: an answer that bears the id of its request and another one."""
+
+    async def scene(s: Scene) -> None:
+        asked = asyncio.create_task(s.ask(BOOK, "next"))
+        arrived = await next_request(s)
+        arrived.reply(reply("next", b"whose").replace(b"\r\n", b"\r\nX-Myrtlehatch-Request-Id: first\r\n", 1))
+        assert (await asked).status == 502
+
+    run_scene(1, scene)
--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -241,7 +241,7 @@
         asked = asyncio.create_task(s.ask(BOOK))
         for status in (503, 421):
             arrived = await next_request(s)
-            arrived.reply(answer(status, b"", X_Myrtlehatch_Not_Executed="1"))
+            arrived.reply(reply("r-1", b"", status, **{"X-Myrtlehatch-Not-Executed": "1"}))
         found = await asked
         assert found.status == 503 and float(found.headers[b"retry-after"]) > 0
 
