Write no further try to a connection that its request was written to before

Cause: an id names a request, not a try. Where all hosts were tried, one is tried again, over the connection used last, on which the copy of its first refusal is still to come. The copy bears the id of the request that waits, so it ended that try as turned away.

Ruled out: that A refused twice (its record has the run); another connection (the copy came in the place of the answer due); closing each connection after a refusal (a new one for each, where now only a further try at the same host may need one).

Why this works: on any other connection the id was never sent, so an answer with it is the answer to this try. A request keeps the connections that it was written to, at most as many as its tries; the pool passes over them, both among the idle ones and when one becomes free for those that wait. It holds for all answers: a copy of a 500 ended a second try of a read in the same way. What surely has not run is still sent again.

--- a/coralvale/cluster/server/edge.py
+++ b/coralvale/cluster/server/edge.py
@@ -59,6 +59,7 @@
         "number",
         "silence_timer",
         "attempt",
+        "connections",
         "deadline_timer",
         "sent_at",
         "done",
@@ -67,6 +68,7 @@
     def __init__(self, exchange: Exchange, job: Job, headers: list[tuple[bytes, bytes]]) -> None:
         self.exchange, self.job, self.headers = exchange, job, headers
         self.attempt: HostAttempt | None = None
+        self.connections: set[object] = set()  # to hosts, that it was written to
         self.instance: Instance | None = None
         self.deadline_timer: asyncio.TimerHandle | None = None
         self.silence_timer: asyncio.TimerHandle | None = None
@@ -242,7 +244,7 @@
             partial(self._attempt_ended, request, instance, job.tries),
             partial(self._begin_stream, request),
         )
-        attempt.request = job.id.decode("latin-1")
+        attempt.request, attempt.used_connections = job.id.decode("latin-1"), request.connections
         attempt.sent_at = now
         if request.silence_timer:
             request.silence_timer.cancel()
--- a/coralvale/net/transport.py
+++ b/coralvale/net/transport.py
@@ -111,6 +111,8 @@
     broke: bool = False  # its connection was established and then broke
     alone: bool = True  # no other attempt's end reports the same broken connection
     progress: WriteProgress = WriteProgress.NONE  # over HTTP/1.1; set when its connection ends it
+    # Connections that this attempt or an earlier one of its request was written to; None: they are not recorded.
+    used_connections: set[object] | None = field(default=None, repr=False)
     sink: Sink | None = None  # receives the answer once it is streamed
     streamed_at: float = 0.0  # when streaming began
     zone: int = -1
@@ -123,6 +125,14 @@
         """Identifies the host: a host that restarts or moves gets another place."""
         return self.server, self.started_at, self.address
 
+    def may_use(self, connection: object) -> bool:
+        """Whether no attempt of this request was written to the connection.
+
+        A late copy of the answer to an earlier attempt names the same request, so on the same connection it
+        could not be told from the answer to this one.
+        """
+        return self.used_connections is None or connection not in self.used_connections
+
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         """Reports the outcome; only the first call has an effect."""
         if not self.ended:
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -120,6 +120,8 @@
             attempt.end(Outcome.NOT_SENT)
             return
         self.attempt, attempt.connection = attempt, self
+        if attempt.used_connections is not None:
+            attempt.used_connections.add(self)
         self.idle_age = self.pool.owner.clock.now() - self.idle_since
         self.transport.writelines(payload.http1())
         if self.transport.is_closing():  # the write failed at once, so nothing was sent
@@ -397,14 +399,15 @@
         now = self.owner.clock.now()
         # The most recently used first, so that surplus connections become old and are closed.
         while connection := next(
-            (c for c in reversed(self.idle) if now - c.idle_since >= REUSE_DELAY_S), None
+            (c for c in reversed(self.idle) if now - c.idle_since >= REUSE_DELAY_S and attempt.may_use(c)),
+            None,
         ):
             self.idle.remove(connection)
             if not connection.is_unusable(now):
                 connection.start(attempt)
                 return
             connection.close()
-        if self.idle and not waited:
+        if not waited and any(attempt.may_use(c) for c in self.idle):
             self.owner.loop.call_later(REUSE_DELAY_S, self.send, attempt, True)
             return
         if not self.owner.make_room():
@@ -430,17 +433,15 @@
         """Gives the connection to the attempt that has waited longest, after the reuse delay."""
         if connection not in self.idle:
             return
-        while self.waiting:
-            attempt = self.waiting.popleft()
-            if attempt.ended:
-                continue
-            self.idle.remove(connection)
-            if connection.is_unusable(self.owner.clock.now()):
-                self.waiting.appendleft(attempt)  # its own connection is being opened
-                connection.close()
-            else:
-                connection.start(attempt)
+        attempt = next((a for a in self.waiting if not a.ended and a.may_use(connection)), None)
+        if attempt is None:
+            return
+        if connection.is_unusable(self.owner.clock.now()):
+            connection.close()  # the attempt's own connection is being opened
             return
+        self.waiting.remove(attempt)
+        self.idle.remove(connection)
+        connection.start(attempt)
 
     def retire(self) -> None:
         """Closes idle connections; busy ones are closed after their answer."""
--- a/tests/cluster/test_answer_owner.py
+++ b/tests/cluster/test_answer_owner.py
@@ -6,14 +6,26 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import product
 
 import pytest
 from test_configuration import changed
-from test_edge import BOOK, READ, Scene, next_request, reply, run_scene, wait_until, without_length
+from test_edge import (
+    BOOK,
+    READ,
+    GatedHosts,
+    Scene,
+    next_request,
+    reply,
+    run_scene,
+    wait_until,
+    without_length,
+)
 
 from coralvale.cluster.server.hosts import HostConnection
+from coralvale.net.clock import Clock
 from coralvale.net.transport import AnswerOwner
-from coralvale.net.upstream import MAX_BUFFERED_BYTES, UNKNOWN_LENGTH_WAIT_S
+from coralvale.net.upstream import MAX_BUFFERED_BYTES, REUSE_DELAY_S, UNKNOWN_LENGTH_WAIT_S
 from coralvale.standins.peer import Arrived
 from coralvale.standins.wire import Message, chunk
 
@@ -197,3 +209,84 @@
         assert (await asked).status == 502
 
     run_scene(1, scene)
+
+
+COPIES = ["refusal", "other host", "to the end, refusal"]
+
+
+# A run-once request has no further try after a failure.
+@pytest.mark.parametrize(("path", "shape"), [(READ, "failure"), *product((READ, BOOK), COPIES)])
+def test_a_copy_of_the_answer_to_an_earlier_try_ends_no_later_one(shape: str, path: str) -> None:
+    """Guards against TWICE, REFUSED and BUDGET: the copy names the same request as the answer that is due.
+
+    Each host is tried once more when all were tried. A host sends its second copy when the later try has come.
+    """
+
+    async def scene(s: Scene) -> None:
+        copy = {**framed("next"), **unframed("next")}[shape]
+        tries: list[Arrived] = []
+        asked = asyncio.create_task(s.ask(path, "next", left=5000))
+        for _ in s.peers:
+            tries.append(await next_request(s))
+            await asyncio.sleep(10 * REUSE_DELAY_S)  # connections kept before may be used again by then
+            tries[-1].reply(framed("next").get(shape, framed("next")["refusal"]))
+        tries.append(await next_request(s))  # at one of the two hosts again
+        for earlier in tries[:2]:
+            earlier.reply(copy)
+        await asyncio.sleep(0.05)  # for the copy to reach the gateway
+        tries[2].reply(reply("next", b"own"))
+        found = await asked
+        assert (found.status, found.body) == (200, b"own")
+        assert not OwnerScene(s).arrivals()
+
+    run_scene(2, scene, changed(Routes__r__Tries=4, Routes__deep__Tries=4, Limits={"BodyBytes": 1000}))
+
+
+def test_a_waiting_try_is_not_written_to_a_connection_of_an_earlier_one() -> None:
+    """Guards against TWICE and REFUSED: a connection that becomes free goes to the attempt that waits for one."""
+
+    async def scene(s: Scene) -> None:
+        s.hosts.close()
+        hosts = s.hosts = s.edge.hosts = GatedHosts(Clock(), 5.0, 8.0, 100)
+        hosts.gate = asyncio.Event()
+        hosts.gate.set()
+        asked = asyncio.create_task(s.ask(READ, "next", left=5000))
+        first = await next_request(s)
+        hosts.gate.clear()  # the later try has to wait for its new connection
+        first.reply(reply("next", b"", 503, **NOT_RUN))
+        (pool,) = hosts.pools.values()
+        await wait_until(lambda: bool(pool.waiting))
+        other = asyncio.create_task(s.ask(READ, "other", left=5000))
+        arrived = await next_request(s)
+        assert arrived.connection == 1
+        arrived.reply(reply("other", b"other's"))
+        assert (await other).body == b"other's"
+        await asyncio.sleep(20 * REUSE_DELAY_S)  # the free connection is offered to those that wait
+        assert pool.waiting and not s.peers[0].arrived.qsize()
+        hosts.gate.set()
+        arrived = await next_request(s)
+        assert arrived.connection == 2
+        arrived.reply(reply("next", b"own"))
+        assert (await asked).body == b"own"
+
+    run_scene(1, scene, changed(Routes__r__Tries=4, Limits={"BodyBytes": 1000}))
+
+
+def test_a_further_try_takes_another_kept_connection_before_it_opens_a_new_one() -> None:
+    """A try avoids only the connections that its own request was written to."""
+
+    async def scene(s: Scene) -> None:
+        two = [asyncio.create_task(s.ask(READ, f"r-{n}", left=5000)) for n in range(2)]
+        for arrived in [await next_request(s) for _ in two]:
+            id_ = arrived.message.headers[b"x-myrtlehatch-request-id"].decode()
+            arrived.reply(reply(id_, b"own"))
+        await asyncio.gather(*two)
+        asked = asyncio.create_task(s.ask(READ, "next", left=5000))
+        first = await next_request(s)
+        first.reply(reply("next", b"", 503, **NOT_RUN))
+        again = await next_request(s)
+        assert {first.connection, again.connection} == {1, 2}
+        again.reply(reply("next", b"own"))
+        assert (await asked).body == b"own" and s.peers[0].connections == 2
+
+    run_scene(1, scene, changed(Routes__r__Tries=4, Limits={"BodyBytes": 1000}))
