Soak with hosts that send late copies of their answers

Half of the soak's hosts now send one answer in eight, refusals too, a second time before the next one on the same connection.

The altered gateway `takes_any_answer_for_its_own` is found by MIXED in 3 s.

--- a/coralvale/cluster/soak/hosts.py
+++ b/coralvale/cluster/soak/hosts.py
@@ -16,6 +16,7 @@
 
 LONG_BODY_BYTES = 192 * 1024
 LEAVE_DELAY_RANGE_S = (5.0, 14.0)  # for which a host keeps serving after its leave was acknowledged: from, to
+COPY_INTERVAL = 8  # answers of a host that sends copies, of which one is sent once more
 LEAVE_TIMEOUT_S = 5.0  # after which a draining host ends without an acknowledgement
 
 
@@ -28,10 +29,21 @@
     """A simulated host, from start to end, behind a relay."""
 
     def __init__(
-        self, history: Writer, service: str, cluster: SoakCluster, zone: str, runs_at_head: bool = False
+        self,
+        history: Writer,
+        service: str,
+        cluster: SoakCluster,
+        zone: str,
+        runs_at_head: bool = False,
+        sends_copies: bool = False,
     ) -> None:
-        """`runs_at_head`: it runs a request and answers it before it reads the body."""
-        self.runs_at_head = runs_at_head
+        """`runs_at_head`: it runs a request and answers it before it reads the body.
+
+        `sends_copies`: it sends some answers a second time, in the place of the next one on their connection.
+        """
+        self.runs_at_head, self.sends_copies = runs_at_head, sends_copies
+        self.answers_sent = 0
+        self.copies: dict[asyncio.StreamWriter, bytes] = {}  # to be sent before the next answer
         self.history, self.service, self.cluster, self.zone = history, service, cluster, zone
         self.ip = cluster.ips[0]
         self.service_time = 0.02  # s
@@ -121,6 +133,7 @@
                     await self._serve_one(reader, writer)
         finally:
             self.tasks.discard(task)
+            self.copies.pop(writer, None)
             writer.close()
 
     async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -142,10 +155,10 @@
             return
         id_ = message.headers.get(b"x-myrtlehatch-request-id", b"").decode()
         if message.headers.get(b"x-myrtlehatch-want-instance", b"").decode() != self.id:
-            writer.write(refusal(421, id_))
+            self._send(writer, refusal(421, id_))
             return
         if self.in_flight >= self.slots * 4:
-            writer.write(refusal(503, id_))
+            self._send(writer, refusal(503, id_))
             return
         tenant = message.headers.get(b"x-myrtlehatch-tenant", b"").decode()
         self.history.write(Ran(now(), id_, self.id, tenant, is_body_of(id_, message.body)))
@@ -153,15 +166,14 @@
         try:
             await asyncio.sleep(self.service_time * (0.5 + random.random()))
             size = LONG_BODY_BYTES if b"/long/" in message.first else 200
-            writer.write(
-                answer(
-                    200,
-                    body_of(id_, size),
-                    X_Myrtlehatch_Request_Id=id_,
-                    X_Myrtlehatch_Seal=f"seal.{self.id}",
-                    X_Myrtlehatch_Load=f"{self.in_flight},0,{self.slots}",
-                )
+            data = answer(
+                200,
+                body_of(id_, size),
+                X_Myrtlehatch_Request_Id=id_,
+                X_Myrtlehatch_Seal=f"seal.{self.id}",
+                X_Myrtlehatch_Load=f"{self.in_flight},0,{self.slots}",
             )
+            self._send(writer, data)
             await writer.drain()
         except (OSError, asyncio.CancelledError):
             self.history.write(Broke(now(), id_, self.id))
@@ -172,3 +184,10 @@
             self.history.write(Broke(now(), id_, self.id))
         else:
             self.history.write(Done(now(), id_, self.id))
+
+    def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Sends an answer, behind the copy of an earlier one if one is due on the connection."""
+        writer.write(self.copies.pop(writer, b"") + data)
+        self.answers_sent += 1
+        if self.sends_copies and self.answers_sent % COPY_INTERVAL == 0:
+            self.copies[writer] = data
--- a/coralvale/cluster/soak/workload.py
+++ b/coralvale/cluster/soak/workload.py
@@ -61,7 +61,11 @@
         """Starts one host of a service."""
         self.hosts_started += 1
         runs_at_head = self.hosts_started % 4 in (1, 2)  # in both zones
-        host = SoakHost(self.history, service, self.cluster, zone, runs_at_head)
+        sends_copies = self.hosts_started % 4 in (
+            0,
+            1,
+        )  # in both zones, one that runs at the head and one that does not
+        host = SoakHost(self.history, service, self.cluster, zone, runs_at_head, sends_copies)
         self.hosts.append(await host.start())
         return host
 
--- a/tests/cluster/soak_mutants.py
+++ b/tests/cluster/soak_mutants.py
@@ -26,6 +26,7 @@
 from coralvale.cluster.start import run_gateway  # noqa: E402
 from coralvale.interface import Outcome  # noqa: E402
 from coralvale.net.server import Exchange  # noqa: E402
+from coralvale.net.transport import AnswerOwner  # noqa: E402
 
 MUTANTS: dict[str, Callable[[], None]] = {}
 LATE_S = 6.0  # delay of a change after its acknowledgement
@@ -79,6 +80,12 @@
     HostConnection.may_run_in_part = False
 
 
+@mutant
+def takes_any_answer_for_its_own() -> None:
+    """A host's late copy of an earlier answer counts as the answer that is due."""
+    HostConnection._find_owner = lambda self: AnswerOwner.OWN  # type: ignore[method-assign]
+
+
 @mutant
 def ends_without_waiting() -> None:
     """Stops at once, without waiting for open requests."""
--- a/tests/cluster/test_soak_mutants.py
+++ b/tests/cluster/test_soak_mutants.py
@@ -28,6 +28,7 @@
     ("answers_to_the_wrong_connection", {"MIXED"}, 3.0, ()),
     ("resends_what_may_have_run", {"TWICE"}, 5.0, SLOW_HOSTS + LINK_RESETS),
     ("takes_a_part_for_nothing", {"TWICE"}, 5.0, SLOW_HOSTS + ALL_LINK_RESETS),
+    ("takes_any_answer_for_its_own", {"MIXED"}, 3.0, ()),
     ("ends_without_waiting", {"ENDED"}, 4.0, SLOW_HOSTS + tuple(Act(2.0, "restart", n) for n in (0, 3))),
     ("closes_connections_under_requests", {"ENDED"}, 3.0, ()),
     ("acknowledges_first", {"LOST", "CONFIG"}, 8.0, ()),
