Keep nothing of a long answer whose client has left

What callers saw: nothing; a gateway's memory. A run-once request goes on at its host when its client leaves, so that the host is not broken off. A client that left without reading also left the host's connection paused, so that the answer ended at the deadline as a break.

Cause: the exchange of a lost connection takes data and is never flushed, and its bound counts open connections only. Change: once the client has left, the rest of the answer goes to a sink that drops it, and reading from the host goes on.

The client that does not read fails without the resumed reading.

--- a/coralvale/cluster/server/edge.py
+++ b/coralvale/cluster/server/edge.py
@@ -16,12 +16,12 @@
 from coralvale.cluster.rate_limit.actions import Decided
 from coralvale.cluster.routing.copies import Instance
 from coralvale.cluster.routing.router import Job, Router
-from coralvale.cluster.server.hosts import HostAnswer, HostAttempt, Hosts
+from coralvale.cluster.server.hosts import HostAnswer, HostAttempt, HostConnection, Hosts
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
 from coralvale.net.server import NOT_FORWARDED_HEADERS, Exchange, Server, connection_options
-from coralvale.net.transport import Answer, Attempt, OutgoingRequest, Source
+from coralvale.net.transport import Answer, Attempt, OutgoingRequest, Sink, Source
 
 REQUEST_ID, TIME_LEFT = b"x-myrtlehatch-request-id", b"x-myrtlehatch-time-left"
 TENANT, WANT_INSTANCE, AUTHORIZATION = (
@@ -47,6 +47,13 @@
 MAX_REQUEST_S = 600.0  # deadline of requests without a time left; the route's configured timeout applies too
 
 
+class DiscardingSink:
+    """Receives the rest of a streamed answer whose client has left."""
+
+    def write(self, data: list[bytes]) -> None:
+        """Drops the data."""
+
+
 class Request:
     """A client's request in progress, its current attempt and its timers."""
 
@@ -159,6 +166,10 @@
             self._finish(request)
             if attempt and not attempt.ended:
                 self.hosts.abort(attempt, Outcome.CANCELLED)
+        elif attempt and attempt.sink:
+            attempt.sink = DiscardingSink()
+            assert isinstance(attempt.connection, HostConnection)
+            attempt.connection.resume()  # reading may be paused for this client
 
     # Arrival of requests
 
@@ -350,13 +361,15 @@
 
     def _begin_stream(
         self, request: Request, attempt: Attempt, answer: Answer, length: int | None, source: Source
-    ) -> Exchange | None:
+    ) -> Sink | None:
         """Starts to stream an answer that is too long to be buffered whole.
 
         Returns the sink for its body, or None if the answer is not valid for this request.
         """
         if request.done or not isinstance(answer, HostAnswer) or not answer.sealed or answer.encoded:
             return None
+        if request.client_left:
+            return DiscardingSink()
         if request.deadline_timer:
             request.deadline_timer.cancel()
             request.deadline_timer = self.loop.call_later(
--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -539,3 +539,30 @@
         assert not s.edge.waiting and not s.edge.open and not s.peers[0].arrived.qsize()
 
     run_scene(1, scene)
+
+
+@pytest.mark.parametrize("leaves", ["before the answer", "in the answer", "without reading"])
+def test_nothing_is_kept_of_a_long_answer_whose_client_has_left(leaves: str) -> None:
+    """Guards against memory without a bound: a run-once request goes on at its host."""
+
+    async def scene(s: Scene) -> None:
+        _, writer = await s.connect()
+        writer.write(request_bytes(BOOK, "r-1", b"slot=9"))
+        arrived = await next_request(s)
+        (request,) = s.edge.open
+        assert request.attempt
+        whole = reply("r-1", bytes(24 << 20))
+        at = {"before the answer": 0, "in the answer": 1 << 20, "without reading": len(whole)}[leaves]
+        arrived.reply(whole[:at])
+        if leaves == "in the answer":
+            await wait_until(lambda: request.attempt.sink is not None)
+        elif leaves == "without reading":
+            await wait_until(lambda: any(c.paused for c in s.hosts.connections))
+        writer.transport.abort()
+        await wait_until(lambda: request.client_left)
+        arrived.reply(whole[at:])
+        await wait_until(lambda: not s.edge.open)
+        assert not sum(map(len, request.exchange.pending))
+        assert s.hosts.connections and not s.peers[0].closed  # the host was not broken off
+
+    run_scene(1, scene)
