Keep rows of hosts that are gone where the host was not known

A gateway that had started after the leave took a late beat of that host for a new host, until registers were compared again, 0.4 to 2 s later.

Cause: Register.merge passed over the row of a host that is gone if it did not know the host, though the others send it at the start. Rows restored from disk were those of serving hosts alone, so after a loss of power everywhere no gateway knew. Ruled out: that it is not told (Register.rows has all entries).

Why this works: the state of a life only rises, so what was told of its end may always be believed. A row with nothing but a name is still not kept. Bound: MAX_ENTRIES, as before.

Tests, all red before: a host that left before the gateway started; one that is gone is forgotten though passed on; one that had left before a restart.

--- a/coralvale/cluster/registry/register.py
+++ b/coralvale/cluster/registry/register.py
@@ -3,7 +3,8 @@
 An entry stands for one host process, known by its `Id`; its address may belong to another service soon after
 it ended. What is known of an entry only grows: `Calls` rises, and the state goes from up to draining to gone
 and never back. So rows may arrive in any order, more than once, or from a gateway that was cut off. The row
-of a host that is gone is kept for a while, so that a late heartbeat does not bring it back. A crash is not
+of a host that is gone is kept for a while, so that a late heartbeat does not bring it back; also by a gateway
+that never knew the host, since it may have started after the host's end. A crash is not
 announced: an entry of which no gateway has had a heartbeat for some intervals gets no requests, and is
 removed later.
 """
@@ -110,18 +111,7 @@
         entry = self.entries.get(row.id)
         heard = now - max(0.0, row.age)
         if entry is None:
-            if state is State.GONE or now - heard > FORGET_AFTER_BEATS * self.beat:
-                return False  # unknown here, and already past its time
-            if len(self.entries) >= MAX_ENTRIES and not self._make_room():
-                return False
-            entry = HostEntry(row, state, heard, now + row.warm / 1000, now)
-            self.entries[row.id] = entry
-            self.by_service.setdefault(row.svc, {})[row.id] = entry
-            self._toggle_digest(entry)
-            self.version += 1
-            if direct:
-                self.fresh_beats[row.id] = row.calls
-            return True
+            return self._add(now, row, state, heard, direct)
         if row.calls > entry.row.calls:
             entry.heard_at = max(entry.heard_at, heard)
             if direct:
@@ -139,6 +129,27 @@
             return True
         return False
 
+    def _add(self, now: float, row: Row, state: State, heard: float, direct: bool) -> bool:
+        """Adds an entry for a host that is not known here; returns whether others have to know of it."""
+        gone = state is State.GONE
+        if gone and not row.svc:
+            return False  # nothing but the name is known: a row of a gateway that never knew the host
+        if now - heard > (GONE_RETENTION_S if gone else FORGET_AFTER_BEATS * self.beat):
+            return False  # already past its time
+        if len(self.entries) >= MAX_ENTRIES and not self._make_room():
+            return False
+        # That of a host that is gone counts from its last heartbeat on: gateways may pass it on to each other.
+        since = heard if gone else now
+        entry = self.entries[row.id] = HostEntry(row, state, heard, now + row.warm / 1000, since)
+        self.by_service.setdefault(row.svc, {})[row.id] = entry
+        if gone:
+            return False
+        self._toggle_digest(entry)
+        self.version += 1
+        if direct:
+            self.fresh_beats[row.id] = row.calls
+        return True
+
     def merge_beats(self, now: float, beats: Iterable[tuple[str, int]]) -> bool:
         """Merges heartbeats (ID, calls) of another gateway; returns whether any ID is unknown here."""
         unknown = False
--- a/coralvale/cluster/server/arrivals.py
+++ b/coralvale/cluster/server/arrivals.py
@@ -184,13 +184,14 @@
         return 2 * len(core & noted) > len(core)
 
     def restore(self, rows: list[Row]) -> None:
-        """Merges hosts restored from disk; they expire soon unless a heartbeat arrives."""
+        """Merges hosts restored from disk. Those that serve expire soon unless a heartbeat arrives.
+
+        Those that drain or are gone are restored as they were, since a host never comes back from there.
+        """
         now = self.runtime.clock.monotonic()
         for row in rows:
-            if not row.state:
-                self.register.merge(
-                    now, msgspec.structs.replace(row, age=RESTORED_AGE_HEARTBEATS * self.register.beat)
-                )
+            age = row.age if row.state else RESTORED_AGE_HEARTBEATS * self.register.beat
+            self.register.merge(now, msgspec.structs.replace(row, age=age))
         self.saved_version = self.register.version
 
     async def save_periodically(self) -> None:
--- a/tests/cluster/test_registry.py
+++ b/tests/cluster/test_registry.py
@@ -6,7 +6,13 @@
 
 from msgspec.structs import replace
 
-from coralvale.cluster.registry.register import FORGET_AFTER_BEATS, Register, Row, State
+from coralvale.cluster.registry.register import (
+    FORGET_AFTER_BEATS,
+    GONE_RETENTION_S,
+    Register,
+    Row,
+    State,
+)
 
 BEAT = 1.5
 
@@ -73,6 +79,31 @@
     assert not one.entries and not two.entries and one.digest == two.digest == 0
 
 
+def test_a_late_heartbeat_does_not_bring_back_a_host_that_left_before_the_gateway_started() -> None:
+    """Guards against DRAIN: a gateway that starts learns from the others who is gone."""
+    old, started = Register(BEAT), Register(BEAT)
+    old.merge(0.0, row(calls=7), direct=True)
+    old.mark_gone(1.0, "i-1")
+    for each in old.rows(2.0):
+        assert not started.merge(2.0, each)  # nobody has to be told
+    assert not started.merge(3.0, row(calls=8), direct=True) and not started.may_serve("i-1")
+    assert not started.merge_beats(3.0, [("i-1", 9)]) and not started.usable(3.0, "svc")
+    assert old.digest == started.digest == 0 and not started.version
+
+
+def test_an_entry_that_is_gone_is_forgotten_though_gateways_pass_it_on() -> None:
+    registers = [Register(BEAT), Register(BEAT)]
+    registers[0].merge(0.0, row())
+    registers[0].mark_gone(5.0, "i-1")
+    for at in range(10, 200, 10):
+        for one, other in (registers, registers[::-1]):
+            for each in one.rows(float(at)):
+                other.merge(float(at), each)
+            one.sweep(float(at))
+        assert bool(registers[1].entries) == (at <= GONE_RETENTION_S)
+        assert bool(registers[0].entries) == (at <= GONE_RETENTION_S + 5)
+
+
 def test_the_number_of_entries_is_bounded() -> None:
     register = Register(BEAT)
     for n in range(6000):
--- a/tests/cluster/test_spread.py
+++ b/tests/cluster/test_spread.py
@@ -114,6 +114,19 @@
     assert not known.merge(1.0, gone_row("i-2")) and "i-2" not in known.entries
 
 
+def test_a_host_that_had_left_before_a_restart_is_not_brought_back_by_a_late_heartbeat() -> None:
+    """Guards against DRAIN: where all gateways lost power, only their disks know who drains or is gone."""
+
+    async def beat(node: GatewayNode) -> bool:
+        saved = [replace(ROW, id=f"i-{state}", state=state) for state in range(3)]
+        node.host_replication.restore(saved)
+        for row in saved:
+            node.register.merge(node.runtime.clock.monotonic(), replace(row, state=0, calls=9), direct=True)
+        return [node.register.may_serve(row.id) for row in saved] == [True, False, False]
+
+    assert play(3, set(), beat)[0]
+
+
 def test_a_drain_of_a_host_that_is_already_gone_here_is_passed_on_again() -> None:
     async def beat(node: GatewayNode) -> bool:
         node.hosts = Hosts(node.runtime.clock, 0.5, 8.0, 100)
