Hold SIGHUP back while a gateway starts

Cause: the handler is installed after all imports, and without one SIGHUP ends a process. It is now blocked before the imports (for `python -m coralvale.cluster` and for `myrtlehatch run`) and let through once the handler is there, so none is lost.

Test: a gateway gets SIGHUP as soon as one of its libraries is mapped. It fails without the block (the process is gone) and without its end (SIGHUP stays blocked).

--- a/coralvale/cluster/__main__.py
+++ b/coralvale/cluster/__main__.py
@@ -11,6 +11,9 @@
         from coralvale.cluster import commands
 
         return commands.main(sys.argv[1:])
+    from coralvale.cluster.reload_signal import hold_reload_signal
+
+    hold_reload_signal()
     from coralvale.cluster.start import run_gateway
 
     return run_gateway(os.environ.get("MYRTLEHATCH_CONFIG", ""))
--- a/coralvale/cluster/commands/gateway.py
+++ b/coralvale/cluster/commands/gateway.py
@@ -17,6 +17,9 @@
     :param metrics: ip:port on loopback or an operators' network for the Prometheus page; by default none
     :param regions: a file that binds services to regions, in addition to the configuration
     """
+    from coralvale.cluster.reload_signal import hold_reload_signal
+
+    hold_reload_signal()
     import os
     from importlib.util import find_spec
 
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -18,6 +18,7 @@
 from coralvale.cluster.regions import Regions
 from coralvale.cluster.regions import read as read_regions
 from coralvale.cluster.registry.register import Register, Row
+from coralvale.cluster.reload_signal import release_reload_signal
 from coralvale.cluster.routing.copies import InstancePool
 from coralvale.cluster.routing.home import HomeRegion
 from coralvale.cluster.routing.router import Router
@@ -151,6 +152,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.runtime.loop.add_signal_handler(number, self.stop)
         self.runtime.loop.add_signal_handler(signal.SIGHUP, self.reload_settings)
+        release_reload_signal()
         limits = settings.Limits
         descriptors = max(64, limits.MaxFds - RESERVED_DESCRIPTORS)
         max_host_connections = int(descriptors * HOST_CONNECTIONS_SHARE)
--- a/tests/cluster/test_processes.py
+++ b/tests/cluster/test_processes.py
@@ -11,6 +11,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -203,6 +204,27 @@
     run_scene(scene)
 
 
+def test_sighup_while_a_gateway_starts_does_not_end_it() -> None:
+    """Guards against a process that ends by itself: the settings change as it starts, before it has a handler."""
+
+    async def scene(cluster: LocalCluster) -> None:
+        await cluster.kill(3)
+        logged = cluster.log(3).count("E101")
+        await cluster.begin(3)
+        process = cluster.processes[3]
+        maps = Path(f"/proc/{process.pid}/maps")
+        await cluster.until(lambda: process.returncode is not None or "uvloop" in maps.read_text())
+        process.send_signal(signal.SIGHUP)  # its imports are under way
+        await cluster.until(lambda: process.returncode is not None or cluster.log(3).count("E101") > logged)
+        assert process.returncode is None
+        await cluster.until(lambda: cluster.ready(3))
+        status = Path(f"/proc/{process.pid}/status").read_text().split()
+        blocked = int(status[status.index("SigBlk:") + 1], 16)
+        assert not blocked >> (signal.SIGHUP - 1) & 1  # later ones are handled
+
+    run_scene(scene)
+
+
 def test_any_gateway_refuses_invalid_input_and_changes_nothing() -> None:
     async def scene(cluster: LocalCluster) -> None:
         bad = configuration(9, ["schedule"])
