Cut off a slow reader by what it read, not by the time alone

What callers saw: an answer of megabytes cut off 10 s after it began to wait, though its client read on. Cause: the server asked how long ago it had last written or been told that its buffer was empty enough, and a steady client may need longer to empty it. It now asks what was passed on meanwhile: less than 10 kB a second over WRITE_TIMEOUT_S cuts a client off. The time without the rate would let a byte now and then hold a buffer for ever; the bounds on all buffers and on each are as before.

Test: 400 kB read each 5 s of a 4 MB answer, on real sockets and a clock that is set forward: cut off before, whole now. One byte each 5 s and nothing at all are cut off by 15 s, before and now; without the baseline at the pause they are not.

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -43,6 +43,9 @@
 SHORT_IDLE_TIMEOUT_S = 2.0  # the same when half of the allowed connections or more are open
 NEW_CONNECTION_GRACE_S = 0.25  # before a connection that has sent nothing may be evicted for another
 WRITE_TIMEOUT_S = 10.0  # for a client that does not read its answer
+# Lowest average rate, over WRITE_TIMEOUT_S, at which a client may read an answer that waits for it. The kernel
+# reports what was read in steps of a hundred kilobytes or so.
+MIN_READ_BYTES_PER_S = 10_000
 ACCEPT_PAUSE_S = 0.05  # without accepting, after accept() failed
 SWEEP_INTERVAL_S = 0.25  # between checks of all connections for timeouts
 
@@ -342,6 +345,8 @@
         self.active_at = self.opened_at = self.server.clock.monotonic()
         self.message_began_at = 0.0
         self.buffered_bytes = 0  # of answers not yet sent, as last counted against the bounds
+        self.written_bytes = 0  # handed to the transport
+        self.taken_bytes = 0  # of these, passed on by the transport when its progress was last checked
         self.headers_complete_at = 0.0  # of the request that is being read
         self.has_requested = False  # whether a complete request was ever received
         self.size = self.head_size = 0
@@ -522,7 +527,9 @@
                     sock = self.transport.get_extra_info("socket")
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_SEND_BUFFER_BYTES)
                 self.transport.write(answer)
+                self.written_bytes += len(answer)
             if exchange.pending:
+                self.written_bytes += sum(map(len, exchange.pending))
                 self.transport.writelines(exchange.pending)
                 exchange.pending = []
             if exchange.source:  # more of the answer follows
@@ -560,6 +567,23 @@
 
     def pause_writing(self) -> None:
         self.write_paused = True
+        self._take_progress()
+
+    def _take_progress(self) -> int:
+        """Returns the bytes that the transport has passed on since the last call."""
+        assert self.transport is not None
+        taken, before = self.written_bytes - self.transport.get_write_buffer_size(), self.taken_bytes
+        self.taken_bytes = taken
+        return taken - before
+
+    def reads_too_slowly(self, now: float) -> bool:
+        """Whether the client has held up an answer for WRITE_TIMEOUT_S and read too little of it meanwhile."""
+        if not self.write_paused or now - self.active_at <= WRITE_TIMEOUT_S:
+            return False
+        if self._take_progress() < MIN_READ_BYTES_PER_S * WRITE_TIMEOUT_S:
+            return True
+        self.active_at = now
+        return False
 
     def resume_writing(self) -> None:
         self.write_paused, self.active_at = False, self.server.clock.monotonic()
@@ -837,10 +861,10 @@
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         now, room = self.clock.monotonic(), 2 * len(self.connections) < self.max_connections
         for connection in list(self.connections):
-            quiet = now - connection.active_at
             if not connection.transport:
                 continue
-            if connection.write_paused and quiet > WRITE_TIMEOUT_S:
+            quiet = now - connection.active_at
+            if connection.reads_too_slowly(now):
                 connection.transport.abort()
             elif connection.closing:
                 continue
--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -9,6 +9,7 @@
 import asyncio
 import math
 import random
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -566,3 +567,48 @@
         assert s.hosts.connections and not s.peers[0].closed  # the host was not broken off
 
     run_scene(1, scene)
+
+
+class SteppedClock(Clock):
+    """A clock that a test sets forward by `ahead` seconds."""
+
+    ahead = 0.0
+
+    def monotonic(self) -> float:
+        return super().monotonic() + self.ahead
+
+
+@pytest.mark.parametrize(("step_bytes", "served"), [(400_000, True), (1, False), (0, False)])
+def test_a_client_that_reads_slowly_but_steadily_gets_its_whole_answer(step_bytes: int, served: bool) -> None:
+    """Guards against LOST: an answer was cut off 10 s after it began to wait, though its client read on.
+
+    A client that reads almost nothing is still cut off: it would hold its buffer for ever.
+    """
+
+    async def scene(s: Scene) -> None:
+        clock = s.server.clock = SteppedClock()
+        s.server.max_buffered_bytes = s.server.max_total_body_bytes = 1 << 24
+        loop, text = asyncio.get_running_loop(), bytes(4 << 20)
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+            client.setblocking(False)
+            await loop.sock_connect(client, ("127.0.0.1", s.server.port))
+            await loop.sock_sendall(client, request_bytes(BOOK, "r-1", b"slot=9"))
+            (await next_request(s)).reply(reply("r-1", text))
+            await wait_until(lambda: not s.edge.open)
+            (connection,) = s.server.connections
+            assert connection.write_paused
+            got = bytearray()
+            for _ in range(6 if served else 3):  # half a minute; one that is cut off is by 15 s
+                wanted = len(got) + step_bytes
+                while len(got) < wanted and (data := await loop.sock_recv(client, wanted - len(got))):
+                    got += data
+                await asyncio.sleep(0.05)  # for the kernel to take more
+                clock.ahead += 5.0
+                s.server._sweep()
+            assert (connection in s.server.connections) is served
+            while served and len(got) < len(text):
+                got += await asyncio.wait_for(loop.sock_recv(client, 1 << 20), 10.0)
+            assert not served or got.endswith(text)
+
+    run_scene(1, scene)
