--- a/coralvale/cluster/soak/workload.py
+++ b/coralvale/cluster/soak/workload.py
@@ -60,11 +60,9 @@
     async def start_host(self, service: str, zone: str) -> SoakHost:
         """Starts one host of a service."""
         self.hosts_started += 1
-        runs_at_head = self.hosts_started % 4 in (1, 2)  # in both zones
-        sends_copies = self.hosts_started % 4 in (
-            0,
-            1,
-        )  # in both zones, one that runs at the head and one that does not
+        # Each in both zones; a service's first four hosts have all combinations.
+        runs_at_head = self.hosts_started % 4 in (1, 2)
+        sends_copies = self.hosts_started % 4 in (0, 1)
         host = SoakHost(self.history, service, self.cluster, zone, runs_at_head, sends_copies)
         self.hosts.append(await host.start())
         return host
