--- a/coralvale/cluster/consensus/state.py
+++ b/coralvale/cluster/consensus/state.py
@@ -197,15 +197,20 @@
         )
 
     def _install_snapshot(self, snapshot: Snapshot) -> None:
-        """Replaces the whole log by a snapshot. Only committed entries on disk are known to agree with it."""
-        self.durable_seq = min(self.durable_seq, self.commit)
+        """Replaces the whole log by a snapshot.
+
+        Until the snapshot is on disk, only entries that were committed here before are known to agree with it,
+        also those of writes that are under way.
+        """
+        agreed = self.commit
+        self.durable_seq = min(self.durable_seq, agreed)
         self.snapshot, self.entries = snapshot, deque()
         self.log_start, self.log_start_view = snapshot.seq, snapshot.view
         self.voter_log.clear()
         self.commit = self.applied = snapshot.seq
         self.applied_bytes = 0
         self.pending_sends = deque(
-            (n, min(durable, snapshot.seq), sends) for n, durable, sends in self.pending_sends
+            (n, min(durable, agreed), sends) for n, durable, sends in self.pending_sends
         )
         self.actions.append(Restore(snapshot))
 
--- a/tests/cluster/test_consensus.py
+++ b/tests/cluster/test_consensus.py
@@ -250,6 +250,23 @@
     assert told == [m.AppendReply(1, C.id, True, 2, 7)]
 
 
+def test_a_snapshot_is_acknowledged_only_once_it_is_on_disk() -> None:
+    """Guards against LOST: a write from before the snapshot ends, with entries that the snapshot replaces."""
+    lags = replica_with(C, [VOTERS])
+    first = lags.receive(0.1, m.Append(1, A.id, 1, 1, 1, (entry(2, b"old"), entry(3, b"old"))), A.ip)
+    (before,) = [a for a in first if isinstance(a, m.Write)]
+    upload = SnapshotUpload.of(m.Snapshot(3, 2, m.VoterSet((A, B, C)), b"state"))
+    part = upload.next_part(0.2, 2, B.id)
+    assert part
+    (snapshot,) = [a for a in lags.receive(0.2, part, B.ip) if isinstance(a, m.Write)]
+    lags.write_completed(0.3, before.number)
+    for message in (m.Append(2, B.id, 3, 2, 3, (), 7), part):
+        (told,) = [a.message for a in lags.receive(0.4, message, B.ip) if isinstance(a, m.Send)]
+        assert isinstance(told, m.AppendReply) and told.accepted and told.seq == 1
+    replies = [a.message for a in lags.write_completed(0.5, snapshot.number) if isinstance(a, m.Send)]
+    assert [reply.seq for reply in replies if isinstance(reply, m.AppendReply)] == [3]
+
+
 def barrier_results(replica: Replica, now: float) -> list[m.Settled]:
     return [a for a in replica.barrier(now, 99) if isinstance(a, m.Settled)]
 
