Have hosts echo the id where they answer 421, in a test and a stand-in

1. test_answers_from_a_host_that_reuses_a_retired_hosts_address_are_discarded, by: its first case is a 421 with no request id, after which a booking was to be tried again. The case has the id now and asks for the same; the 421 without one is a case of its own, after which a booking may have run (502, no promise, nothing sent again). The stand-in host of the demo echoes the id too.

--- a/coralvale/standins/cluster.py
+++ b/coralvale/standins/cluster.py
@@ -160,7 +160,7 @@
                 request = await read_message(reader)
                 id_ = request.headers.get(b"x-myrtlehatch-request-id", b"").decode()
                 if request.headers.get(b"x-myrtlehatch-want-instance", b"").decode() != self.id:
-                    writer.write(answer(421, b""))
+                    writer.write(answer(421, b"", X_Myrtlehatch_Request_Id=id_))
                     continue
                 self.ran[id_] += 1
                 self.running += 1
--- a/tests/cluster/test_grown.py
+++ b/tests/cluster/test_grown.py
@@ -35,15 +35,17 @@
         first = asyncio.create_task(s.ask(READ, "r-1"))
         (await next_request(s)).reply(reply("r-1", b"schedule"))
         assert (await first).body == b"schedule"
-        for n, said in enumerate((
-            answer(421, b"", X_Myrtlehatch_Served_By="i-other"),  # as the protocol specifies
-            answer(200, b"frames", X_Myrtlehatch_Seal="seal"),  # a host that does not know the header field
-            reply("r-0", b"frames"),
+        other_host = {"X-Myrtlehatch-Served-By": "i-other"}
+        for n, answered in enumerate((
+            lambda id_: reply(id_, b"", 421, **other_host),  # as the protocol specifies
+            lambda _: answer(200, b"frames", X_Myrtlehatch_Seal="seal"),  # knows no header field of ours
+            lambda _: reply("r-0", b"frames"),
+            lambda _: answer(421, b"", X_Myrtlehatch_Served_By="i-other"),  # perhaps not to this request
         )):  # fmt: skip
             asked = asyncio.create_task(s.ask(READ, f"r-2{n}"))
             arrived = await next_request(s)
             assert arrived.message.headers[b"x-myrtlehatch-want-instance"].startswith(b"i-")
-            arrived.reply(said)
+            arrived.reply(answered(f"r-2{n}"))
             arrived.close()
             other = await next_request(s)  # safe to repeat: retried at another host
             other.reply(reply(f"r-2{n}", b"schedule"))
@@ -51,7 +53,7 @@
             assert (found.status, found.body) == (200, b"schedule")
             booked = asyncio.create_task(s.ask(BOOK, f"b-2{n}"))
             arrived = await next_request(s)
-            arrived.reply(said)
+            arrived.reply(answered(f"b-2{n}"))
             arrived.close()
             if n:  # may have run: no promise in the answer, no retry
                 assert (await booked).status == 502 and all(p.arrived.empty() for p in s.peers)
