Measure how long the event loop of a gateway was held up

Whether an order, a beat or a heartbeat of consensus came late because of the network or because one call held the event loop could not be told from logs and metrics.

--- a/coralvale/cluster/events.py
+++ b/coralvale/cluster/events.py
@@ -28,6 +28,7 @@
     SETTINGS_BAD = 106, "ERROR", "invalid settings, keeping the old ones: {reason}"
     STALLED = 107, "WARNING", "process was stalled for {seconds:.2f} s"
     FAILED = 108, "ERROR", "a task failed: {reason}"
+    LOOP_PAUSED = 109, "WARNING", "the event loop was held up for {ms:.0f} ms"
     MEMBER = 201, "INFO", "gateway {name} is {state}"
     FOUNDED = 202, "INFO", "bootstrapped the core with disk {id}"
     VIEW = 203, "INFO", "view {view}: leader {leader}"
--- a/coralvale/cluster/server/figures.py
+++ b/coralvale/cluster/server/figures.py
@@ -52,6 +52,11 @@
             ("voter", "1 where this gateway's disk votes", float(node.core.role() in ("voter", "changing"))),
             ("gateways", "that are taken to serve", float(node.gateways())),
             ("requests_open", "requests in hand", float(len(node.edge.open))),
+            (
+                "loop_longest_pause_seconds",
+                "of the event loop, in the last one to two minutes",
+                node.runtime.pauses.longest,
+            ),
             (
                 "disk_failing_seconds",
                 "for which the disk has refused writes",
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -13,6 +13,7 @@
 from coralvale.cluster.configuration.history import Change
 from coralvale.cluster.coordination.model import Call as CoordinationCall
 from coralvale.cluster.events import Event, log_event
+from coralvale.cluster.loop_pauses import LOGGED_PAUSE_S
 from coralvale.cluster.rate_limit.limiter import RateLimiter
 from coralvale.cluster.rate_limit.quota import Rule
 from coralvale.cluster.regions import Regions
@@ -347,7 +348,14 @@
                 if self.core.replica
                 else min(MAX_REST_S, self.membership.swim.due() - self.runtime.clock.monotonic())
             )
+            due = self.runtime.clock.monotonic() + max(TICK_S, pause)
             await asyncio.sleep(max(TICK_S, pause))
+            self._record_pause(due)
+
+    def _record_pause(self, due: float) -> None:
+        pause = self.runtime.pauses.record(due, self.runtime.clock.monotonic())
+        if pause >= LOGGED_PAUSE_S:
+            log_event(Event.LOOP_PAUSED, ms=pause * 1000)
 
     def _sweep(self, now: float) -> None:
         """Removes expired hosts and peers, and logs what has accumulated since the last sweep."""
--- a/coralvale/cluster/server/runtime.py
+++ b/coralvale/cluster/server/runtime.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from coralvale.cluster.events import Event, log_event
+from coralvale.cluster.loop_pauses import LoopPauses
 from coralvale.cluster.server.messages import PeerMessage
 from coralvale.cluster.server.peers import PeerConnection, Peers
 from coralvale.cluster.settings import Settings
@@ -37,6 +38,7 @@
         self.process_token = 1 + self.rng.getrandbits(31)  # differs between starts, also within one second
         self.started_at = clock.monotonic()
         self.peers = Peers(settings.Ip, settings.peers_port, on_message, on_datagram)
+        self.pauses = LoopPauses(self.started_at)
         self.tasks: set[asyncio.Task[Any]] = set()
         self.stopping = False
 
