Refuse orders that cannot be read whole, at the leader alone

Cause: the reader converts each value to its field's type in place of checking it. Ruled out: making that reader strict.

--- a/coralvale/cluster/commands/gateway.py
+++ b/coralvale/cluster/commands/gateway.py
@@ -45,7 +45,8 @@
     :param configuration: the file is a configuration (JSON), not a settings file (YAML)
     :param as_json: print one JSON object
     """
-    from coralvale.cluster.configuration.model import Configuration, parse_configuration
+    from coralvale.cluster.configuration.history import Change, check_change
+    from coralvale.cluster.configuration.model import Configuration
     from coralvale.cluster.errors import Problem
     from coralvale.cluster.settings import SettingsError, read, remarks
 
@@ -53,13 +54,11 @@
     remark_lines: list[str] = []
     if configuration:
         try:
-            found = parse_configuration(json.loads(file.read_bytes()), Configuration())
+            found = check_change(Change(0, True, file.read_bytes()), Configuration())
             if isinstance(found, Problem):
                 mistakes = found.reason.split("; ")
         except OSError as error:
             raise CommandError(f"{file}: {error.strerror}") from None
-        except ValueError as error:
-            mistakes = [f"cannot be parsed: {error}"]
     else:
         if not file.exists():
             raise CommandError(f"{file}: no such file")
--- a/coralvale/cluster/configuration/history.py
+++ b/coralvale/cluster/configuration/history.py
@@ -1,8 +1,9 @@
 """The replicated configuration: it applies the changes of the log in order and remembers which were applied.
 
 The result depends only on the changes, so it is the same at every member. The leader calls `validate` before
-it proposes a change, every member calls `deliver` on a committed one. Both apply the same checks, so a change
-that lost a race against another, or is invalid, has no effect even if it is in the log.
+it proposes a change, every member calls `deliver` on a committed one. Both apply the checks of `model`, so a
+change that lost a race against another, or is invalid, has no effect even if it is in the log. Those of
+`admission` are the leader's alone: they may differ between versions.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 
 import msgspec
 
+from coralvale.cluster.configuration.admission import admit
 from coralvale.cluster.configuration.model import Configuration, apply_patch, differences, parse_configuration
 from coralvale.cluster.errors import Kind, Problem
 
@@ -100,6 +102,12 @@
     return raw if isinstance(raw, Problem) else parse_configuration(raw, before)
 
 
+def check_change(change: Change, before: Configuration) -> Configuration | Problem:
+    """The leader's check of a change before it is proposed: the resulting configuration, or why it is
+    refused."""
+    return admit(change.body, change.whole) or build_configuration(change, before)
+
+
 class ChangeHistory:
     """The current configuration, and the changes applied to it."""
 
@@ -125,7 +133,7 @@
             return BASE_TOO_OLD
         if change.base != self.configuration.version:
             return Problem(Kind.OTHER_VERSION, f"version {self.configuration.version} is current")
-        planned = build_configuration(change, self.configuration)
+        planned = check_change(change, self.configuration)
         if isinstance(planned, Problem):
             return planned
         self.validated = (digest, planned)
