--- a/coralvale/cluster/configuration/admission.py
+++ b/coralvale/cluster/configuration/admission.py
@@ -22,7 +22,8 @@
 from coralvale.cluster.errors import Kind, Problem
 
 MAX_WHOLE_NUMBER = 2**53  # the largest up to which JSON numbers are exact everywhere
-MAX_DEPTH = 64  # of tables and lists within one item
+MAX_DEPTH = 64  # of tables and lists within one item or field
+MAX_CONTAINERS = 100_000  # tables and lists within one item or field; each takes 60 bytes of memory and more
 _OPENING_BRACKETS = (b"{", b"[")
 
 # A number may be written 2 or 2.0.
@@ -143,8 +144,12 @@
         sent = _decode_whole(body) if whole else _decode_update(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Problem(Kind.INVALID, f"cannot be read whole: {_with_place('', error)}")
-    if any(is_too_deep(raw) for name, raw in _decode_fields(body).items() if name not in _KNOWN_FIELDS):
-        return Problem(Kind.INVALID, f"nested deeper than {MAX_DEPTH}")
+    fields = _decode_fields(body)
+    unknown = (
+        (shorten(name), _nesting_error(raw)) for name, raw in fields.items() if name not in _KNOWN_FIELDS
+    )
+    if problem := problem_of(f"{name}: {error}" for name, error in unknown if error):
+        return problem
     parts = sent if isinstance(sent, WholeBody) else sent.Upsert
     if not isinstance(parts, WholeBody | UpsertFields):
         return None
@@ -174,24 +179,29 @@
     """Why a value cannot be read as its type."""
     try:
         decode(raw)
-        if is_too_deep(raw):
-            return ValueError(f"nested deeper than {MAX_DEPTH}")
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return error
-    return None
+    nesting_error = _nesting_error(raw)
+    return ValueError(nesting_error) if nesting_error else None
 
 
-def is_too_deep(raw: Raw) -> bool:
-    """Whether tables and lists in a value, also in fields that are not known, are nested deeper than allowed."""
+def _nesting_error(raw: Raw) -> str:
+    """What is wrong with the tables and lists in a value, also in fields that are not known; "" if nothing."""
     text = bytes(raw)
-    if sum(text.count(bracket) for bracket in _OPENING_BRACKETS) <= MAX_DEPTH:
-        return False
-    level = [_decode_any(raw)]
+    brackets = sum(text.count(bracket) for bracket in _OPENING_BRACKETS)  # also those within texts
+    if brackets <= MAX_DEPTH:
+        return ""
+    if brackets > MAX_CONTAINERS:
+        return f"more than {MAX_CONTAINERS} tables, lists and opening brackets"
+    try:
+        level = [_decode_any(raw)]
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return str(error)
     for _ in range(MAX_DEPTH):
         level = [inner for outer in level for inner in _containers_in(outer)]
         if not level:
-            return False
-    return True
+            return ""
+    return f"nested deeper than {MAX_DEPTH}"
 
 
 def _containers_in(value: Any) -> Iterator[Any]:  # noqa: ANN401
--- a/tests/cluster/test_admission.py
+++ b/tests/cluster/test_admission.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from coralvale.cluster.configuration.admission import MAX_DEPTH, admit
+from coralvale.cluster.configuration.admission import MAX_CONTAINERS, MAX_DEPTH, admit
 from coralvale.cluster.configuration.history import Change, ChangeHistory, apply_update, pack
 from coralvale.cluster.configuration.model import MAX_REPORTED_ERRORS, Configuration
 from coralvale.cluster.errors import Kind, Problem
@@ -76,7 +76,9 @@
     (whole(Tenants=[]), "Tenants"),
     (whole(Tenants=False), "Tenants"),
     (whole(Tenants=""), "Tenants"),
-    (whole(Note=deep(MAX_DEPTH + 1)), "nested"),
+    (whole(Note=deep(MAX_DEPTH + 1)), "Note: nested"),
+    (whole(Note=[[]] * MAX_CONTAINERS), "Note: more than"),
+    (whole({"Note": [[]] * MAX_CONTAINERS}), "Routes.r: more than"),
 ]
 
 
@@ -90,7 +92,7 @@
     history = ChangeHistory()
     history.deliver(pack(Change(0, True, encode(whole()))))
     parts = {name: part for name, part in order.items() if name != "Ver"}
-    if place != "nested":
+    if "Note" not in order:
         found = history.validate(Change(2, False, encode({"Ver": 3, "Upsert": parts})))
         assert isinstance(found, Problem) and place in found.reason
 
