Check orders beside the event loop, once, and answer whatever comes of it

Callers saw: while the leader checked an order, nothing else on its loop went on: other orders, heartbeats of consensus, requests, hosts' beats (18 MB of valid routes with a broken one at the end: over 2 s).

Cause: the check was a call inside the desk, its result was not kept, and an exception left the desk.

Change: the desk asks for a check (CheckChange) and takes the result as an event; the shell runs it in a daemon thread, so that a process that ends doesn't wait for it. Results are kept until the next version. An exception is a result: 500. Orders that wait are withdrawn with their callers and have a bound in bytes. E302 and E303 tell the time of each step.

--- a/coralvale/cluster/configuration/history.py
+++ b/coralvale/cluster/configuration/history.py
@@ -20,6 +20,7 @@
 
 MAX_KNOWN_CHANGES = 4096  # applied changes remembered to recognise retries: 12 bytes and a version each
 MAX_RECENT_CHANGES = 64  # applied changes kept whole, for updates that hold single changes
+MAX_REFUSED_CHANGES = 16  # remembered, to answer their retries
 MAX_SUMMARIES = 64
 MAX_NAMES_PER_SUMMARY = 12  # of each section, for each of added, changed and removed
 
@@ -104,8 +105,14 @@
 
 def check_change(change: Change, before: Configuration) -> Configuration | Problem:
     """The leader's check of a change before it is proposed: the resulting configuration, or why it is
-    refused."""
-    return admit(change.body, change.whole) or build_configuration(change, before)
+    refused.
+
+    Raises nothing: an order that makes the check fail is answered like any other.
+    """
+    try:
+        return admit(change.body, change.whole) or build_configuration(change, before)
+    except Exception as error:  # noqa: BLE001
+        return Problem(Kind.CHECK_FAILED, repr(error))
 
 
 class ChangeHistory:
@@ -118,14 +125,17 @@
         # Version before, version after, change.
         self.recent_changes: deque[tuple[int, int, Change]] = deque(maxlen=MAX_RECENT_CHANGES)
         self.summaries: deque[ChangeSummary] = deque(maxlen=MAX_SUMMARIES)
-        self.validated: tuple[bytes, Configuration] | None = None  # result of the last `validate`
+        self.validated: tuple[bytes, Configuration] | None = None  # result of the last check that passed
+        # By digest: why a change on the current version was refused.
+        self.refused: OrderedDict[bytes, Problem] = OrderedDict()
 
     def was_applied(self, change: Change) -> bool:
         """Whether this change (same body, base and kind) is among the remembered ones."""
         return change.digest() in self.applied
 
-    def validate(self, change: Change) -> Problem | AlreadyApplied | BaseTooOld | None:
-        """None if the change is to be proposed, else why not."""
+    def known_outcome(self, change: Change) -> Problem | AlreadyApplied | BaseTooOld | None:
+        """Why the change is not to be proposed, as far as it is known without a check; None: it is to be
+        checked."""
         digest = change.digest()
         if digest in self.applied:
             return ALREADY_APPLIED
@@ -133,11 +143,28 @@
             return BASE_TOO_OLD
         if change.base != self.configuration.version:
             return Problem(Kind.OTHER_VERSION, f"version {self.configuration.version} is current")
-        planned = check_change(change, self.configuration)
-        if isinstance(planned, Problem):
-            return planned
-        self.validated = (digest, planned)
-        return None
+        return self.refused.get(digest)
+
+    def record_check(self, change: Change, checked: Configuration | Problem) -> None:
+        """Keeps the result of a check on the current version, so that neither delivery nor a repeated order
+        checks again."""
+        if change.base != self.configuration.version:
+            return
+        if isinstance(checked, Configuration):
+            self.validated = (change.digest(), checked)
+        elif checked.kind is not Kind.CHECK_FAILED:
+            self.refused[change.digest()] = checked
+            if len(self.refused) > MAX_REFUSED_CHANGES:
+                self.refused.popitem(last=False)
+
+    def validate(self, change: Change) -> Problem | AlreadyApplied | BaseTooOld | None:
+        """None if the change is to be proposed, else why not; checks it here and now."""
+        known = self.known_outcome(change)
+        if known is not None:
+            return known
+        checked = check_change(change, self.configuration)
+        self.record_check(change, checked)
+        return checked if isinstance(checked, Problem) else None
 
     def deliver(self, body: bytes) -> bool:
         """Applies a committed change; returns whether it took effect."""
@@ -150,6 +177,7 @@
         self.validated = None
         if isinstance(planned, Problem):
             return False
+        self.refused.clear()
         self.recent_changes.append((self.configuration.version, planned.version, change))
         self._record_summary(change, planned)
         self.configuration = planned
@@ -192,6 +220,7 @@
         if isinstance(configuration, Problem):
             raise ValueError(f"the stored configuration is not valid: {configuration.reason}")
         self.configuration = configuration
+        self.refused.clear()
         self.applied = OrderedDict((digest, version) for version, digest in image.applied)
         self.oldest_base = image.oldest_base
         self.summaries = deque(image.summaries, maxlen=MAX_SUMMARIES)
--- a/coralvale/cluster/errors.py
+++ b/coralvale/cluster/errors.py
@@ -32,6 +32,7 @@
     BAD_REQUEST = "what was sent cannot be read"
     BAD_CALL = "there is no such call"
     INVALID = "the configuration is invalid"
+    CHECK_FAILED = "the check of the configuration failed"
     OTHER_VERSION = "another version is current"
     NO_MAJORITY = "no majority could be reached"
     DISK = "the disk takes no more"
@@ -77,6 +78,7 @@
     Kind.BAD_REQUEST: Answer(400),
     Kind.BAD_CALL: Answer(404),
     Kind.INVALID: Answer(400),
+    Kind.CHECK_FAILED: Answer(500),
     Kind.OTHER_VERSION: Answer(412),
     Kind.NO_MAJORITY: Answer(503),
     Kind.DISK: Answer(503),
--- a/coralvale/cluster/events.py
+++ b/coralvale/cluster/events.py
@@ -44,8 +44,8 @@
         "INFO",
         "configuration {version} in force: {routes} routes, {services} services, {tenants} tenants",
     )
-    CHANGE_TAKEN = 302, "INFO", "change to version {version} acknowledged after {ms:.0f} ms"
-    CHANGE_REFUSED = 303, "WARNING", "change refused ({kind}): {reason}"
+    CHANGE_TAKEN = 302, "INFO", "change to version {version} acknowledged after {ms:.0f} ms: {steps}"
+    CHANGE_REFUSED = 303, "WARNING", "change refused ({kind}): {reason} ({steps})"
     NEWS_BAD = 304, "ERROR", "invalid configuration update: {reason}"
     HOST_NEW = 401, "INFO", "new host {id} of {service} at {at}"
     HOST_LEAVES = (
--- a/coralvale/cluster/orders.py
+++ b/coralvale/cluster/orders.py
@@ -6,6 +6,9 @@
 
 A change is identified by its bytes and the version that it builds on; `ChangeHistory` remembers those that
 were applied. Requests are settled one at a time, each against the result of the ones before it.
+
+A check may take long, so it is an action for the caller (`CheckChange`), which carries it out beside the event
+loop and passes its result to `checked`. A request whose caller has given up is not begun.
 """
 
 from __future__ import annotations
@@ -14,12 +17,36 @@
 
 from attrs import define, frozen
 
-from coralvale.cluster.configuration.history import AlreadyApplied, BaseTooOld, Change, ChangeHistory, pack
+from coralvale.cluster.configuration.history import (
+    AlreadyApplied,
+    BaseTooOld,
+    Change,
+    ChangeHistory,
+    check_change,
+    pack,
+)
+from coralvale.cluster.configuration.model import Configuration
 from coralvale.cluster.consensus import messages as consensus
 from coralvale.cluster.consensus.replica import Replica
 from coralvale.cluster.errors import ANSWERS, Kind, Problem
 
 MAX_WAITING_REQUESTS = 64  # operators have eight in flight
+MAX_WAITING_BYTES = 128 * 1024 * 1024  # of their bodies: two of the largest
+
+
+@frozen
+class StepTimes:
+    """How long a request took in each step, in s."""
+
+    waiting: float  # for the requests before it
+    check: float
+    agreement: float  # until a majority confirmed the outcome
+
+    def __str__(self) -> str:
+        return (
+            f"waited {self.waiting * 1000:.0f} ms, check {self.check * 1000:.0f} ms, "
+            f"agreement {self.agreement * 1000:.0f} ms"
+        )
 
 
 @frozen
@@ -30,6 +57,7 @@
     body: bytes = b"{}"
     problem: Problem | None = None
     change: Change | None = None  # the change, where this request applied it
+    times: StepTimes | None = None
 
     @property
     def status(self) -> int:
@@ -37,16 +65,41 @@
         return ANSWERS[self.problem.kind].status if self.problem else 200
 
 
+@frozen
+class CheckChange:
+    """Asks the caller to check a change, and to pass the result to `ChangeRequestHandler.checked`."""
+
+    token: int
+    change: Change
+    before: Configuration  # that the change builds on
+
+    def run(self) -> Configuration | Problem:
+        """The result. Uses nothing that changes, so it may run in a thread; raises nothing."""
+        return check_change(self.change, self.before)
+
+
 @define
 class ChangeRequest:
-    """A change request. `proposed`: it was proposed to the log; otherwise its read barrier is pending."""
+    """A change request. Its check, its read barrier or its proposal is pending while it is current.
+
+    Times are in s of the monotonic clock.
+    """
 
     token: int
     change: Change
+    received_at: float = 0.0
+    begun_at: float = 0.0
+    checked_at: float = 0.0
+    checking: bool = False
     proposed: bool = False
 
+    def times(self, now: float) -> StepTimes:
+        """How long each step took; `now`: the request is answered."""
+        checked_at = self.checked_at or self.begun_at
+        return StepTimes(self.begun_at - self.received_at, checked_at - self.begun_at, now - checked_at)
+
 
-Result = list[consensus.Action | ChangeAnswer]
+Result = list[consensus.Action | ChangeAnswer | CheckChange]
 
 
 def unsettled(token: int, reason: str) -> ChangeAnswer:
@@ -57,7 +110,8 @@
 class ChangeRequestHandler:
     """Answers operators' change requests and reads of the configuration at the leader.
 
-    The caller passes each `Settled` action of the replica to `settled`. Times are in s of the steady clock.
+    The caller passes each `Settled` action of the replica to `settled`, and the result of each `CheckChange` to
+    `checked`. Times are in s of the monotonic clock.
     """
 
     def __init__(self, replica: Replica, history: ChangeHistory) -> None:
@@ -75,11 +129,31 @@
 
     def submit(self, now: float, token: int, change: Change) -> Result:
         """Queues an operator's change."""
-        if len(self.waiting) >= MAX_WAITING_REQUESTS:
+        waiting_bytes = sum(len(request.change.body) for request in self.waiting)
+        if len(self.waiting) >= MAX_WAITING_REQUESTS or waiting_bytes + len(change.body) > MAX_WAITING_BYTES:
             return [unsettled(token, "too many orders are waiting")]
-        self.waiting.append(ChangeRequest(token, change))
+        self.waiting.append(ChangeRequest(token, change, now))
         return self._start_next(now)
 
+    def withdraw(self, token: int) -> None:
+        """Forgets a request that waits, since its caller has given up; one that was begun is carried on."""
+        self.waiting = deque(request for request in self.waiting if request.token != token)
+
+    def checked(self, now: float, token: int, found: Configuration | Problem) -> Result:
+        """Handles the result of a check; those of other requests than the current one are ignored."""
+        request = self.current
+        if request is None or request.token != token or not request.checking:
+            return []
+        request.checking, request.checked_at = False, now
+        self.history.record_check(request.change, found)
+        if not self._may_answer(now):
+            return self._finish(now, unsettled(token, "no longer the leader"))
+        if isinstance(found, Problem) and found.kind is Kind.CHECK_FAILED:
+            return self._finish(now, ChangeAnswer(token, problem=found, times=request.times(now)))
+        if isinstance(found, Problem):
+            return [*self.replica.barrier(now, token)]
+        return self._propose(now, request)
+
     def settled(self, now: float, token: int, accepted: bool) -> Result:
         """Handles the result of a proposal or read barrier; other tokens are ignored."""
         if token in self.reads:
@@ -90,10 +164,18 @@
         request = self.current
         if request is None or request.token != token:
             return []
-        self.current = None
         if not accepted:
-            return [unsettled(token, "no majority answers"), *self._start_next(now)]
-        return [*self._resolve(now, request), *self._start_next(now)]
+            return self._finish(now, unsettled(token, "no majority answers"))
+        return self._resolve(now, request)
+
+    def _finish(self, now: float, answer: ChangeAnswer) -> Result:
+        """Answers the current request, and starts the next one."""
+        self.current = None
+        return [answer, *self._start_next(now)]
+
+    def _may_answer(self, now: float) -> bool:
+        replica = self.replica
+        return replica.leading and replica.caught_up and replica.in_contact(now)
 
     def _start_next(self, now: float) -> Result:
         result: Result = []
@@ -102,32 +184,35 @@
         return result
 
     def _begin(self, now: float, request: ChangeRequest) -> Result:
-        replica = self.replica
-        if not replica.leading or not replica.caught_up or not replica.in_contact(now):
+        if not self._may_answer(now):
             return [unsettled(request.token, "no longer the leader, or not yet")]
-        problem = self.history.validate(request.change)
-        self.current = request  # only now: if the check raises, the requests behind it still get their turn
-        if problem is not None:
-            return [*replica.barrier(now, request.token)]
-        return self._propose(now, request)
+        self.current, request.begun_at = request, now
+        if self.history.known_outcome(request.change) is not None:
+            return [*self.replica.barrier(now, request.token)]
+        return self._check(request)
+
+    def _check(self, request: ChangeRequest) -> Result:
+        request.checking = True
+        return [CheckChange(request.token, request.change, self.history.configuration)]
 
     def _propose(self, now: float, request: ChangeRequest) -> Result:
         self.current, request.proposed = request, True
         return [*self.replica.propose(now, request.token, consensus.CHANGE, pack(request.change))]
 
     def _resolve(self, now: float, request: ChangeRequest) -> Result:
-        """Answers a request that a majority confirmed. The history is current now; the request is validated
+        """Answers a request that a majority confirmed. The history is current now; its outcome is looked up
         again, since other changes may have been delivered meanwhile."""
-        token, change = request.token, request.change
+        token, change, times = request.token, request.change, request.times(now)
         if request.proposed:
             if self.history.was_applied(change):
-                return [ChangeAnswer(token, change=change)]
-            return [unsettled(token, "another came first")]
-        found = self.history.validate(change)
+                return self._finish(now, ChangeAnswer(token, change=change, times=times))
+            return self._finish(now, unsettled(token, "another came first"))
+        found = self.history.known_outcome(change)
         if isinstance(found, AlreadyApplied):
-            return [ChangeAnswer(token)]
+            return self._finish(now, ChangeAnswer(token))
         if isinstance(found, BaseTooOld):
-            return [unsettled(token, "it builds on a version so old that nobody knows whether it was taken")]
+            reason = "it builds on a version so old that nobody knows whether it was taken"
+            return self._finish(now, unsettled(token, reason))
         if isinstance(found, Problem):
-            return [ChangeAnswer(token, problem=found)]
-        return self._propose(now, request)
+            return self._finish(now, ChangeAnswer(token, problem=found, times=times))
+        return self._check(request)
--- a/coralvale/cluster/server/changes.py
+++ b/coralvale/cluster/server/changes.py
@@ -167,10 +167,20 @@
             return 503, b"no majority answers"
         if answer.change:
             ms = (self.runtime.clock.monotonic() - started_at) * 1000
-            log_event(Event.CHANGE_TAKEN, version=self.core.history.configuration.version, ms=ms)
+            log_event(
+                Event.CHANGE_TAKEN,
+                version=self.core.history.configuration.version,
+                ms=ms,
+                steps=answer.times,
+            )
         if problem := answer.problem:
             if change and problem.kind is not Kind.NO_MAJORITY:
-                log_event(Event.CHANGE_REFUSED, kind=problem.kind.name, reason=problem.reason)
+                log_event(
+                    Event.CHANGE_REFUSED,
+                    kind=problem.kind.name,
+                    reason=problem.reason,
+                    steps=answer.times,
+                )
             return answer.status, problem.reason.encode()
         return answer.status, answer.body
 
--- a/coralvale/cluster/server/core.py
+++ b/coralvale/cluster/server/core.py
@@ -21,9 +21,10 @@
 from coralvale.cluster.coordination.notices import Notice
 from coralvale.cluster.coordination.state import CoordinationState
 from coralvale.cluster.events import Event, log_event
-from coralvale.cluster.orders import ChangeAnswer, ChangeRequestHandler
+from coralvale.cluster.orders import ChangeAnswer, ChangeRequestHandler, CheckChange
 from coralvale.cluster.rate_limit.shares import ShareTable
 from coralvale.cluster.registry.register import Row
+from coralvale.cluster.server.background import run_in_thread
 from coralvale.cluster.server.messages import ConsensusMessage, Nominate, Nominee
 from coralvale.cluster.server.runtime import Runtime
 from coralvale.cluster.share_desk import ShareAnswer, ShareClaim, ShareClaimHandler
@@ -31,7 +32,9 @@
 
 DISK_RETRY_S = 0.25  # until a failed write is retried
 SHARES_CHECK_INTERVAL_S = 0.2  # between checks whether the share table should change
-CoreAction = consensus.Action | ChangeAnswer | ShareAnswer | CoordinationAnswer | CoordinationNotice
+CoreAction = (
+    consensus.Action | ChangeAnswer | CheckChange | ShareAnswer | CoordinationAnswer | CoordinationNotice
+)
 
 
 class Core:
@@ -140,6 +143,8 @@
                 for desk in (self.desk, self.share_desk, self.coordination_desk):
                     if desk:
                         self.pending.extend(desk.settled(now, action.token, action.accepted))
+            case CheckChange():
+                self.runtime.spawn(self._check_change(action))
             case ChangeAnswer():
                 if (future := self.answers.get(action.token)) and not future.done():
                     future.set_result(action)
@@ -152,6 +157,12 @@
             case CoordinationNotice():
                 self.on_notice(action.notice)
 
+    async def _check_change(self, action: CheckChange) -> None:
+        """Checks an order beside the event loop, which serves on meanwhile."""
+        assert self.desk
+        found = await run_in_thread(action.run)
+        self.execute(self.desk.checked(self.runtime.clock.monotonic(), action.token, found))
+
     async def _write(self) -> None:
         """Writes to disk in order; retries a failed write until it succeeds."""
         assert self.store and self.replica
@@ -305,6 +316,7 @@
             return None
         finally:
             self.answers.pop(token, None)
+            self.desk.withdraw(token)
 
     async def claim(self, address: str, version: int, left: bool, timeout: float) -> ShareAnswer | None:
         """At the leader: submits a gateway's share claim. Returns None if unanswered after `timeout` s."""
--- a/tests/cluster/consensus_world.py
+++ b/tests/cluster/consensus_world.py
@@ -19,7 +19,7 @@
 from coralvale.cluster.configuration.history import Change, ChangeHistory
 from coralvale.cluster.consensus import messages as m
 from coralvale.cluster.consensus.replica import DurableState, Replica, Timing
-from coralvale.cluster.orders import ChangeAnswer, ChangeRequestHandler
+from coralvale.cluster.orders import ChangeAnswer, ChangeRequestHandler, CheckChange
 
 TIMING = Timing()
 ANSWER_TIMEOUT_S = 0.9  # for one answer
@@ -81,7 +81,7 @@
     frozen_until: float = 0.0  # its process is suspended; messages are read afterwards
     link: float = 0.0  # bytes per second, 0 for no limit
     link_until: float = 0.0
-    pending: deque[m.Action | ChangeAnswer] = field(factory=deque)
+    pending: deque[m.Action | ChangeAnswer | CheckChange] = field(factory=deque)
     acting: bool = False
 
 
@@ -107,8 +107,9 @@
         self, seed: int, members: int, replica_class: Callable[..., Replica] = Replica, **more: Any
     ) -> None:
         """`more`: `desk`: class of the handlers of change requests; `keeps_ids`: a lost disk comes back under
-        the same id."""
+        the same id; `check_seconds`: how long the check of a change may take, none: no time."""
         self.env, self.chance = simpy.Environment(), random.Random(seed)
+        self.check_seconds: tuple[float, ...] = more.get("check_seconds", ())
         # In every second world the log is short, so that snapshots are taken and transferred.
         short = {"snapshot_every": 12, "kept_entries": 4} if seed % 2 else {}
         self.replica_class = (
@@ -199,7 +200,7 @@
         ):
             raise InvariantViolation(f"two leaders of view {replica.view}")
 
-    def carry_out(self, machine: Machine, action: m.Action | ChangeAnswer) -> None:
+    def carry_out(self, machine: Machine, action: m.Action | ChangeAnswer | CheckChange) -> None:
         match action:
             case m.Send():
                 self.send(machine, action.to.ip, action.message, action.to.id)
@@ -215,9 +216,21 @@
             case m.Settled():
                 if machine.desk:
                     machine.pending.extend(machine.desk.settled(self.env.now, action.token, action.accepted))
+            case CheckChange():
+                if self.check_seconds:
+                    self.env.process(self.check_change(machine, machine.life, action))
+                elif machine.desk:
+                    machine.pending.extend(machine.desk.checked(self.env.now, action.token, action.run()))
             case ChangeAnswer():
                 self.check_answer(action)
 
+    def check_change(self, machine: Machine, life: int, action: CheckChange) -> object:
+        """Carries out a check beside everything else."""
+        yield self.env.timeout(self.chance.choice(self.check_seconds))
+        yield from self.wait_while_frozen(machine)
+        if machine.life == life and machine.desk:
+            self.act(machine, machine.desk.checked(self.env.now, action.token, action.run()))
+
     def check_delivered(self, machine: Machine, entry: m.Entry) -> None:
         if self.delivered.setdefault(entry.seq, entry) != entry:
             raise InvariantViolation(f"two entries were delivered as {entry.seq}")
--- a/tests/cluster/mutants.py
+++ b/tests/cluster/mutants.py
@@ -10,6 +10,7 @@
 from consensus_world import InvariantViolation, World
 
 from coralvale.cluster.configuration.history import Change, Problem
+from coralvale.cluster.configuration.model import Configuration
 from coralvale.cluster.consensus import messages as m
 from coralvale.cluster.consensus.replica import Replica
 from coralvale.cluster.errors import Kind
@@ -148,12 +149,14 @@
 class JudgesTogether(ChangeRequestHandler):
     """Proposes changes on the same base concurrently, and acknowledges each once it is in the log."""
 
-    def _begin(self, now: float, order: ChangeRequest) -> Result:
-        done = super()._begin(now, order)
-        if order.proposed:
+    def checked(self, now: float, token: int, found: Configuration | Problem) -> Result:
+        order = self.current
+        done = super().checked(now, token, found)
+        if order and order.proposed and order is self.current:
             self.beside = getattr(self, "beside", {})
             self.beside[order.token] = order
             self.current = None
+            done += self._start_next(now)
         return done
 
     def settled(self, now: float, token: int, accepted: bool) -> Result:
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -6,7 +6,7 @@
 import json
 import time
 from collections.abc import Iterator
-from typing import Any, cast
+from typing import Any
 
 import cattrs
 import msgspec
@@ -32,9 +32,7 @@
     parse_configuration,
     problem_of,
 )
-from coralvale.cluster.consensus.replica import Replica
 from coralvale.cluster.errors import Kind, Problem
-from coralvale.cluster.orders import ChangeRequestHandler
 from coralvale.cluster.server.ctl import base_version
 
 ROUTE = {
@@ -160,30 +158,6 @@
     assert base_version(str(largest + 1).encode()) is None and base_version(b"9" * 5000) is None
 
 
-class LeaderOnly:
-    """A replica that leads and takes every proposal."""
-
-    leading = caught_up = True
-
-    def in_contact(self, now: float) -> bool:
-        return True
-
-    def propose(self, now: float, token: int, kind: int, body: bytes) -> list[Any]:
-        return [token]
-
-
-def test_a_check_that_raises_holds_up_no_other_order(monkeypatch: pytest.MonkeyPatch) -> None:
-    def check_fails(self: ChangeHistory, change: Change) -> None:
-        raise TypeError("unhashable")
-
-    handler = ChangeRequestHandler(cast(Replica, LeaderOnly()), ChangeHistory())
-    with monkeypatch.context() as patched:
-        patched.setattr(ChangeHistory, "validate", check_fails)
-        with pytest.raises(TypeError):
-            handler.submit(1.0, 1, Change(0, True, body(WHOLE)))
-    assert handler.submit(1.1, 2, Change(0, True, body(WHOLE))) == [2]
-
-
 def test_a_truncated_or_undecodable_body_is_refused() -> None:
     for cut in (b"", body(WHOLE)[:-1], b"\xff", b"[" * 100_000):
         found = ChangeHistory().validate(Change(0, True, cut))
