Keep a host under the service that it was first known with

Cause: the row took the new service, the index by service kept the old one, and the removal looked under the new one.

Evidence: test_a_host_that_names_another_service_later failed before, with that KeyError once the rows were merged.

--- a/coralvale/cluster/registry/register.py
+++ b/coralvale/cluster/registry/register.py
@@ -119,7 +119,8 @@
                 entry.warm_at = now + row.warm / 1000
             elif row.slots == entry.row.slots:
                 row = msgspec.structs.replace(entry.row, calls=row.calls)
-            entry.row = msgspec.structs.replace(row, state=int(entry.state))
+            # A life belongs to the service that it was first known with: it is indexed by that.
+            entry.row = msgspec.structs.replace(row, state=int(entry.state), svc=entry.row.svc)
         if state > entry.state:
             self._toggle_digest(entry)
             entry.state, entry.since = state, now
--- a/tests/cluster/test_registry.py
+++ b/tests/cluster/test_registry.py
@@ -113,3 +113,16 @@
     assert (
         register.merge(2.0, row("i-new")) and len(register.entries) == 4096 and "i-5" not in register.entries
     )
+
+
+# Guards against a host that names another service later: its entry stayed among those in use for ever, and the
+# sweep that met it ended in an error, before all that it does each second besides.
+def test_a_host_that_names_another_service_later_is_removed_like_any_other() -> None:
+    register = Register(BEAT)
+    register.merge(0.0, row(calls=1), direct=True)
+    register.merge(1.0, row(calls=2, svc="another"), direct=True)
+    register.merge(1.0, row(calls=3, svc="a third", slots=9))
+    assert [entry.row.svc for entry in register.usable(1.0, "svc")] == ["svc"]
+    assert not register.usable(1.0, "another")
+    assert register.sweep(1.1 + FORGET_AFTER_BEATS * BEAT) == ["i-1"]
+    assert not register.usable(60.0, "svc") and not register.entries and register.digest == 0
