Refuse heartbeats that no message between gateways could hold

Callers saw: after one heartbeat with Calls or Capacity of more than 64 bits the gateway that took it could neither send its register to another gateway nor write it to disk (OverflowError each time), until the life was forgotten. Texts of a heartbeat had no bound but the call's 64 MiB.

Evidence: test_a_heartbeat_that_no_message_could_hold_is_refused failed before; the largest that is taken is sent on.

--- a/coralvale/cluster/server/ctl.py
+++ b/coralvale/cluster/server/ctl.py
@@ -5,10 +5,11 @@
 import asyncio
 import re
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any
+from typing import Annotated, Any
 from urllib.parse import parse_qs, unquote
 
 import msgspec
+from msgspec import Meta
 
 from coralvale.cluster.configuration.history import Change
 from coralvale.cluster.configuration.model import MAX_VERSION
@@ -30,17 +31,23 @@
 JSON_BODIES = {200, 412}  # statuses whose answers have a body that callers read
 
 
+# Rows of hosts are sent on to all gateways: what has no place in a message must not come into the register.
+HostText = Annotated[str, Meta(max_length=512)]
+MAX_CALLS = (1 << 63) - 1
+MAX_CAPACITY = (1 << 31) - 1
+
+
 class HeartbeatBody(msgspec.Struct):
     """Body of a host's heartbeat, as PROTOCOL defines it."""
 
-    Svc: str
-    Address: str
-    Az: str = ""
-    Ver: str = ""
-    Capacity: int = 1
-    State: str = "up"
+    Svc: HostText
+    Address: HostText
+    Az: HostText = ""
+    Ver: HostText = ""
+    Capacity: Annotated[int, Meta(ge=-MAX_CAPACITY, le=MAX_CAPACITY)] = 1
+    State: HostText = "up"
     WarmupMs: float = 0.0
-    Calls: int = 0
+    Calls: Annotated[int, Meta(ge=-MAX_CALLS, le=MAX_CALLS)] = 0
 
 
 _decode_heartbeat = msgspec.json.Decoder(HeartbeatBody).decode
--- a/tests/cluster/test_readers.py
+++ b/tests/cluster/test_readers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import struct
 from typing import Any
 from zlib import crc32
@@ -16,13 +17,14 @@
 from coralvale.cluster.configuration.history import Change, ChangeHistory
 from coralvale.cluster.configuration.model import Configuration, parse_configuration
 from coralvale.cluster.errors import Problem
-from coralvale.cluster.registry.register import Row
+from coralvale.cluster.registry.register import Register, Row
 from coralvale.cluster.server.ctl import read_heartbeat
 from coralvale.cluster.server.messages import (
     FRAME_HEADER,
     MAX_FRAME_BYTES,
     Ack,
     GossipMessage,
+    HostRows,
     PeerMessage,
     decode_gossip,
     encode,
@@ -175,3 +177,24 @@
     longer = msgspec.msgpack.encode([8, 7, "a field that came later"])
     made.data_received(FRAME_HEADER.pack(len(longer)) + longer)
     assert taken == [Ack(1), Ack(7)]
+
+
+# Guards against a heartbeat with a number of 70 bits: the gateway that took it could send its register to no other
+# gateway, nor write it to disk, from then on.
+@pytest.mark.parametrize(
+    "name, value",
+    [("Calls", 2**70), ("Calls", -(2**70)), ("Capacity", 2**70), ("Svc", "s" * 600), ("Ver", "v" * 600)],
+    ids=("calls", "negative calls", "capacity", "service", "version"),
+)
+def test_a_heartbeat_that_no_message_could_hold_is_refused(name: str, value: Any) -> None:
+    sent = b'{"Svc":"s","Address":"10.0.0.1:80","%b":%b}' % (name.encode(), json.dumps(value).encode())
+    assert isinstance(read_heartbeat("i-1", sent), Problem)
+
+
+def test_the_largest_heartbeat_is_sent_on() -> None:
+    largest = {**BEAT, "Calls": 2**63 - 1, "Capacity": 2**31 - 1, "WarmupMs": 1e308, "Svc": "s" * 512}
+    row = read_heartbeat("i-1", msgspec.json.encode(largest))
+    assert isinstance(row, Row)
+    register = Register(1.5)
+    assert register.merge(5.0, row, direct=True) and register.take_fresh_beats() == [("i-1", 2**63 - 1)]
+    assert encode(HostRows(1, register.rows(6.0)))
