--- a/tests/cluster/test_readers.py
+++ b/tests/cluster/test_readers.py
@@ -179,8 +179,8 @@
     assert taken == [Ack(1), Ack(7)]
 
 
-# Guards against a heartbeat with a number of 70 bits: the gateway that took it could send its register to no other
-# gateway, nor write it to disk, from then on.
+# Guards against a heartbeat with a number of 70 bits: the gateway that took it could send its register to no
+# other gateway, nor write it to disk, from then on.
 @pytest.mark.parametrize(
     "name, value",
     [("Calls", 2**70), ("Calls", -(2**70)), ("Capacity", 2**70), ("Svc", "s" * 600), ("Ver", "v" * 600)],
