--- a/coralvale/cluster/server/ctl.py
+++ b/coralvale/cluster/server/ctl.py
@@ -15,6 +15,7 @@
 from coralvale.cluster.configuration.model import MAX_VERSION
 from coralvale.cluster.coordination.model import Call
 from coralvale.cluster.errors import Kind, Problem
+from coralvale.cluster.events import Event, log_event
 from coralvale.cluster.registry.register import Row, State
 from coralvale.cluster.server.coordination_api import READERS, read_call, read_number, read_watch
 from coralvale.cluster.settings import parse_address
@@ -161,7 +162,11 @@
         return handler(exchange, of) if handler else None
 
     async def _answer(self, exchange: Exchange, work: Coroutine[Any, Any, StatusAndBody]) -> None:
-        status, body = await work
+        try:
+            status, body = await work
+        except Exception as error:  # noqa: BLE001 - whatever it is, the caller must not wait for its own time-out
+            log_event(Event.FAILED, reason=f"{exchange.target[:80].decode('latin-1')}: {error!r}")
+            status, body = 500, b"the call failed here"
         headers = [(b"Content-Type", b"application/json")] if status in JSON_BODIES else None
         exchange.reply(status, body, headers)
 
