Let an error in the handling of one message end no connection between gateways

What stood behind it in the same read was lost. It is logged (E108), and the messages behind it are handled.

Evidence: test_a_message_whose_handling_raises failed before: the request behind it got no reply.

--- a/coralvale/cluster/server/peers.py
+++ b/coralvale/cluster/server/peers.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from coralvale.cluster.events import Event, log_event
 from coralvale.cluster.server.messages import (
     FRAME_HEADER,
     MAX_FRAME_BYTES,
@@ -78,10 +79,17 @@
             except msgspec.DecodeError:
                 self.close()
                 return
-            self.on_message(self, message)
+            self._handle(message)
         if offset:
             del self.buffer[:offset]
 
+    def _handle(self, message: PeerMessage) -> None:
+        """Passes a message on. An error in its handling must not end the connection, which others use as well."""
+        try:
+            self.on_message(self, message)
+        except Exception as error:  # noqa: BLE001
+            log_event(Event.FAILED, reason=f"{type(message).__name__} from {self.ip}: {error!r}")
+
     def send(self, message: PeerMessage) -> bool:
         """Sends a message; returns False if the connection is closed, also because of too much unread
         data."""
--- a/tests/cluster/test_peers.py
+++ b/tests/cluster/test_peers.py
@@ -56,6 +56,8 @@
         connection.send(Ack(message.number))
     elif isinstance(message, UpdateRequest):
         connection.send(UpdateReply(message.number + 1))  # to another request
+    elif isinstance(message, Nominate):
+        raise TypeError(message.member.name)
 
 
 def run_scene(scene: Callable[[Peers, str, str], Awaitable[None]]) -> None:
@@ -259,3 +261,17 @@
         listener.close()
 
     run_scene(scene)
+
+
+# Guards against one message whose handling raises: it closed the connection, and the requests on it got no
+# answer.
+def test_a_message_whose_handling_raises_ends_no_connection_and_no_request() -> None:
+    async def scene(here: Peers, there: str, silent: str) -> None:
+        link = here.link(there)
+        assert await link.request(1, HostRowsRequest(1), LONG_S) == Ack(1)
+        before = link.connection
+        link.send(Nominate(2, Member("raises", "raises", there)))
+        assert await link.request(3, HostRowsRequest(3), LONG_S) == Ack(3)
+        assert link.connection is before
+
+    run_scene(scene)
