Carry a message above the bound on unread data between gateways

Callers saw, in trials with orders of 45 MB: 503 from each gateway that passed one on ("the leader does not answer"), and with it the loss of every request under way to the leader, until the leader itself was asked. At the users' target a whole configuration has 60 MB.

Cause: a connection with more than 16 MB unsent was closed at the next message, a heartbeat of consensus for instance; a single message may have 96 MB. Change: the bound counts besides the largest message that may be unsent.

Evidence: test_a_message_above_the_bound failed before.

--- a/coralvale/cluster/server/peers.py
+++ b/coralvale/cluster/server/peers.py
@@ -25,7 +25,8 @@
 CONNECT_TIMEOUT_S = 0.5
 USER_TIMEOUT_MS = 1200  # TCP_USER_TIMEOUT: for which sent data may stay unacknowledged
 MAX_QUEUED = 256  # messages that wait for a connection
-MAX_BUFFERED_BYTES = 16 * 1024 * 1024  # that a peer may leave unread before its connection is closed
+# That a peer may leave unread, besides one large message, before its connection is closed.
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 HEADER_BYTES = 28  # IP and UDP headers of a datagram
 RECONNECT_DELAY_S = 0.15  # after a failure
 PACING_INTERVAL_S = 0.05  # between the bursts of paced sending
@@ -50,6 +51,7 @@
     ) -> None:
         self.on_message, self.on_lost = on_message, on_lost
         self.buffer = bytearray()
+        self.largest_unsent = 0  # bytes of the largest frame among those that may be unsent
         self.transport: asyncio.Transport | None = None
         self.ip = ""
 
@@ -95,10 +97,15 @@
         data."""
         if self.transport is None or self.transport.is_closing():
             return False
-        if self.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+        unsent = self.transport.get_write_buffer_size()
+        if not unsent:
+            self.largest_unsent = 0
+        if unsent > self.largest_unsent + MAX_BUFFERED_BYTES:
             self.close()
             return False
-        self.transport.write(frame(message))
+        data = frame(message)
+        self.largest_unsent = max(self.largest_unsent, len(data))
+        self.transport.write(data)
         return True
 
     def close(self) -> None:
--- a/tests/cluster/test_peers.py
+++ b/tests/cluster/test_peers.py
@@ -275,3 +275,24 @@
         assert link.connection is before
 
     run_scene(scene)
+
+
+# Guards against a large order that no link between gateways carried: the message behind it closed the connection.
+def test_a_message_above_the_bound_is_sent_whole_though_others_follow_it() -> None:
+    async def scene(here: Peers, there: str, silent: str) -> None:
+        size = 2 * peers.MAX_BUFFERED_BYTES
+        link = here.link(there)
+        assert await link.request(1, HostRowsRequest(1), LONG_S) == Ack(1)
+        connection = link.connection
+        link.send(MembershipPacket(bytes(size)))
+        assert (
+            connection and connection.transport and connection.transport.get_write_buffer_size() > size // 2
+        )
+        assert await link.request(2, HostRowsRequest(2), LONG_S) == Ack(2)
+        assert link.connection is connection
+        # Once it is through, the bound is what it was.
+        assert not connection.transport.get_write_buffer_size()
+        link.send(HostRowsRequest(3))
+        assert connection.largest_unsent < 1000
+
+    run_scene(scene)
