--- a/coralvale/cluster/coordination/desk.py
+++ b/coralvale/cluster/coordination/desk.py
@@ -314,9 +314,8 @@
     def _submit_turn(self, now: float, turn: Turn) -> Result:
         if not turn.operations and not turn.readers:
             return []
-        self.turn = turn
-        self.turns += 1
         if not turn.operations:
+            self._begin_turn(turn)
             return [*self.replica.barrier(now, turn.token)]
         time_ms = self._time_ms(now)
         batch = Batch(
@@ -326,8 +325,10 @@
             time_ms - PUT_RETENTION_MS,
             tuple(turn.operations),
         )
+        body = pack_batch(batch)
+        self._begin_turn(turn)  # nothing that can fail may stand between this and the proposal
         last = self.replica.last_seq
-        actions = self.replica.propose(now, turn.token, consensus.COORDINATION, pack_batch(batch))
+        actions = self.replica.propose(now, turn.token, consensus.COORDINATION, body)
         # `Settled` does not tell a refusal from an unknown outcome. Here the log did not grow: the proposal
         # was refused, and the entry is in no log.
         if self.replica.last_seq == last:
@@ -336,6 +337,10 @@
             return [*actions, *self._answer_all(turn, refused, refused)]
         return [*actions]
 
+    def _begin_turn(self, turn: Turn) -> None:
+        self.turn = turn
+        self.turns += 1
+
     def _complete_turn(self, now: float, turn: Turn) -> Result:
         outcomes = turn.outcomes
         if turn.operations and outcomes is None:
--- a/tests/cluster/test_coordination_operators.py
+++ b/tests/cluster/test_coordination_operators.py
@@ -10,6 +10,7 @@
 from coordination_desk import SingleMember
 
 from coralvale.cluster import commands, sending
+from coralvale.cluster.coordination import desk
 from coralvale.cluster.coordination import model as c
 from coralvale.cluster.coordination.notices import ExpiredByHand, TakenOver
 from coralvale.cluster.errors import Kind, Problem
@@ -199,3 +200,16 @@
     words = ["locks", "release", "l 1", "a:1", "b:1", "--fence", "4", "--reason", "it hangs"]
     assert commands.main(words) == code
     assert asked == [("a:1", "b:1")[n % 2] for n in range(tried)]
+
+
+# Guards against a turn that was under way and never proposed: each call behind it waited until its caller gave up.
+def test_a_turn_that_cannot_be_packed_holds_up_no_later_call(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fails(batch: object) -> bytes:
+        raise OverflowError("an integer is too large")
+
+    member = SingleMember()
+    with monkeypatch.context() as patched:
+        patched.setattr(desk, "pack_batch", fails)
+        with pytest.raises(OverflowError):
+            member.call(c.NextNumber("n"))
+    assert isinstance(member.call(c.NextNumber("n")), c.Number)
