Carry on behind an action or a handler of the core that raises

What stood behind it waited for the next tick, and the settlement itself reached no handler behind the one that raised: with one barrier or proposal in flight each, the calls there then waited for ever.

--- a/coralvale/cluster/server/core.py
+++ b/coralvale/cluster/server/core.py
@@ -7,9 +7,11 @@
 
 import asyncio
 import sqlite3
+import traceback
 from collections import deque
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from coralvale.cluster.bootstrap.founding import CoreBootstrap
 from coralvale.cluster.configuration.history import Change, ChangeHistory
@@ -35,6 +37,7 @@
 CoreAction = (
     consensus.Action | ChangeAnswer | CheckChange | ShareAnswer | CoordinationAnswer | CoordinationNotice
 )
+Desk = ChangeRequestHandler | ShareClaimHandler | CoordinationHandler
 
 
 class Core:
@@ -117,13 +120,26 @@
         self.executing = True
         try:
             while self.pending:
-                self._execute_action(self.pending.popleft())
+                action = self.pending.popleft()
+                self._guarded(type(action).__name__, partial(self._execute_action, action))
         finally:
             self.executing = False
         if self.writes and not self.writing:
             self.writing = True
             self.runtime.spawn(self._write())
 
+    def _guarded(self, what: str, step: Callable[[], None]) -> None:
+        """Carries out a step. An error in it is logged, and holds up nothing that stands behind it."""
+        try:
+            step()
+        except Exception as error:  # noqa: BLE001
+            where = traceback.extract_tb(error.__traceback__)[-1]
+            log_event(Event.FAILED, reason=f"{what}: {error!r} at {where.name}:{where.lineno}")
+
+    def _settle(self, desk: Desk, settled: consensus.Settled) -> None:
+        now = self.runtime.clock.monotonic()
+        self.pending.extend(desk.settled(now, settled.token, settled.accepted))
+
     def _execute_action(self, action: CoreAction) -> None:
         match action:
             case consensus.Send():
@@ -139,10 +155,9 @@
                 self.pending.extend(self.coordination_desk.restore(image.coordination))
                 self.apply_configuration(self.history.configuration)
             case consensus.Settled():
-                now = self.runtime.clock.monotonic()
                 for desk in (self.desk, self.share_desk, self.coordination_desk):
                     if desk:
-                        self.pending.extend(desk.settled(now, action.token, action.accepted))
+                        self._guarded(type(desk).__name__, partial(self._settle, desk, action))
             case CheckChange():
                 self.runtime.spawn(self._check_change(action))
             case ChangeAnswer():
