--- a/tests/cluster/test_coordination_operators.py
+++ b/tests/cluster/test_coordination_operators.py
@@ -202,7 +202,7 @@
     assert asked == [("a:1", "b:1")[n % 2] for n in range(tried)]
 
 
-# Guards against a turn that was under way and never proposed: each call behind it waited until its caller gave up.
+# Guards against a turn that was under way and never proposed: each call behind it waited till its caller gave up.
 def test_a_turn_that_cannot_be_packed_holds_up_no_later_call(monkeypatch: pytest.MonkeyPatch) -> None:
     def fails(batch: object) -> bytes:
         raise OverflowError("an integer is too large")
