Close each edge scene before its loop ends, whatever the test did

Traced with a mutant of upstream._read: pytest parses the source of the failure, a garbage collection within it ends a task whose error nobody had read, asyncio logs that with a traceback, which parses source as well, and Python 3.11 answers a parse within a parse with SystemError (AST constructor recursion depth mismatch). Clients' writers and tasks were left open, too.

play() closes all while the loop runs, and reads the errors of tasks where the scene failed. The mutant of _read, red by name now (rc 1, 8 tests in a part of test_answer_owner), ended that part with rc 3 before.

--- a/tests/cluster/test_edge.py
+++ b/tests/cluster/test_edge.py
@@ -11,7 +11,7 @@
 import random
 import socket
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import pytest
 from quota_world import alone
@@ -34,12 +34,14 @@
 from coralvale.standins.wire import Message, answer, read_message
 
 READ, BOOK = "/x/1", "/x/y/1"
+AnyScene = TypeVar("AnyScene", bound="Scene")
 
 
 class Scene:
     """One gateway's edge server with a number of scripted hosts."""
 
     async def start(self, hosts: int, config: dict[str, Any] | None = None) -> Scene:
+        self.writers: list[asyncio.StreamWriter] = []  # of clients
         self.peers = [await Peer().start() for _ in range(hosts)]
         self.register = Register(1.5)
         clock = Clock()
@@ -62,7 +64,9 @@
         return self
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        return await asyncio.open_connection("127.0.0.1", self.server.port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self.writers.append(writer)
+        return reader, writer
 
     async def ask(
         self, path: str, id_: str = "r-1", left: int = 1500, more: str = "", body: bytes = b""
@@ -79,11 +83,20 @@
         writer.close()
         return found
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
+        """Closes everything while the loop still runs, whatever the test left open."""
+        own = asyncio.current_task()
+        tasks = [task for task in asyncio.all_tasks() if task is not own]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for writer in self.writers:
+            writer.transport.abort()
         self.server.close()
         self.hosts.close()
         for peer in self.peers:
             peer.stop()
+        await asyncio.sleep(0)  # for the transports to pass on that they are closed
 
 
 def reply(id_: str, text: bytes = b"ok", status: int = 200, **more: str) -> bytes:
@@ -97,15 +110,37 @@
     """Runs a scene. `config`: replaces the usual configuration; {}: none is known yet."""
 
     async def whole() -> None:
-        made = await Scene().start(hosts, config)
-        try:
-            await scene(made)
-        finally:
-            made.stop()
+        await play(await Scene().start(hosts, config), scene)
 
     asyncio.run(whole())
 
 
+async def play(made: AnyScene, scene: Callable[[AnyScene], Awaitable[None]]) -> None:
+    """Plays a scene, and closes everything before the loop ends, whatever became of it.
+
+    The errors of tasks that a failed scene left behind count as seen. Otherwise asyncio logs them whenever the
+    tasks are collected, which parses source; within pytest's own parse of the failure that is a SystemError in
+    Python 3.11, which ends the whole run and names no test.
+    """
+    started: list[asyncio.Task[Any]] = []
+
+    def start_task(loop: asyncio.AbstractEventLoop, coroutine: Any, **more: Any) -> asyncio.Task[Any]:
+        started.append(asyncio.Task(coroutine, loop=loop, **more))
+        return started[-1]
+
+    asyncio.get_running_loop().set_task_factory(start_task)
+    failed = True
+    try:
+        await scene(made)
+        failed = False
+    finally:
+        await made.stop()
+        if failed:
+            for task in started:
+                if task.done() and not task.cancelled():
+                    task.exception()
+
+
 async def next_request(scene: Scene) -> Arrived:
     """The next request that arrives at any host."""
     waits = [asyncio.ensure_future(peer.next()) for peer in scene.peers]
--- a/tests/cluster/test_interrupted_writes.py
+++ b/tests/cluster/test_interrupted_writes.py
@@ -14,7 +14,7 @@
 import pytest
 import uvloop
 from test_configuration import changed
-from test_edge import BOOK, READ, Scene, reply, request_bytes, wait_until
+from test_edge import BOOK, READ, Scene, play, reply, request_bytes, wait_until
 
 from coralvale.cluster.registry.register import Row
 from coralvale.cluster.settings import Bounds
@@ -66,8 +66,8 @@
     def runs(self) -> list[str]:
         return [id_ for host in self.heads for id_ in host.runs]
 
-    def stop(self) -> None:
-        super().stop()
+    async def stop(self) -> None:
+        await super().stop()
         for host in self.heads:
             host.server.close()
 
@@ -81,10 +81,7 @@
         made = WriteScene()
         await made.start(0, config)
         await made.start_hosts(count)
-        try:
-            await scene(made)
-        finally:
-            made.stop()
+        await play(made, scene)
 
     uvloop.run(whole())
 
