--- a/tests/cluster/test_core.py
+++ b/tests/cluster/test_core.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 from types import SimpleNamespace
 from typing import Any, cast
 
+from coralvale.cluster.configuration.history import Change
+from coralvale.cluster.configuration.model import Configuration
 from coralvale.cluster.consensus import messages as consensus
-from coralvale.cluster.orders import ChangeAnswer
+from coralvale.cluster.errors import Kind, Problem
+from coralvale.cluster.orders import ChangeAnswer, CheckChange
 from coralvale.cluster.server.core import Core
 from coralvale.cluster.server.runtime import Runtime
 
@@ -16,7 +20,16 @@
     """Stands for a handler of calls; answers what is settled, or raises."""
 
     def __init__(self, raises: bool) -> None:
-        self.raises, self.tokens = raises, list[int]()
+        self.raises, self.tokens, self.withdrawn = raises, list[int](), list[int]()
+
+    def submit(self, now: float, token: int, change: Change) -> list[ChangeAnswer]:
+        return []
+
+    def withdraw(self, token: int) -> None:
+        self.withdrawn.append(token)
+
+    def checked(self, now: float, token: int, found: Configuration | Problem) -> list[ChangeAnswer]:
+        return [ChangeAnswer(token, found.reason.encode())] if isinstance(found, Problem) else []
 
     def settled(self, now: float, token: int, accepted: bool) -> list[ChangeAnswer]:
         self.tokens.append(token)
@@ -28,7 +41,14 @@
 def make_core() -> Core:
     settings = SimpleNamespace(Ip="10.0.0.1", seeds=(), Bootstrap=False, holds_state=True)
     clock = SimpleNamespace(monotonic=lambda: 5.0)
-    runtime = SimpleNamespace(settings=settings, clock=clock, started_at=0.0)
+    runtime = SimpleNamespace(
+        settings=settings,
+        clock=clock,
+        started_at=0.0,
+        loop=asyncio.get_running_loop(),
+        spawn=asyncio.ensure_future,
+        peers=SimpleNamespace(next_number=lambda: 9),
+    )
     return Core(cast(Runtime, runtime), lambda configuration: None, lambda rows: None)
 
 
@@ -57,3 +77,38 @@
         assert core.answers[8].result().body == b"settled" and not core.pending and not core.executing
 
     asyncio.run(scene())
+
+
+class WaitingCheck(CheckChange):
+    """A check that ends once the event loop has gone on."""
+
+    loop_went_on = threading.Event()
+
+    def run(self) -> Configuration | Problem:
+        return Problem(Kind.INVALID, "beside" if self.loop_went_on.wait(5.0) else "on the loop")
+
+
+# Guards against Acks: the leader's event loop stood still for as long as the check of an order took.
+def test_the_event_loop_goes_on_while_an_order_is_checked() -> None:
+    async def scene() -> None:
+        core = make_core()
+        core.desk = cast(Any, Handler(raises=False))
+        answer = core.answers[7] = asyncio.get_running_loop().create_future()
+        check = WaitingCheck(7, Change(0, True, b""), Configuration())
+        core.execute([check])
+        await asyncio.sleep(0.05)
+        check.loop_went_on.set()
+        assert (await asyncio.wait_for(answer, 20.0)).body == b"beside"
+
+    asyncio.run(scene())
+
+
+# Guards against orders that nobody waits for any more and that are checked before those behind them.
+def test_an_order_is_withdrawn_when_its_time_is_over() -> None:
+    async def scene() -> None:
+        core = make_core()
+        core.desk = cast(Any, handler := Handler(raises=False))
+        assert await core.submit_change(Change(0, True, b""), 0.01) is None
+        assert handler.withdrawn == [9] and not core.answers
+
+    asyncio.run(scene())
--- a/tests/plans/test_plan_book.py
+++ b/tests/plans/test_plan_book.py
@@ -122,8 +122,8 @@
         for (station, moment), held in known.items():
             if moment >= now - 10.0:
                 assert (book.on(station, moment), book.extra(station, moment)) == held
-        # A lead that is made shorter counts from the end of the longer one: before that, a change is told the longer
-        # one ahead, and from then on the shorter one. So what holds now holds until the soonest of both.
+        # A lead that is made shorter counts from the end of the longer one: before that, a change is told the
+        # longer one ahead, and from then on the shorter one. What holds now holds until the soonest of both.
         soonest = book.soonest(now)
         for station in STATIONS:
             for moment in (now, (now + soonest) / 2, soonest - 0.01):
