--- a/coralvale/cluster/server/core.py
+++ b/coralvale/cluster/server/core.py
@@ -22,6 +22,7 @@
 from coralvale.cluster.coordination.model import Call, Outcome, Unknown
 from coralvale.cluster.coordination.notices import Notice
 from coralvale.cluster.coordination.state import CoordinationState
+from coralvale.cluster.errors import Kind, Problem
 from coralvale.cluster.events import Event, log_event
 from coralvale.cluster.orders import ChangeAnswer, ChangeRequestHandler, CheckChange
 from coralvale.cluster.rate_limit.shares import ShareTable
@@ -175,7 +176,11 @@
     async def _check_change(self, action: CheckChange) -> None:
         """Checks an order beside the event loop, which serves on meanwhile."""
         assert self.desk
-        found = await run_in_thread(action.run)
+        found: Configuration | Problem
+        try:
+            found = await run_in_thread(action.run)
+        except Exception as error:  # noqa: BLE001 - no thread could be started, for instance
+            found = Problem(Kind.CHECK_FAILED, repr(error))
         self.execute(self.desk.checked(self.runtime.clock.monotonic(), action.token, found))
 
     async def _write(self) -> None:
--- a/tests/cluster/test_core.py
+++ b/tests/cluster/test_core.py
@@ -7,6 +7,8 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import pytest
+
 from coralvale.cluster.configuration.history import Change
 from coralvale.cluster.configuration.model import Configuration
 from coralvale.cluster.consensus import messages as consensus
@@ -112,3 +114,21 @@
         assert handler.withdrawn == [9] and not core.answers
 
     asyncio.run(scene())
+
+
+# Guards against orders that wait for ever behind one whose check could not even begin.
+def test_an_order_is_answered_where_no_thread_can_be_started(monkeypatch: pytest.MonkeyPatch) -> None:
+    def refuses(thread: threading.Thread) -> None:
+        raise RuntimeError("can't start new thread")
+
+    async def scene() -> None:
+        core = make_core()
+        core.desk = cast(Any, Handler(raises=False))
+        answer = core.answers[7] = asyncio.get_running_loop().create_future()
+        with monkeypatch.context() as patched:
+            patched.setattr(threading.Thread, "start", refuses)
+            core.execute([CheckChange(7, Change(0, True, b""), Configuration())])
+            await asyncio.sleep(0)
+        assert b"can't start new thread" in (await asyncio.wait_for(answer, 20.0)).body
+
+    asyncio.run(scene())
