--- a/coralvale/cluster/server/core.py
+++ b/coralvale/cluster/server/core.py
@@ -38,7 +38,7 @@
 CoreAction = (
     consensus.Action | ChangeAnswer | CheckChange | ShareAnswer | CoordinationAnswer | CoordinationNotice
 )
-Desk = ChangeRequestHandler | ShareClaimHandler | CoordinationHandler
+CallHandler = ChangeRequestHandler | ShareClaimHandler | CoordinationHandler
 
 
 class Core:
@@ -137,9 +137,9 @@
             where = traceback.extract_tb(error.__traceback__)[-1]
             log_event(Event.FAILED, reason=f"{what}: {error!r} at {where.name}:{where.lineno}")
 
-    def _settle(self, desk: Desk, settled: consensus.Settled) -> None:
+    def _settle(self, handler: CallHandler, settled: consensus.Settled) -> None:
         now = self.runtime.clock.monotonic()
-        self.pending.extend(desk.settled(now, settled.token, settled.accepted))
+        self.pending.extend(handler.settled(now, settled.token, settled.accepted))
 
     def _execute_action(self, action: CoreAction) -> None:
         match action:
@@ -156,9 +156,9 @@
                 self.pending.extend(self.coordination_desk.restore(image.coordination))
                 self.apply_configuration(self.history.configuration)
             case consensus.Settled():
-                for desk in (self.desk, self.share_desk, self.coordination_desk):
-                    if desk:
-                        self._guarded(type(desk).__name__, partial(self._settle, desk, action))
+                for handler in (self.desk, self.share_desk, self.coordination_desk):
+                    if handler:
+                        self._guarded(type(handler).__name__, partial(self._settle, handler, action))
             case CheckChange():
                 self.runtime.spawn(self._check_change(action))
             case ChangeAnswer():
