Check large orders beside the others, so that small ones do not wait for them

Cause: one order is checked and agreed on at a time, and the check of that one takes 6 s in its thread. Ruled out: the event loop (reads and heartbeats are answered meanwhile) and an election (it would end the check); by the handler alone, without I/O, the small one isn't begun until the large one is settled.

Change: orders of over 256 KiB are checked one at a time beside the queue, and join it once their check is done. What was found is used only if the version is still that which was checked against; else the order has lost the race (412, behind a read barrier). The result of a check that passed is kept for the delivery from the proposal on, so that a small order's check in between doesn't displace it.

--- a/coralvale/cluster/orders.py
+++ b/coralvale/cluster/orders.py
@@ -9,11 +9,16 @@
 
 A check may take long, so it is an action for the caller (`CheckChange`), which carries it out beside the event
 loop and passes its result to `checked`. A request whose caller has given up is not begun.
+
+The time of a check grows with the body, so large requests are checked beside the others, one at a time, and join
+the queue once their check is done. A small request that comes meanwhile on the same version may be applied first;
+the large one has then lost the race.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from itertools import chain
 
 from attrs import define, frozen
 
@@ -32,6 +37,7 @@
 
 MAX_WAITING_REQUESTS = 64  # operators have eight in flight
 MAX_WAITING_BYTES = 128 * 1024 * 1024  # of their bodies: two of the largest
+LARGE_REQUEST_BYTES = 256 * 1024  # the check of a larger body takes longer than other requests should wait
 
 
 @frozen
@@ -82,7 +88,7 @@
 class ChangeRequest:
     """A change request. Its check, its read barrier or its proposal is pending while it is current.
 
-    Times are in s of the monotonic clock.
+    `found`: the result of its check. Times are in s of the monotonic clock.
     """
 
     token: int
@@ -91,8 +97,14 @@
     begun_at: float = 0.0
     checked_at: float = 0.0
     checking: bool = False
+    found: Configuration | Problem | None = None
     proposed: bool = False
 
+    @property
+    def is_large(self) -> bool:
+        """Whether it is checked beside the others."""
+        return len(self.change.body) > LARGE_REQUEST_BYTES
+
     def times(self, now: float) -> StepTimes:
         """How long each step took; `now`: the request is answered."""
         checked_at = self.checked_at or self.begun_at
@@ -100,6 +112,7 @@
 
 
 Result = list[consensus.Action | ChangeAnswer | CheckChange]
+NOT_LEADING = "no longer the leader, or not yet"
 
 
 def unsettled(token: int, reason: str) -> ChangeAnswer:
@@ -118,6 +131,8 @@
         self.replica, self.history = replica, history
         self.waiting: deque[ChangeRequest] = deque()
         self.current: ChangeRequest | None = None
+        self.large_waiting: deque[ChangeRequest] = deque()  # for their check
+        self.large_checking: ChangeRequest | None = None
         self.reads: set[int] = set()
 
     def read(self, now: float, token: int) -> Result:
@@ -129,30 +144,34 @@
 
     def submit(self, now: float, token: int, change: Change) -> Result:
         """Queues an operator's change."""
-        waiting_bytes = sum(len(request.change.body) for request in self.waiting)
-        if len(self.waiting) >= MAX_WAITING_REQUESTS or waiting_bytes + len(change.body) > MAX_WAITING_BYTES:
+        if not self._has_room_for(change):
             return [unsettled(token, "too many orders are waiting")]
-        self.waiting.append(ChangeRequest(token, change, now))
-        return self._start_next(now)
+        request = ChangeRequest(token, change, now)
+        (self.large_waiting if request.is_large else self.waiting).append(request)
+        return self._start(now)
 
     def withdraw(self, token: int) -> None:
         """Forgets a request that waits, since its caller has given up; one that was begun is carried on."""
-        self.waiting = deque(request for request in self.waiting if request.token != token)
+        self.waiting = deque(r for r in self.waiting if r.token != token or r.found is not None)
+        self.large_waiting = deque(r for r in self.large_waiting if r.token != token)
 
     def checked(self, now: float, token: int, found: Configuration | Problem) -> Result:
-        """Handles the result of a check; those of other requests than the current one are ignored."""
-        request = self.current
-        if request is None or request.token != token or not request.checking:
+        """Handles the result of a check; those of requests that are not being checked are ignored."""
+        request = next(
+            (r for r in (self.current, self.large_checking) if r and r.checking and r.token == token), None
+        )
+        if request is None:
             return []
-        request.checking, request.checked_at = False, now
-        self.history.record_check(request.change, found)
-        if not self._may_answer(now):
-            return self._finish(now, unsettled(token, "no longer the leader"))
-        if isinstance(found, Problem) and found.kind is Kind.CHECK_FAILED:
-            return self._finish(now, ChangeAnswer(token, problem=found, times=request.times(now)))
+        request.checking, request.checked_at, request.found = False, now, found
         if isinstance(found, Problem):
-            return [*self.replica.barrier(now, token)]
-        return self._propose(now, request)
+            self.history.record_check(request.change, found)
+        if request is self.large_checking:
+            self.large_checking = None
+            self.waiting.appendleft(request)
+            return self._start(now)
+        if not self._may_answer(now):
+            return self._finish(now, unsettled(token, NOT_LEADING))
+        return self._continue(now, request)
 
     def settled(self, now: float, token: int, accepted: bool) -> Result:
         """Handles the result of a proposal or read barrier; other tokens are ignored."""
@@ -168,34 +187,66 @@
             return self._finish(now, unsettled(token, "no majority answers"))
         return self._resolve(now, request)
 
+    def _has_room_for(self, change: Change) -> bool:
+        waiting = [len(request.change.body) for request in chain(self.waiting, self.large_waiting)]
+        return len(waiting) < MAX_WAITING_REQUESTS and sum(waiting) + len(change.body) <= MAX_WAITING_BYTES
+
     def _finish(self, now: float, answer: ChangeAnswer) -> Result:
         """Answers the current request, and starts the next one."""
         self.current = None
-        return [answer, *self._start_next(now)]
+        return [answer, *self._start(now)]
 
     def _may_answer(self, now: float) -> bool:
         replica = self.replica
         return replica.leading and replica.caught_up and replica.in_contact(now)
 
-    def _start_next(self, now: float) -> Result:
+    def _start(self, now: float) -> Result:
+        """Starts what can be started: the check of a large request, and the next request."""
         result: Result = []
+        while self.large_checking is None and self.large_waiting:
+            result += self._begin_large(now, self.large_waiting.popleft())
         while self.current is None and self.waiting:
             result += self._begin(now, self.waiting.popleft())
         return result
 
-    def _begin(self, now: float, request: ChangeRequest) -> Result:
+    def _begin_large(self, now: float, request: ChangeRequest) -> Result:
         if not self._may_answer(now):
-            return [unsettled(request.token, "no longer the leader, or not yet")]
-        self.current, request.begun_at = request, now
+            return [unsettled(request.token, NOT_LEADING)]
         if self.history.known_outcome(request.change) is not None:
-            return [*self.replica.barrier(now, request.token)]
+            self.waiting.append(request)  # it needs no check
+            return []
+        self.large_checking, request.begun_at = request, now
         return self._check(request)
 
+    def _begin(self, now: float, request: ChangeRequest) -> Result:
+        if not self._may_answer(now):
+            return [unsettled(request.token, NOT_LEADING)]
+        self.current, request.begun_at = request, request.begun_at or now
+        return self._continue(now, request)
+
     def _check(self, request: ChangeRequest) -> Result:
         request.checking = True
         return [CheckChange(request.token, request.change, self.history.configuration)]
 
-    def _propose(self, now: float, request: ChangeRequest) -> Result:
+    def _continue(self, now: float, request: ChangeRequest) -> Result:
+        """The next step of the current request: its check, or what follows from the result of its check."""
+        found, token = request.found, request.token
+        if self.history.known_outcome(request.change) is not None:
+            return [*self.replica.barrier(now, token)]
+        if found is None and request.is_large:
+            self.current = None
+            self.large_waiting.append(request)
+            return self._start(now)
+        if found is None:
+            return self._check(request)
+        if isinstance(found, Configuration):
+            return self._propose(now, request, found)
+        if found.kind is Kind.CHECK_FAILED:
+            return self._finish(now, ChangeAnswer(token, problem=found, times=request.times(now)))
+        return [*self.replica.barrier(now, token)]
+
+    def _propose(self, now: float, request: ChangeRequest, found: Configuration) -> Result:
+        self.history.record_check(request.change, found)
         self.current, request.proposed = request, True
         return [*self.replica.propose(now, request.token, consensus.CHANGE, pack(request.change))]
 
@@ -207,12 +258,12 @@
             if self.history.was_applied(change):
                 return self._finish(now, ChangeAnswer(token, change=change, times=times))
             return self._finish(now, unsettled(token, "another came first"))
-        found = self.history.known_outcome(change)
-        if isinstance(found, AlreadyApplied):
+        outcome = self.history.known_outcome(change) or request.found
+        if isinstance(outcome, AlreadyApplied):
             return self._finish(now, ChangeAnswer(token))
-        if isinstance(found, BaseTooOld):
+        if isinstance(outcome, BaseTooOld):
             reason = "it builds on a version so old that nobody knows whether it was taken"
             return self._finish(now, unsettled(token, reason))
-        if isinstance(found, Problem):
-            return self._finish(now, ChangeAnswer(token, problem=found, times=times))
-        return self._check(request)
+        if isinstance(outcome, Problem):
+            return self._finish(now, ChangeAnswer(token, problem=outcome, times=times))
+        return self._continue(now, request)
--- a/tests/cluster/mutants.py
+++ b/tests/cluster/mutants.py
@@ -142,8 +142,8 @@
 class AnswersBeforeCommit(ChangeRequestHandler):
     """Acknowledges a change request when it is proposed."""
 
-    def _propose(self, now: float, order: ChangeRequest) -> Result:
-        return [*super()._propose(now, order), ChangeAnswer(order.token, change=order.change)]
+    def _propose(self, now: float, order: ChangeRequest, found: Configuration) -> Result:
+        return [*super()._propose(now, order, found), ChangeAnswer(order.token, change=order.change)]
 
 
 class JudgesTogether(ChangeRequestHandler):
@@ -156,7 +156,7 @@
             self.beside = getattr(self, "beside", {})
             self.beside[order.token] = order
             self.current = None
-            done += self._start_next(now)
+            done += self._start(now)
         return done
 
     def settled(self, now: float, token: int, accepted: bool) -> Result:
