Build large committed configurations beside the event loop

Cause: a committed change was built in the call that delivers it, on each member's and gateway's event loop; the leader, which hears from no majority meanwhile, steps down.

Change: a change that takes long (body over 256 KiB, or a configuration of over 5,000 items) is built in a thread. Where no thread can be started it is built on the loop, as before. The summary of a change and the table of tenants by hash are part of the build, for the leader part of its check.

--- a/coralvale/cluster/configuration/admission.py
+++ b/coralvale/cluster/configuration/admission.py
@@ -24,7 +24,6 @@
 MAX_WHOLE_NUMBER = 2**53  # the largest up to which JSON numbers are exact everywhere
 MAX_DEPTH = 64  # of tables and lists within one item or field
 MAX_CONTAINERS = 100_000  # tables and lists within one item or field; each takes 60 bytes of memory and more
-_OPENING_BRACKETS = (b"{", b"[")
 
 # A number may be written 2 or 2.0.
 WholeNumber = Annotated[float, Meta(ge=0, le=MAX_WHOLE_NUMBER, multiple_of=1)]
@@ -188,7 +187,7 @@
 def _nesting_error(raw: Raw) -> str:
     """What is wrong with the tables and lists in a value, also in fields that are not known; "" if nothing."""
     text = bytes(raw)
-    brackets = sum(text.count(bracket) for bracket in _OPENING_BRACKETS)  # also those within texts
+    brackets = text.count(b"{") + text.count(b"[")  # also those within texts
     if brackets <= MAX_DEPTH:
         return ""
     if brackets > MAX_CONTAINERS:
--- a/coralvale/cluster/configuration/history.py
+++ b/coralvale/cluster/configuration/history.py
@@ -9,10 +9,12 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from functools import cached_property
 from hashlib import blake2b
 from typing import Any
 
 import msgspec
+from attrs import frozen
 
 from coralvale.cluster.configuration.admission import admit
 from coralvale.cluster.configuration.model import Configuration, apply_patch, differences, parse_configuration
@@ -24,18 +26,26 @@
 MAX_REFUSED_CHANGES = 16  # remembered, to answer their retries
 MAX_SUMMARIES = 64
 MAX_NAMES_PER_SUMMARY = 12  # of each section, for each of added, changed and removed
+LARGE_BODY_BYTES = 256 * 1024  # a larger body takes longer to read than an event loop should stand still
+LARGE_CONFIGURATION_ITEMS = 5000  # likewise for a change of one with more items
 
 
-class Change(msgspec.Struct, frozen=True, array_like=True):
+class Change(msgspec.Struct, frozen=True, array_like=True, dict=True):
     """An operator's change request, as received. `base`: the version that it builds on."""
 
     base: int
     whole: bool  # True: config.replace; False: config.update
     body: bytes
 
+    @cached_property
+    def _digest(self) -> bytes:
+        found = blake2b(b"%d %d " % (self.base, self.whole), digest_size=12)
+        found.update(self.body)
+        return found.digest()
+
     def digest(self) -> bytes:
         """Identifies the change by its body, base and kind."""
-        return blake2b(b"%d %d " % (self.base, self.whole) + self.body, digest_size=12).digest()
+        return self._digest
 
 
 class ChangeSummary(msgspec.Struct, frozen=True, array_like=True):
@@ -69,6 +79,11 @@
     changes: tuple[Change, ...] = ()
     whole: bytes = b""
 
+    @property
+    def size(self) -> int:
+        """Bytes of what was sent."""
+        return len(self.whole) + sum(len(change.body) for change in self.changes)
+
 
 class AlreadyApplied:
     """The change was applied before; it is a retry."""
@@ -88,6 +103,11 @@
     return msgspec.msgpack.encode(change)
 
 
+def unpack(body: bytes) -> Change:
+    """The change of a log entry."""
+    return _decode_change(body)
+
+
 def _decode_body(body: bytes) -> Any:  # noqa: ANN401
     try:
         return decode_stepwise(body)
@@ -104,14 +124,53 @@
     return raw if isinstance(raw, Problem) else parse_configuration(raw, before)
 
 
-def check_change(change: Change, before: Configuration) -> Configuration | Problem:
-    """The leader's check of a change before it is proposed: the resulting configuration, or why it is
-    refused.
+@frozen
+class BuiltChange:
+    """What a change leads to: the new configuration, and a summary of what is different in it."""
+
+    configuration: Configuration
+    summary: ChangeSummary
+
+
+@frozen
+class Build:
+    """A build that may take long. Uses nothing that changes, so `run` may be called in a thread."""
+
+    change: Change
+    before: Configuration
+
+    def run(self) -> BuiltChange | Problem:
+        """The result."""
+        self.change.digest()  # takes long as well, and is kept with the change
+        return build_change(self.change, self.before)
+
+
+def takes_long(size: int, before: Configuration) -> bool:
+    """Whether a build takes longer than an event loop should stand still. `size`: bytes of what was sent."""
+    items = sum(len(section) for section in before.items.values())
+    return size > LARGE_BODY_BYTES or items > LARGE_CONFIGURATION_ITEMS
+
+
+def build_change(change: Change, before: Configuration) -> BuiltChange | Problem:
+    """What a change leads to, or why it has no effect."""
+    configuration = build_configuration(change, before)
+    if isinstance(configuration, Problem):
+        return configuration
+    did = {
+        section: {what: (len(names), names[:MAX_NAMES_PER_SUMMARY]) for what, names in rows.items()}
+        for section, rows in differences(before.raw, configuration.raw).items()
+    }
+    summary = ChangeSummary(configuration.version, change.base, change.whole, len(change.body), did)
+    return BuiltChange(configuration, summary)
+
+
+def check_change(change: Change, before: Configuration) -> BuiltChange | Problem:
+    """The leader's check of a change before it is proposed: what it leads to, or why it is refused.
 
     Raises nothing: an order that makes the check fail is answered like any other.
     """
     try:
-        return admit(change.body, change.whole) or build_configuration(change, before)
+        return admit(change.body, change.whole) or build_change(change, before)
     except Exception as error:  # noqa: BLE001
         return Problem(Kind.CHECK_FAILED, repr(error))
 
@@ -126,7 +185,8 @@
         # Version before, version after, change.
         self.recent_changes: deque[tuple[int, int, Change]] = deque(maxlen=MAX_RECENT_CHANGES)
         self.summaries: deque[ChangeSummary] = deque(maxlen=MAX_SUMMARIES)
-        self.validated: tuple[bytes, Configuration] | None = None  # result of the last check that passed
+        # By digest: what a change on the current version was found to lead to, for its delivery.
+        self.built: tuple[bytes, BuiltChange | Problem] | None = None
         # By digest: why a change on the current version was refused.
         self.refused: OrderedDict[bytes, Problem] = OrderedDict()
 
@@ -146,18 +206,30 @@
             return Problem(Kind.OTHER_VERSION, f"version {self.configuration.version} is current")
         return self.refused.get(digest)
 
-    def record_check(self, change: Change, checked: Configuration | Problem) -> None:
+    def record_check(self, change: Change, checked: BuiltChange | Problem) -> None:
         """Keeps the result of a check on the current version, so that neither delivery nor a repeated order
         checks again."""
         if change.base != self.configuration.version:
             return
-        if isinstance(checked, Configuration):
-            self.validated = (change.digest(), checked)
+        if isinstance(checked, BuiltChange):
+            self.built = (change.digest(), checked)
         elif checked.kind is not Kind.CHECK_FAILED:
             self.refused[change.digest()] = checked
             if len(self.refused) > MAX_REFUSED_CHANGES:
                 self.refused.popitem(last=False)
 
+    def long_build(self, change: Change) -> Build | None:
+        """The build that the delivery of a committed change needs, if it takes long; None if it does not."""
+        if change.base != self.configuration.version or not takes_long(len(change.body), self.configuration):
+            return None
+        if self.built and self.built[0] == change.digest():
+            return None
+        return Build(change, self.configuration)
+
+    def record_build(self, change: Change, result: BuiltChange | Problem) -> None:
+        """Keeps the result of a build for the delivery of its change."""
+        self.built = (change.digest(), result)
+
     def validate(self, change: Change) -> Problem | AlreadyApplied | BaseTooOld | None:
         """None if the change is to be proposed, else why not; checks it here and now."""
         known = self.known_outcome(change)
@@ -169,33 +241,28 @@
 
     def deliver(self, body: bytes) -> bool:
         """Applies a committed change; returns whether it took effect."""
-        change = _decode_change(body)
-        digest = change.digest()
+        return self.deliver_change(unpack(body))
+
+    def deliver_change(self, change: Change) -> bool:
+        """Applies a committed change; returns whether it took effect."""
         if change.base != self.configuration.version:
             return False
-        known = self.validated if self.validated and self.validated[0] == digest else None
-        planned = known[1] if known else build_configuration(change, self.configuration)
-        self.validated = None
-        if isinstance(planned, Problem):
+        digest = change.digest()
+        built = self.built[1] if self.built and self.built[0] == digest else None
+        built = built or build_change(change, self.configuration)
+        self.built = None
+        if isinstance(built, Problem):
             return False
+        version = built.configuration.version
         self.refused.clear()
-        self.recent_changes.append((self.configuration.version, planned.version, change))
-        self._record_summary(change, planned)
-        self.configuration = planned
-        self.applied[digest] = planned.version
+        self.recent_changes.append((self.configuration.version, version, change))
+        self.summaries.append(built.summary)
+        self.configuration = built.configuration
+        self.applied[digest] = version
         while len(self.applied) > MAX_KNOWN_CHANGES:
             _, self.oldest_base = self.applied.popitem(last=False)
         return True
 
-    def _record_summary(self, change: Change, planned: Configuration) -> None:
-        did = {
-            section: {what: (len(names), names[:MAX_NAMES_PER_SUMMARY]) for what, names in rows.items()}
-            for section, rows in differences(self.configuration.raw, planned.raw).items()
-        }
-        self.summaries.append(
-            ChangeSummary(planned.version, change.base, change.whole, len(change.body), did)
-        )
-
     def config(self) -> bytes:
         """The current configuration as JSON."""
         return msgspec.json.encode(self.configuration.raw)
--- a/coralvale/cluster/configuration/model.py
+++ b/coralvale/cluster/configuration/model.py
@@ -10,8 +10,10 @@
 from collections.abc import Iterable, Iterator, Mapping
 from itertools import chain, islice
 from typing import Any
+from zlib import crc32
 
 import cattrs
+import msgspec
 from attrs import define, field, frozen
 
 from coralvale.cluster.errors import Kind, Problem
@@ -107,6 +109,7 @@
     prefixes: dict[str, dict[str, tuple[str, Route]]] = field(factory=dict)
     max_depth: dict[str, int] = field(factory=dict)  # by host: most slashes in one of its prefixes
     keys: dict[str, str] = field(factory=dict)  # tenant names by API key
+    tenants_by_hash: dict[int, str] = field(factory=dict)  # by CRC-32 of the name, as in messages
     limits: ClientLimits = field(factory=ClientLimits)
     has_route_regions: bool = False  # whether any route sets its own Region
 
@@ -158,12 +161,23 @@
     return Problem(Kind.INVALID, "; ".join(found[:MAX_REPORTED_ERRORS]) + more)
 
 
+def _structure(raw: dict[str, Any], type_: type) -> Any:  # noqa: ANN401
+    """The item from its fields; values of other types are converted, as every version has done.
+
+    Raises whatever the conversion of a value raises.
+    """
+    try:
+        return msgspec.convert(raw, type_)  # the same result in less time, where all types are right
+    except msgspec.ValidationError:
+        return _converter.structure(raw, type_)
+
+
 def _parse_item(section: str, name: str, raw: Any) -> Any:  # noqa: ANN401
     """The parsed item, or an error text."""
     if not isinstance(raw, dict):
         return f"{section}.{shorten(name)}: expected fields with values"
     try:
-        return _converter.structure(raw, _TYPES[section])
+        return _structure(raw, _TYPES[section])
     except Exception as error:  # noqa: BLE001 - a converter passes on whatever a value's own conversion raises
         return f"{section}.{shorten(name)}: {shorten(str(error))}"
 
@@ -272,6 +286,7 @@
 def _index_keys(configuration: Configuration) -> Iterator[str]:
     """Indexes the tenants by their keys; yields error texts."""
     for name, (_, tenant) in configuration.items.get("Tenants", {}).items():
+        configuration.tenants_by_hash[crc32(name.encode())] = name
         for key in tenant.ApiKeys:
             if configuration.keys.setdefault(key, name) != name:
                 holder = shorten(configuration.keys[key])
--- a/coralvale/cluster/orders.py
+++ b/coralvale/cluster/orders.py
@@ -23,8 +23,10 @@
 from attrs import define, frozen
 
 from coralvale.cluster.configuration.history import (
+    LARGE_BODY_BYTES,
     AlreadyApplied,
     BaseTooOld,
+    BuiltChange,
     Change,
     ChangeHistory,
     check_change,
@@ -37,7 +39,6 @@
 
 MAX_WAITING_REQUESTS = 64  # operators have eight in flight
 MAX_WAITING_BYTES = 128 * 1024 * 1024  # of their bodies: two of the largest
-LARGE_REQUEST_BYTES = 256 * 1024  # the check of a larger body takes longer than other requests should wait
 
 
 @frozen
@@ -79,7 +80,7 @@
     change: Change
     before: Configuration  # that the change builds on
 
-    def run(self) -> Configuration | Problem:
+    def run(self) -> BuiltChange | Problem:
         """The result. Uses nothing that changes, so it may run in a thread; raises nothing."""
         return check_change(self.change, self.before)
 
@@ -97,13 +98,13 @@
     begun_at: float = 0.0
     checked_at: float = 0.0
     checking: bool = False
-    found: Configuration | Problem | None = None
+    found: BuiltChange | Problem | None = None
     proposed: bool = False
 
     @property
     def is_large(self) -> bool:
         """Whether it is checked beside the others."""
-        return len(self.change.body) > LARGE_REQUEST_BYTES
+        return len(self.change.body) > LARGE_BODY_BYTES
 
     def times(self, now: float) -> StepTimes:
         """How long each step took; `now`: the request is answered."""
@@ -155,7 +156,7 @@
         self.waiting = deque(r for r in self.waiting if r.token != token or r.found is not None)
         self.large_waiting = deque(r for r in self.large_waiting if r.token != token)
 
-    def checked(self, now: float, token: int, found: Configuration | Problem) -> Result:
+    def checked(self, now: float, token: int, found: BuiltChange | Problem) -> Result:
         """Handles the result of a check; those of requests that are not being checked are ignored."""
         request = next(
             (r for r in (self.current, self.large_checking) if r and r.checking and r.token == token), None
@@ -239,13 +240,13 @@
             return self._start(now)
         if found is None:
             return self._check(request)
-        if isinstance(found, Configuration):
+        if isinstance(found, BuiltChange):
             return self._propose(now, request, found)
         if found.kind is Kind.CHECK_FAILED:
             return self._finish(now, ChangeAnswer(token, problem=found, times=request.times(now)))
         return [*self.replica.barrier(now, token)]
 
-    def _propose(self, now: float, request: ChangeRequest, found: Configuration) -> Result:
+    def _propose(self, now: float, request: ChangeRequest, found: BuiltChange) -> Result:
         self.history.record_check(request.change, found)
         self.current, request.proposed = request, True
         return [*self.replica.propose(now, request.token, consensus.CHANGE, pack(request.change))]
--- a/coralvale/cluster/server/changes.py
+++ b/coralvale/cluster/server/changes.py
@@ -5,15 +5,21 @@
 
 import asyncio
 from collections.abc import Callable
-from zlib import crc32
+from functools import partial
 
 import msgspec
 
-from coralvale.cluster.configuration.history import Change, apply_update
+from coralvale.cluster.configuration.history import (
+    Change,
+    ConfigurationUpdate,
+    apply_update,
+    takes_long,
+)
 from coralvale.cluster.configuration.model import Configuration
 from coralvale.cluster.errors import Kind, Problem
 from coralvale.cluster.events import Event, log_event
 from coralvale.cluster.routing.router import Router
+from coralvale.cluster.server.background import run_in_thread
 from coralvale.cluster.server.core import Core
 from coralvale.cluster.server.ctl import StatusAndBody
 from coralvale.cluster.server.messages import ConfigurationRequest, Reply, UpdateReply, UpdateRequest
@@ -47,7 +53,7 @@
         if not self.router.take_configuration(configuration):
             return
         self.configuration = configuration
-        self.tenants = {crc32(name.encode()): name for name in configuration.tenants()}
+        self.tenants = configuration.tenants_by_hash
         limits = configuration.limits
         self.set_client_bounds(
             ClientLimits(
@@ -104,13 +110,22 @@
             elif answer.in_contact:
                 self.home.core_heard_at = self.runtime.clock.monotonic()
             if isinstance(answer, UpdateReply) and not answer.isolated and answer.update:
-                configuration = apply_update(self.configuration, answer.update)
+                configuration = await self._build_update(answer.update)
+                if self.core.follows_log():
+                    continue  # updated meanwhile in another way
                 if isinstance(configuration, Problem):
                     log_event(Event.NEWS_BAD, reason=configuration.reason)
                     await asyncio.sleep(0.2)
                 else:
                     self.apply(configuration)
 
+    async def _build_update(self, update: ConfigurationUpdate) -> Configuration | Problem:
+        """The configuration after an update; one that takes long is built beside the event loop."""
+        build = partial(apply_update, self.configuration, update)
+        if takes_long(update.size, self.configuration):
+            return await run_in_thread(build)
+        return build()
+
     async def handle_update_request(self, connection: PeerConnection, request: UpdateRequest) -> None:
         """Answers a gateway without a replica, when there is an update or after `LONG_POLL_S`.
 
--- a/coralvale/cluster/server/core.py
+++ b/coralvale/cluster/server/core.py
@@ -7,14 +7,13 @@
 
 import asyncio
 import sqlite3
-import traceback
 from collections import deque
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 
 from coralvale.cluster.bootstrap.founding import CoreBootstrap
-from coralvale.cluster.configuration.history import Change, ChangeHistory
+from coralvale.cluster.configuration.history import BuiltChange, Change, ChangeHistory
 from coralvale.cluster.configuration.model import Configuration
 from coralvale.cluster.consensus import messages as consensus
 from coralvale.cluster.consensus.replica import DurableState, Replica, Timing
@@ -28,6 +27,8 @@
 from coralvale.cluster.rate_limit.shares import ShareTable
 from coralvale.cluster.registry.register import Row
 from coralvale.cluster.server.background import run_in_thread
+from coralvale.cluster.server.delivery import ConfigurationDelivery
+from coralvale.cluster.server.guard import run_guarded
 from coralvale.cluster.server.messages import ConsensusMessage, Nominate, Nominee
 from coralvale.cluster.server.runtime import Runtime
 from coralvale.cluster.share_desk import ShareAnswer, ShareClaim, ShareClaimHandler
@@ -62,6 +63,7 @@
         self.store: Store | None = None
         self.history, self.shares = ChangeHistory(), ShareTable()
         self.coordination = CoordinationState()
+        self.delivery = ConfigurationDelivery(self.history, apply_configuration, runtime.spawn)
         self.disk = ThreadPoolExecutor(1)
         self.writes: list[consensus.Write] = []
         self.writing = False
@@ -122,24 +124,16 @@
         try:
             while self.pending:
                 action = self.pending.popleft()
-                self._guarded(type(action).__name__, partial(self._execute_action, action))
+                run_guarded(type(action).__name__, partial(self._execute_action, action))
         finally:
             self.executing = False
         if self.writes and not self.writing:
             self.writing = True
             self.runtime.spawn(self._write())
 
-    def _guarded(self, what: str, step: Callable[[], None]) -> None:
-        """Carries out a step. An error in it is logged, and holds up nothing that stands behind it."""
-        try:
-            step()
-        except Exception as error:  # noqa: BLE001
-            where = traceback.extract_tb(error.__traceback__)[-1]
-            log_event(Event.FAILED, reason=f"{what}: {error!r} at {where.name}:{where.lineno}")
-
     def _settle(self, handler: CallHandler, settled: consensus.Settled) -> None:
         now = self.runtime.clock.monotonic()
-        self.pending.extend(handler.settled(now, settled.token, settled.accepted))
+        self.execute(handler.settled(now, settled.token, settled.accepted))
 
     def _execute_action(self, action: CoreAction) -> None:
         match action:
@@ -151,14 +145,17 @@
                 self._deliver(action.entry)
             case consensus.Restore():
                 image = self.history.restore(action.snapshot.body)
+                self.delivery.supersede()
                 assert self.share_desk and self.coordination_desk
                 self.share_desk.restore(self.runtime.clock.monotonic(), image.shares)
                 self.pending.extend(self.coordination_desk.restore(image.coordination))
                 self.apply_configuration(self.history.configuration)
             case consensus.Settled():
-                for handler in (self.desk, self.share_desk, self.coordination_desk):
+                if self.desk:
+                    self.delivery.after(partial(self._settle, self.desk, action))
+                for handler in (self.share_desk, self.coordination_desk):
                     if handler:
-                        self._guarded(type(handler).__name__, partial(self._settle, handler, action))
+                        run_guarded(type(handler).__name__, partial(self._settle, handler, action))
             case CheckChange():
                 self.runtime.spawn(self._check_change(action))
             case ChangeAnswer():
@@ -176,7 +173,7 @@
     async def _check_change(self, action: CheckChange) -> None:
         """Checks an order beside the event loop, which serves on meanwhile."""
         assert self.desk
-        found: Configuration | Problem
+        found: BuiltChange | Problem
         try:
             found = await run_in_thread(action.run)
         except Exception as error:  # noqa: BLE001 - no thread could be started, for instance
@@ -206,8 +203,8 @@
             self.writing = False
 
     def _deliver(self, entry: consensus.Entry) -> None:
-        if entry.kind == consensus.CHANGE and self.history.deliver(entry.body):
-            self.apply_configuration(self.history.configuration)
+        if entry.kind == consensus.CHANGE:
+            self.delivery.deliver(entry.body)
         elif entry.kind == consensus.SHARES and self.share_desk:
             self.share_desk.deliver(self.runtime.clock.monotonic(), entry.body)
         elif entry.kind == consensus.COORDINATION and self.coordination_desk:
@@ -225,7 +222,7 @@
             self.logged_voters = replica.voters
             names = ", ".join(m.name for m in replica.voters.new)
             log_event(Event.VOTERS, members=names + (" (changing)" if replica.voters.old else ""))
-        if replica.due_for_snapshot():
+        if replica.due_for_snapshot() and self.delivery.idle:
             self.execute(
                 replica.save_snapshot(self.history.image(self.shares.image(), self.coordination.image()))
             )
--- a/tests/cluster/mutants.py
+++ b/tests/cluster/mutants.py
@@ -9,8 +9,7 @@
 from attrs import frozen
 from consensus_world import InvariantViolation, World
 
-from coralvale.cluster.configuration.history import Change, Problem
-from coralvale.cluster.configuration.model import Configuration
+from coralvale.cluster.configuration.history import BuiltChange, Change, Problem
 from coralvale.cluster.consensus import messages as m
 from coralvale.cluster.consensus.replica import Replica
 from coralvale.cluster.errors import Kind
@@ -142,14 +141,14 @@
 class AnswersBeforeCommit(ChangeRequestHandler):
     """Acknowledges a change request when it is proposed."""
 
-    def _propose(self, now: float, order: ChangeRequest, found: Configuration) -> Result:
+    def _propose(self, now: float, order: ChangeRequest, found: BuiltChange) -> Result:
         return [*super()._propose(now, order, found), ChangeAnswer(order.token, change=order.change)]
 
 
 class JudgesTogether(ChangeRequestHandler):
     """Proposes changes on the same base concurrently, and acknowledges each once it is in the log."""
 
-    def checked(self, now: float, token: int, found: Configuration | Problem) -> Result:
+    def checked(self, now: float, token: int, found: BuiltChange | Problem) -> Result:
         order = self.current
         done = super().checked(now, token, found)
         if order and order.proposed and order is self.current:
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -12,6 +12,9 @@
 import cattrs
 import msgspec
 import pytest
+from attrs import fields
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from coralvale.cluster.configuration.history import (
     ALREADY_APPLIED,
@@ -31,6 +34,7 @@
     Service,
     Tenant,
     _converter,
+    _structure,
     parse_configuration,
     problem_of,
 )
@@ -317,7 +321,30 @@
             except Exception:  # noqa: BLE001
                 expected = None
             try:
-                read = _converter.structure(raw, kind)
+                read = _structure(raw, kind)
             except Exception:  # noqa: BLE001
                 read = None
-            assert read == expected
+            assert read == expected and repr(read) == repr(expected)
+
+
+NUMBERS = (
+    st.integers(-(10**25), 10**25) | st.floats() | st.sampled_from([10**400, 2.0, True, 1e300, "7", " 7"])
+)
+FIELD_VALUES = st.none() | st.booleans() | NUMBERS | st.text(max_size=3) | st.lists(NUMBERS, max_size=2)
+
+
+# The same for values that earlier versions may have taken, of the quick reader of well-typed items.
+@settings(derandomize=True, max_examples=600)
+@given(st.data())
+def test_the_quick_reader_agrees_with_the_converter(data: st.DataObject) -> None:
+    kind = data.draw(st.sampled_from([Route, Service, Tenant]))
+    names = [field.name for field in fields(kind)] + ["Note"]
+    raw = {
+        **(ROUTE if kind is Route else {}),
+        **data.draw(st.dictionaries(st.sampled_from(names), FIELD_VALUES, max_size=4)),
+    }
+    try:
+        quick = msgspec.convert(raw, kind)
+    except msgspec.ValidationError:
+        return
+    assert repr(quick) == repr(_converter.structure(raw, kind))
--- a/tests/cluster/test_core.py
+++ b/tests/cluster/test_core.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from coralvale.cluster.configuration.history import Change
+from coralvale.cluster.configuration.history import BuiltChange, Change
 from coralvale.cluster.configuration.model import Configuration
 from coralvale.cluster.consensus import messages as consensus
 from coralvale.cluster.errors import Kind, Problem
@@ -30,7 +30,7 @@
     def withdraw(self, token: int) -> None:
         self.withdrawn.append(token)
 
-    def checked(self, now: float, token: int, found: Configuration | Problem) -> list[ChangeAnswer]:
+    def checked(self, now: float, token: int, found: BuiltChange | Problem) -> list[ChangeAnswer]:
         return [ChangeAnswer(token, found.reason.encode())] if isinstance(found, Problem) else []
 
     def settled(self, now: float, token: int, accepted: bool) -> list[ChangeAnswer]:
@@ -86,7 +86,7 @@
 
     loop_went_on = threading.Event()
 
-    def run(self) -> Configuration | Problem:
+    def run(self) -> BuiltChange | Problem:
         return Problem(Kind.INVALID, "beside" if self.loop_went_on.wait(5.0) else "on the loop")
 
 
--- a/tests/cluster/test_orders.py
+++ b/tests/cluster/test_orders.py
@@ -10,12 +10,10 @@
 
 from coralvale.cluster import orders
 from coralvale.cluster.configuration import history as history_module
-from coralvale.cluster.configuration.history import Change, ChangeHistory
-from coralvale.cluster.configuration.model import Configuration
+from coralvale.cluster.configuration.history import LARGE_BODY_BYTES, BuiltChange, Change, ChangeHistory
 from coralvale.cluster.consensus.replica import Replica
 from coralvale.cluster.errors import Kind, Problem
 from coralvale.cluster.orders import (
-    LARGE_REQUEST_BYTES,
     MAX_WAITING_BYTES,
     ChangeAnswer,
     ChangeRequestHandler,
@@ -32,7 +30,7 @@
 
 
 def large_order(version: int, **fields: Any) -> Change:
-    return order(version, Note="x" * LARGE_REQUEST_BYTES, **fields)
+    return order(version, Note="x" * LARGE_BODY_BYTES, **fields)
 
 
 VALID, OTHER, INVALID = order(2), order(3), order(4, Routes=[])
@@ -152,7 +150,7 @@
     (check,) = scene.submit(1, VALID)
     assert scene.handler.checked(1.5, 7, Problem(Kind.INVALID)) == []
     assert scene.check(check) == [] and scene.leader.proposed == [1]
-    assert scene.handler.checked(1.6, 1, Configuration()) == [] and scene.leader.proposed == [1]
+    assert scene.handler.checked(1.6, 1, check.run()) == [] and scene.leader.proposed == [1]
 
 
 def test_an_order_that_was_overtaken_while_it_was_checked_is_told_so() -> None:
@@ -209,8 +207,12 @@
     scene.check(scene.submit(2, INVALID)[0])
     scene.handler.settled(2.5, 2, True)  # refused: the version is the same
     built = large_check.run()
+    assert isinstance(built, BuiltChange)
     assert scene.handler.checked(3.0, 1, built) == [] and scene.leader.proposed == [1]
-    assert scene.history.deliver(history_module.pack(LARGE_VALID)) and scene.history.configuration is built
+    assert (
+        scene.history.deliver(history_module.pack(LARGE_VALID))
+        and scene.history.configuration is built.configuration
+    )
 
 
 def test_large_orders_are_checked_one_at_a_time_and_a_refused_one_only_once() -> None:
@@ -257,7 +259,7 @@
 def test_no_acknowledged_change_is_lost_where_some_checks_are_beside_the_others(
     monkeypatch: pytest.MonkeyPatch, members: int
 ) -> None:
-    monkeypatch.setattr(orders, "LARGE_REQUEST_BYTES", 62)  # about half of the orders of this world
+    monkeypatch.setattr(orders, "LARGE_BODY_BYTES", 62)  # about half of the orders of this world
     acknowledged = large = 0
     for seed in range(SEEDS):
         world = World(seed, members, check_seconds=CHECK_SECONDS)
