--- a/tests/attempts/test_kills.py
+++ b/tests/attempts/test_kills.py
@@ -87,7 +87,7 @@
 
         loading = asyncio.create_task(load())
         for _ in range(KILLS):
-            # A slow disk holds intents up and loses more outcomes with a kill: each life does the same work first.
+            # On a slow disk a life does less, and its kill loses more: each does the same work first.
             due = served_count() + SERVED_PER_LIFE
             async with asyncio.timeout(LIFE_LIMIT_S):
                 while served_count() < due:
