Report how each client connection ends, with its requests in hand

Each server now records the cause of an end when it is decided, with the requests read completely and not answered, what is read in part, bytes that neither the process nor the kernel has delivered (SIOCOUTQ), and whether input was unread. E517 is a warning that names requests that were dropped with a connection, E516 tells all ends at DEBUG; myrtlehatch_connections_ended_total and myrtlehatch_requests_dropped_total count them by cause. The program of deploy/balancer.toml logs the warning too.

--- a/coralvale/cluster/events.py
+++ b/coralvale/cluster/events.py
@@ -82,6 +82,18 @@
         "request {id}: host {host} sent an answer {status} that is not for it; requests named: {names}",
     )
     ANSWERED = 514, "DEBUG", "request {id}: answered {status} after {ms:.0f} ms{why}"
+    CONNECTION_ENDED = (
+        516,
+        "DEBUG",
+        "connection to {server} ended ({cause}): {in_hand} requests in hand, {partly} read in part, "
+        "{unsent} bytes unsent, input unread: {unread}",
+    )
+    REQUESTS_DROPPED = (
+        517,
+        "WARNING",
+        "connection to {server} ended ({cause}) with {in_hand} requests in hand: {names}; "
+        "{unsent} bytes unsent, input unread: {unread}",
+    )
     BOUND = 521, "INFO", "request {id} of {service}, bound to {bound}, answered {status} in {region}"
     ABROAD = 522, "WARNING", "refused {count} requests that are bound to {bound}"
     HOST_ABROAD = (
--- a/coralvale/cluster/server/ctl.py
+++ b/coralvale/cluster/server/ctl.py
@@ -17,10 +17,12 @@
 from coralvale.cluster.errors import Kind, Problem
 from coralvale.cluster.events import Event, log_event
 from coralvale.cluster.registry.register import Row, State
+from coralvale.cluster.server.connection_events import log_connection_end
 from coralvale.cluster.server.coordination_api import READERS, read_call, read_number, read_watch
 from coralvale.cluster.settings import parse_address
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
+from coralvale.net.endings import ConnectionEnd
 from coralvale.net.server import ClientLimits, Exchange, Server
 
 BASE_VERSION = b"x-myrtlehatch-base-version"
@@ -130,6 +132,9 @@
 
     def client_disconnected(self, exchange: Exchange) -> None: ...
 
+    def connection_ended(self, end: ConnectionEnd) -> None:
+        log_connection_end("control", end)
+
     def call(self, exchange: Exchange) -> None:
         """Handles one HTTP request, and answers it when its task is done."""
         path, _, query = exchange.target.decode("latin-1").partition("?")
--- a/coralvale/cluster/server/edge.py
+++ b/coralvale/cluster/server/edge.py
@@ -16,10 +16,12 @@
 from coralvale.cluster.rate_limit.actions import Decided
 from coralvale.cluster.routing.copies import Instance
 from coralvale.cluster.routing.router import Job, Router
+from coralvale.cluster.server.connection_events import log_connection_end
 from coralvale.cluster.server.hosts import HostAnswer, HostAttempt, HostConnection, Hosts
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
+from coralvale.net.endings import ConnectionEnd
 from coralvale.net.server import NOT_FORWARDED_HEADERS, Exchange, Server, connection_options
 from coralvale.net.transport import Answer, Attempt, OutgoingRequest, Sink, Source
 
@@ -89,6 +91,7 @@
 
     refusing = False  # the process is about to end: a request read now could not be answered any more
 
+    request_id_header = REQUEST_ID
     single_value_headers = {
         REQUEST_ID,
         TIME_LEFT,
@@ -152,6 +155,9 @@
     def rejected(self, exchange: Exchange, status: int, why: str) -> None:
         self.answers[status] = self.answers.get(status, 0) + 1
 
+    def connection_ended(self, end: ConnectionEnd) -> None:
+        log_connection_end("edge", end)
+
     def client_disconnected(self, exchange: Exchange) -> None:
         """Handles the loss of a client's connection before its answer was complete."""
         request: Request | None = exchange.handler_state
--- a/coralvale/cluster/server/figures.py
+++ b/coralvale/cluster/server/figures.py
@@ -18,6 +18,7 @@
 from coralvale.cluster.server.coordination_figures import DELAYS_MS, CoordinationMetrics, replica_sizes
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
+from coralvale.net.endings import ConnectionEnd, EndCounts
 from coralvale.net.server import ClientLimits, Exchange, Server
 
 if TYPE_CHECKING:
@@ -68,6 +69,7 @@
         for status, count in node.edge.answers.items():
             answers.add_metric([str(status)], float(count))
         yield answers
+        yield from _connection_ends(node.edge_server.end_counts)
         owners = CounterMetricFamily(
             "myrtlehatch_host_answers", "answers of hosts, by the request that they name", labels=["request"]
         )
@@ -113,6 +115,21 @@
         return bytes(generate_latest(self.registry))
 
 
+def _connection_ends(counts: EndCounts) -> Iterator[Any]:
+    ended = CounterMetricFamily("myrtlehatch_connections_ended", "of clients, by the cause", labels=["cause"])
+    dropped = CounterMetricFamily(
+        "myrtlehatch_requests_dropped",
+        "read completely and not answered completely when their connection ended, by the cause",
+        labels=["cause"],
+    )
+    for cause, count in counts.connections.items():
+        ended.add_metric([cause.value], float(count))
+    for cause, count in counts.dropped_requests.items():
+        dropped.add_metric([cause.value], float(count))
+    yield ended
+    yield dropped
+
+
 def _coordination_metrics(metrics: CoordinationMetrics, sizes: dict[str, int]) -> Iterator[Any]:
     prefix = "myrtlehatch_coordination"
     turns, fence = sizes.pop("turns"), sizes.pop("fence")
@@ -159,6 +176,8 @@
 
     def client_disconnected(self, exchange: Exchange) -> None: ...
 
+    def connection_ended(self, end: ConnectionEnd) -> None: ...
+
 
 class MetricsServer(Server):
     """Serves the metrics page."""
--- a/coralvale/lab/virtual/network.py
+++ b/coralvale/lab/virtual/network.py
@@ -352,6 +352,10 @@
         end: End = transport
         return end.unread
 
+    def unacknowledged(self, transport: Any) -> int:  # noqa: ANN401
+        end: End = transport
+        return sum(len(data) for _, _, data_of in end.under_way for data in data_of)
+
     def serve(self, factory: Callable[[], asyncio.BaseProtocol], address: Address) -> Server:
         listener = self._bind(address)
 
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -25,6 +25,7 @@
 from coralvale.net.discovery import Discovery, Endpoint
 from coralvale.net.door import MAX_CONNECTIONS as MAX_MANAGEMENT_CONNECTIONS
 from coralvale.net.door import ManagementServer
+from coralvale.net.endings import ConnectionEnd
 from coralvale.net.figures import RequestStats
 from coralvale.net.marks import MaintenanceSet
 from coralvale.net.server import NOT_FORWARDED_HEADERS, Exchange, ParsedRequest, Server, connection_options
@@ -681,6 +682,13 @@
             if name != arrival.plan_name:
                 arrival.plan_name, arrival.plan = name, self.terms.numbers[name.encode()]
 
+    def connection_ended(self, end: ConnectionEnd) -> None:
+        if end.drops_requests:
+            names = ", ".join(end.request_names)
+            log.warning(
+                "connection ended (%s) with %d requests in hand: %s", end.cause.value, end.in_hand, names
+            )
+
     def client_disconnected(self, exchange: Exchange) -> None:
         """Handles a client that closed its connection before its answer was complete."""
         pending = exchange.handler_state
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -21,6 +21,7 @@
 from coralvale import interface as api
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
+from coralvale.net.endings import ConnectionEnd, EndCause, EndCounts
 from coralvale.net.sockets import Sockets
 from coralvale.net.transport import Source
 
@@ -46,6 +47,7 @@
 # Lowest average rate, over WRITE_TIMEOUT_S, at which a client may read an answer that waits for it. The kernel
 # reports what was read in steps of a hundred kilobytes or so.
 MIN_READ_BYTES_PER_S = 10_000
+MAX_NAME_BYTES = 64  # of a request's id in logs
 ACCEPT_PAUSE_S = 0.05  # without accepting, after accept() failed
 SWEEP_INTERVAL_S = 0.25  # between checks of all connections for timeouts
 
@@ -132,6 +134,12 @@
         self.close = False
         self.handler_state: Any = None  # the handler's record of the request
 
+    @property
+    def name(self) -> str:
+        """The start of the request's id, for logs; empty if it has none."""
+        id_ = self.fields.get(self.connection.server.request_id_header, b"")
+        return id_[:MAX_NAME_BYTES].decode("latin-1")
+
     @property
     def body(self) -> bytes:
         """The body received so far."""
@@ -232,7 +240,7 @@
 
     `ready`: whether `GET /up` is answered with 200. `handle` gets each valid request. `client_disconnected`: the
     connection was lost before the answer was complete. `rejected`: the server itself answered with an error;
-    `why` is for logs.
+    `why` is for logs. `connection_ended`: a connection has ended, for whatever cause.
     """
 
     @property
@@ -244,6 +252,8 @@
 
     def rejected(self, exchange: Exchange, status: int, why: str) -> None: ...
 
+    def connection_ended(self, end: ConnectionEnd) -> None: ...
+
 
 class ParsedRequest:
     """The header fields that decisions need, checked; `timeout` in seconds.
@@ -354,6 +364,7 @@
         self.error_status = 0  # status of the last answer, which closes the connection; 0 if none
         self.read_paused = self.write_paused = self.closing = False
         self.over_limit = False  # above `max_connections`: answered with 503 and closed
+        self.end: ConnectionEnd | None = None  # once it is decided
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
         self.transport = transport
@@ -545,9 +556,34 @@
             self.read_paused = False
             self.transport.resume_reading()
 
+    def record_end(self, cause: EndCause) -> None:
+        """Records why the connection ends, and what is in hand; the first cause counts."""
+        if self.end or self.transport is None:
+            return
+        unsent = self.transport.get_write_buffer_size() + self.server.sockets.unacknowledged(self.transport)
+        unsent += sum(len(data) for exchange in self.exchanges for data in exchange.pending)
+        self.end = ConnectionEnd(
+            cause,
+            len(self.exchanges),
+            self.reading is not None,
+            unsent,
+            self.has_unread(),
+            self._names_in_hand(),
+            self.server.closing,
+        )
+
+    def _names_in_hand(self) -> tuple[str, ...]:
+        return tuple(exchange.name for exchange in islice(self.exchanges, MAX_PIPELINED))
+
     def close_after_flush(self) -> None:
         """Closes the connection after the data written is sent; later requests on it are not answered."""
         assert self.transport is not None
+        if self.error_status:
+            timed_out = self.error_status == 408
+            cause = EndCause.TIMED_OUT_REQUEST if timed_out else EndCause.INVALID_REQUEST
+        else:
+            cause = EndCause.SHUTDOWN if self.server.closing else EndCause.FINAL_ANSWER
+        self.record_end(cause)
         self.closing = True
         self.server.idle_connections.pop(self, None)
         if self.error_status or self.reading or self.exchanges or self.has_unread():
@@ -602,9 +638,11 @@
     def abort(self) -> None:
         """Resets the connection in the middle of an answer, so that the client cannot take it for complete."""
         if self.transport:
+            self.record_end(EndCause.BROKEN_ANSWER)
             self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._report_end(EndCause.CLIENT_RESET if exc else EndCause.CLIENT_CLOSED)
         self.server.remove(self)
         self.server.buffered_bytes -= self.buffered_bytes
         self.buffered_bytes = 0
@@ -621,6 +659,18 @@
                 self.server.handler.client_disconnected(exchange)
         self.exchanges.clear()
 
+    def _report_end(self, cause: EndCause) -> None:
+        """Reports the end of the connection, with this cause unless another one was recorded."""
+        end = self.end or ConnectionEnd(
+            cause,
+            in_hand=len(self.exchanges),
+            partly_read=self.reading is not None,
+            request_names=self._names_in_hand(),
+            shutting_down=self.server.closing,
+        )
+        self.server.end_counts.add(end)
+        self.server.handler.connection_ended(end)
+
     def is_idle(self) -> bool:
         """Whether the connection is open and no request is being read or answered."""
         return (
@@ -634,11 +684,12 @@
             return False
         return bool(self.exchanges) or self.transport.get_write_buffer_size() > 0
 
-    def close_idle(self) -> bool:
+    def close_idle(self, cause: EndCause) -> bool:
         """Closes the connection if it is idle and the kernel has no unread data; returns whether it did."""
         if not self.is_idle() or self.has_unread():
             return False
         assert self.transport is not None
+        self.record_end(cause)
         self.closing = True
         self.server.idle_connections.pop(self, None)
         self.transport.close()
@@ -654,6 +705,7 @@
     `handle_request`. `max_total_body_bytes` bounds the memory for request bodies and buffered answers.
     """
 
+    request_id_header = b"x-request-id"
     single_value_headers = {
         b"x-request-id", b"x-priority-class", b"plan", b"cookie", b"x-timeout", b"quota-info",
         b"content-length", b"transfer-encoding",
@@ -686,6 +738,7 @@
         self.lingering: OrderedDict[ClientConnection, asyncio.TimerHandle] = OrderedDict()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.closing = self.accepting = False
+        self.end_counts = EndCounts()
         # Bytes of bodies above UNCOUNTED_BODY_BYTES, reserved and at most.
         self.body_bytes, self.max_total_body_bytes = 0, max_total_body_bytes
         # Bytes of streamed answers, read from hosts and not yet sent.
@@ -764,7 +817,9 @@
         now = self.clock.monotonic()
         some = list(islice(self.idle_connections, 8))
         return any(
-            c.close_idle() for c in some if c.has_requested or now - c.active_at >= NEW_CONNECTION_GRACE_S
+            c.close_idle(EndCause.MAKE_ROOM)
+            for c in some
+            if c.has_requested or now - c.active_at >= NEW_CONNECTION_GRACE_S
         )
 
     def _close_silent(self) -> int:
@@ -775,7 +830,7 @@
             for c in islice(self.idle_connections, 64)
             if not c.has_requested and now - c.active_at >= NEW_CONNECTION_GRACE_S
         ]
-        return sum(connection.close_idle() for connection in some)
+        return sum(connection.close_idle(EndCause.MAKE_ROOM) for connection in some)
 
     def linger(self, connection: ClientConnection) -> None:
         """Aborts a connection after LINGER_S; the oldest at once if more than MAX_LINGERING linger."""
@@ -865,6 +920,7 @@
                 continue
             quiet = now - connection.active_at
             if connection.reads_too_slowly(now):
+                connection.record_end(EndCause.SLOW_READER)
                 connection.transport.abort()
             elif connection.closing:
                 continue
@@ -877,7 +933,7 @@
                     else limits.head_timeout
                 )
                 if quiet > most:
-                    connection.close_idle()
+                    connection.close_idle(EndCause.IDLE)
             elif connection.is_too_slow(now):
                 connection.reject_timed_out()  # never complete, so the handler has not seen it
 
@@ -907,7 +963,7 @@
     def close_idle(self) -> None:
         """Closes all idle connections."""
         for connection in list(self.connections):
-            connection.close_idle()
+            connection.close_idle(EndCause.SHUTDOWN)
 
     def close(self) -> None:
         """Closes the listener and aborts all connections."""
@@ -916,4 +972,5 @@
         self.socket.close()
         for connection in list(self.connections):
             if connection.transport:
+                connection.record_end(EndCause.PROCESS_EXIT)
                 connection.transport.abort()
--- a/coralvale/net/sockets.py
+++ b/coralvale/net/sockets.py
@@ -5,8 +5,11 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
 import socket
+import struct
+import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -43,3 +46,12 @@
         poll = select.poll()
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         return lambda: bool(poll.poll(0))
+
+    def unacknowledged(self, transport: Any) -> int:  # noqa: ANN401
+        """Bytes in the kernel that the peer has not acknowledged; 0 where the kernel does not tell."""
+        descriptor = transport.get_extra_info("socket").fileno()
+        try:
+            answer = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
+        except OSError:
+            return 0
+        return int(struct.unpack("i", answer)[0])
