Reproduce requests lost around SIGTERM, in tests and in the soak

The soak has clients with two to four requests in hand on one connection, and clients that write the next request while they read an answer; both go on behind Connection: close.

ENDED holds a close against each request of its connection. A request behind one whose host crashed, left or had its link reset is excused with it: an answer that breaks off cannot be completed (LOST: no unplanned trouble up to its end).

The plays of tests with real processes close what a failed scene leaves open (tests/cluster/scenes.py, from test_edge): the failure of the late request ended pytest with an internal error before.

--- a/coralvale/cluster/soak/clients.py
+++ b/coralvale/cluster/soak/clients.py
@@ -105,20 +105,7 @@
             await asyncio.sleep(0.1)
             return 0
         id_ = f"{random.getrandbits(64):016x}"
-        self._record(
-            Sent(
-                now(),
-                id_,
-                self.gateway,
-                self.life,
-                self.number * 1_000_000 + self.connection,
-                spec.path,
-                spec.repeatable,
-                spec.tenant,
-                TIME_LIMIT_S,
-                spec.proper,
-            )
-        )
+        self.record_sent(id_, spec)
         try:
             return await self._exchange(id_, spec)
         except TimeoutError:
@@ -136,7 +123,7 @@
 
     async def _exchange(self, id_: str, spec: RequestSpec) -> int:
         assert self.reader and self.writer
-        self.writer.write(_encode(id_, spec))
+        self.writer.write(encode_request(id_, spec))
         async with asyncio.timeout(TIME_LIMIT_S + GIVE_UP_AFTER_S):
             await self.writer.drain()
             self._record(Written(now(), id_))
@@ -148,16 +135,34 @@
                 return 0
             pause = 0.02 if spec.style is RequestStyle.SLOW else 0.0
             found = await read_message(self.reader, pause, 16384)
-        self._record(_answered(id_, found))
+        self._record(read_answer(id_, found))
         if self.honours_close and found.headers.get(b"connection", b"").lower() == b"close":
             self.close()
         return found.status
 
+    def record_sent(self, id_: str, spec: RequestSpec) -> None:
+        """Records a request that is about to be written on the present connection."""
+        self._record(
+            Sent(
+                now(),
+                id_,
+                self.gateway,
+                self.life,
+                self.number * 1_000_000 + self.connection,
+                spec.path,
+                spec.repeatable,
+                spec.tenant,
+                TIME_LIMIT_S,
+                spec.proper,
+            )
+        )
+
     def _record(self, event: Event) -> None:
         self.history.write(event)
 
 
-def _encode(id_: str, spec: RequestSpec) -> bytes:
+def encode_request(id_: str, spec: RequestSpec) -> bytes:
+    """The bytes of a request."""
     headers = {
         "Host": VHOST,
         "X-Myrtlehatch-Request-Id": id_,
@@ -171,7 +176,8 @@
     return request("POST", spec.path, headers, body, spec.style is RequestStyle.CHUNKED)
 
 
-def _answered(id_: str, found: Message) -> Answered:
+def read_answer(id_: str, found: Message) -> Answered:
+    """The event of a complete answer."""
     echo = found.headers.get(b"x-myrtlehatch-request-id", b"").decode("latin-1")
     own = found.status != 200 or (bool(found.body) and is_body_of(id_, found.body))
     return Answered(now(), id_, found.status, echo, own)
--- a/coralvale/cluster/soak/rules_requests.py
+++ b/coralvale/cluster/soak/rules_requests.py
@@ -95,13 +95,16 @@
 def _close_fault(timeline: Timeline, request: Request, end: h.Closed, life: Life | None) -> str:
     """Why its gateway should not have closed a request's connection; empty if it was allowed to.
 
-    It may if it was killed, near the request's limit, after a fault of the host, and, if it had not forwarded
-    the request, shortly after its last byte.
+    It may if it was killed, near the request's limit, after a fault of its host or of the host of an earlier
+    request on the connection, whose answer could then not be completed, and, if it had not forwarded the
+    request, shortly after its last byte.
     """
     if _was_killed(life, end.at):
         return ""
     took = end.at - request.sent.at
-    if took >= request.sent.limit - TIMEOUT_MARGIN_S or _host_disconnected(timeline, request, end.at):
+    if took >= request.sent.limit - TIMEOUT_MARGIN_S:
+        return ""
+    if any(_host_disconnected(timeline, earlier, end.at) for earlier in timeline.closed_with(request)):
         return ""
     after_sigterm = " after SIGTERM" if life and life.terminated_at and life.terminated_at <= end.at else ""
     if request.ran or end.begun:
--- a/coralvale/cluster/soak/timeline.py
+++ b/coralvale/cluster/soak/timeline.py
@@ -64,6 +64,7 @@
         self.disturbances: dict[int, list[float]] = defaultdict(list)  # by gateway
         self.core_disturbances: list[float] = []
         self.requests: dict[str, Request] = {}
+        self.by_connection: dict[int, list[Request]] = defaultdict(list)  # in the order sent
         self.stalls: list[tuple[float, float]] = []
         self.link_disturbances: dict[str, list[float]] = defaultdict(list)  # of links and hosts, by host
         self.unknown_runs: list[h.Ran] = []  # runs of requests that no client sent
@@ -85,6 +86,7 @@
                 self.stalls.append((event.at, event.seconds))
             case h.Sent():
                 self.requests[event.id] = Request(event)
+                self.by_connection[event.connection].append(self.requests[event.id])
             case h.Written():
                 self.requests[event.id].written_at = event.at
             case h.Answered() | h.Closed() | h.Left() | h.Silent():
@@ -145,6 +147,11 @@
         """Whether neither a host nor its link was disturbed from `ContactMs` before `since` on."""
         return not _any_between(self.link_disturbances.get(host, []), since - self.run.contact, until)
 
+    def closed_with(self, request: Request) -> list[Request]:
+        """The requests of its connection up to this one that had no complete answer when it was closed."""
+        sent = self.by_connection[request.sent.connection]
+        return [r for r in sent[: sent.index(request) + 1] if isinstance(r.end, h.Closed)]
+
     def life_of(self, request: Request) -> Life | None:
         """The life of the gateway that the request was sent to; None if it is not known."""
         return self.lives.get((request.sent.gateway, request.sent.life))
--- a/coralvale/cluster/soak/workload.py
+++ b/coralvale/cluster/soak/workload.py
@@ -13,6 +13,7 @@
 from coralvale.cluster.soak.hosts import SoakHost
 from coralvale.cluster.soak.measure import record_stalls, sample_processes
 from coralvale.cluster.soak.operator import SERVICES, Operator, api_key
+from coralvale.cluster.soak.pipelining import PipeliningClient
 
 HOSTS_PER_SERVICE = 4
 MAX_RATE_PER_S = 120.0  # requests of all clients without a quota
@@ -21,6 +22,10 @@
 HOT_INTERVAL_S = 0.08  # between the requests of each of them
 UPLOAD_CLIENTS = 2
 UPLOAD_INTERVAL_S = 0.5  # between the uploads of each of them
+PIPELINING_CLIENTS = 4  # clients with several requests in hand
+MAX_SERIES = 4  # requests of such a client at once
+OVERLAPPING_SHARE = 0.3  # of its series, in which a request is written while an answer is read
+SERIES_INTERVAL_S = 0.1  # between its series
 PROBE_INTERVAL_S = 0.25  # between probes of the newest routes
 CHANGE_INTERVAL_S = 1.5  # between configuration changes
 READ_INTERVAL_S = 1.0  # between reads of the configuration
@@ -85,6 +90,9 @@
         self._spawn(self._probe_client(count + HOT_CLIENTS))
         for number in range(UPLOAD_CLIENTS):
             self._spawn(self._upload_client(count + HOT_CLIENTS + 1 + number))
+        first = count + HOT_CLIENTS + 1 + UPLOAD_CLIENTS
+        for number in range(PIPELINING_CLIENTS):
+            self._spawn(self._pipelining_client(first + number))
         self._spawn(self._repeat(self.operator.change, CHANGE_INTERVAL_S))
         self._spawn(self._repeat(self.operator.read, READ_INTERVAL_S))
         self._spawn(sample_processes(self.cluster, self.history))
@@ -157,6 +165,22 @@
             await client.send(RequestSpec(f"/{service}/book/1", False, api_key("station"), "station", style))
             await asyncio.sleep(UPLOAD_INTERVAL_S)
 
+    async def _pipelining_client(self, number: int) -> None:
+        """Sends series of short requests at once, or of long answers with the next request written meanwhile."""
+        client = PipeliningClient(self.cluster, self.history, number)
+        self.clients.append(client)
+        while True:
+            overlapping = self.rng.random() < OVERLAPPING_SHARE
+            paths = ["long"] if overlapping else ["read", "book"]
+            specs = [
+                RequestSpec(
+                    f"/{self.rng.choice(SERVICES)}/{path}/1", path != "book", api_key("station"), "station"
+                )
+                for path in self.rng.choices(paths, k=self.rng.randint(2, MAX_SERIES))
+            ]
+            await client.send_series(specs, overlapping)
+            await asyncio.sleep(SERIES_INTERVAL_S)
+
     async def _probe_client(self, number: int) -> None:
         """Sends requests on the routes of the newest changes, to a randomly chosen gateway each."""
         client = Client(self.cluster, self.history, number)
--- a/tests/cluster/test_interrupted_writes.py
+++ b/tests/cluster/test_interrupted_writes.py
@@ -13,8 +13,9 @@
 
 import pytest
 import uvloop
+from scenes import play
 from test_configuration import changed
-from test_edge import BOOK, READ, Scene, play, reply, request_bytes, wait_until
+from test_edge import BOOK, READ, Scene, reply, request_bytes, wait_until
 
 from coralvale.cluster.registry.register import Row
 from coralvale.cluster.settings import Bounds
