Decide in one place when and how a client's connection ends

Callers saw no whole answer to requests that a host had run, around SIGTERM of their gateway: two or more on one connection at a time.

Cause: after SIGTERM whichever answer came next was marked Connection: close, and the connection was closed behind it, with the requests behind it that were read whole and run; the same for a request that is refused with a close. What ends a connection was decided in five places (reply, start_stream, flush, close_after_flush, close_idle), none of which knew all that a connection can have in hand.

Now net/closing.py decides, by a table of phases: an answer is announced as the last one when it is written, and only with nothing behind it, in hand, read in part or in the kernel; from then on nothing is read; the connection is closed once the client's kernel has acknowledged all bytes, so that no reset overtakes an answer. A request of HTTP/1.0 is the last one of its connection, since its answer may end with it. Above MAX_LINGERING the oldest connection that has all its bytes is closed; before, the oldest of all was reset.

--- a/coralvale/cluster/server/edge.py
+++ b/coralvale/cluster/server/edge.py
@@ -89,8 +89,6 @@
 class EdgeServer(Server):
     """Accepts clients' connections and passes their requests to an `Edge`."""
 
-    refusing = False  # the process is about to end: a request read now could not be answered any more
-
     request_id_header = REQUEST_ID
     single_value_headers = {
         REQUEST_ID,
@@ -121,7 +119,6 @@
 
     def handle_request(self, exchange: Exchange) -> None:
         if exchange.connection.over_limit or self.refusing:
-            exchange.close = True
             exchange.reply(503, retry_after=0.2)
             return
         self.edge.handle_request(exchange)
--- a/coralvale/lab/virtual/network.py
+++ b/coralvale/lab/virtual/network.py
@@ -146,7 +146,12 @@
         if not self.closing and not self.over:
             self.closing = True
             self.reading = False
-            self._push()
+            if not self.finished:
+                self._push()
+                return
+            if self.arrived:
+                self.network.travel(self, self.other._reset)
+            self.network.loop.call_soon(self._lost, None)
 
     def abort(self) -> None:
         """The other end sees a reset, as soon as that arrives."""
@@ -356,6 +361,10 @@
         end: End = transport
         return sum(len(data) for _, _, data_of in end.under_way for data in data_of)
 
+    def closed_by_peer(self, transport: Any) -> bool:  # noqa: ANN401
+        end: End = transport
+        return end.end_came or end.over
+
     def serve(self, factory: Callable[[], asyncio.BaseProtocol], address: Address) -> Server:
         listener = self._bind(address)
 
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -20,6 +20,7 @@
 
 from coralvale import interface as api
 from coralvale.net.clock import Clock
+from coralvale.net.closing import POLL_INTERVAL_S, Delivery, Phase, answer_is_last, may_close
 from coralvale.net.config import Address
 from coralvale.net.endings import ConnectionEnd, EndCause, EndCounts
 from coralvale.net.sockets import Sockets
@@ -38,8 +39,7 @@
 MIN_BODY_BYTES_PER_S = 50_000
 MAX_ANSWER_BUFFER_BYTES = 8 * 1024 * 1024  # of streamed answers, buffered for one slow client
 STREAM_SEND_BUFFER_BYTES = 256 * 1024  # SO_SNDBUF of a connection with a streamed answer
-LINGER_S = 1.0  # for the client to receive an answer that was sent while it was still sending
-MAX_LINGERING = 32  # lingering connections, above which the oldest is aborted
+MAX_LINGERING = 32  # connections whose client has all bytes, above which the oldest is closed
 IDLE_TIMEOUT_S = 10.0  # between requests of a connection
 SHORT_IDLE_TIMEOUT_S = 2.0  # the same when half of the allowed connections or more are open
 NEW_CONNECTION_GRACE_S = 0.25  # before a connection that has sent nothing may be evicted for another
@@ -115,8 +115,8 @@
     """A request and its answer."""
 
     __slots__ = (
-        "answer", "chunked", "close", "connection", "counted_bytes", "fields", "headers", "handler_state",
-        "method", "http_1_0", "parts", "pending", "source", "started", "target", "finished",
+        "chunked", "connection", "counted_bytes", "fields", "final", "finished", "handler_state", "head",
+        "headers", "http_1_0", "method", "parts", "pending", "source", "started", "target",
     )  # fmt: skip
 
     def __init__(self, connection: ClientConnection) -> None:
@@ -130,8 +130,8 @@
         self.started = self.finished = self.chunked = False
         self.headers: list[tuple[bytes, bytes]] = []  # in the order received
         self.fields: dict[bytes, bytes] = {}
-        self.answer: bytes | None = None
-        self.close = False
+        self.head: bytes | None = None  # of the answer, without `Connection` and the line that ends it
+        self.final = False  # no request behind it on its connection is handled
         self.handler_state: Any = None  # the handler's record of the request
 
     @property
@@ -164,7 +164,7 @@
 
         `retry_after` is in seconds; 0 sends no Retry-After.
         """
-        if self.answer is not None:
+        if self.head is not None:
             return
         parts = [STATUS_LINES[status], b"Content-Length: %d\r\n" % len(body)]
         if headers:
@@ -173,11 +173,9 @@
             parts.append(b"Content-Type: text/plain\r\n")
         if retry_after > 0:
             parts.append(b"Retry-After: %.3f\r\n" % retry_after)
-        self.close = self.close or self.connection.server.closing
-        if self.close:
-            parts.append(b"Connection: close\r\n")
-        parts += (b"\r\n", body if self.method != b"HEAD" else b"")
-        self.answer = b"".join(parts)
+        self.head = b"".join(parts)
+        if self.method != b"HEAD":
+            self.pending.append(body)
         self.release_body()
         self.connection.flush()
 
@@ -189,16 +187,10 @@
         parts = [STATUS_LINES[200], *(b"%b: %b\r\n" % header for header in headers)]
         if length is not None:
             parts.append(b"Content-Length: %d\r\n" % length)
-        elif self.http_1_0:
-            self.close = True
-        else:
+        elif not self.http_1_0:  # else it ends with its connection, on which it is the last
             self.chunked = True
             parts.append(b"Transfer-Encoding: chunked\r\n")
-        self.close = self.close or self.connection.server.closing
-        if self.close:
-            parts.append(b"Connection: close\r\n")
-        parts.append(b"\r\n")
-        self.answer = b"".join(parts)
+        self.head = b"".join(parts)
         self.release_body()
 
     def write(self, data: list[bytes]) -> None:
@@ -230,8 +222,12 @@
         self.connection.abort()
 
     def reply_and_close(self, status: int, body: bytes = b"") -> None:
-        """Rejects a request and closes the connection, as its next request is likely invalid too."""
-        self.close = True
+        """Rejects a request and closes the connection, as its next request is likely invalid too.
+
+        Requests behind it are not handled. To be called before the handler of the request returns.
+        """
+        self.final = True
+        self.connection.phase = Phase.LAST_READ
         self.reply(status, body)
 
 
@@ -351,7 +347,7 @@
         self.transport: asyncio.Transport | None = None
         self.exchanges: deque[Exchange] = deque()
         self.reading: Exchange | None = None
-        self.complete: list[Exchange] = []
+        self.complete: deque[Exchange] = deque()  # read completely and not handled yet
         self.active_at = self.opened_at = self.server.clock.monotonic()
         self.message_began_at = 0.0
         self.buffered_bytes = 0  # of answers not yet sent, as last counted against the bounds
@@ -362,8 +358,10 @@
         self.size = self.head_size = 0
         self.in_body = False
         self.error_status = 0  # status of the last answer, which closes the connection; 0 if none
-        self.read_paused = self.write_paused = self.closing = False
+        self.phase = Phase.OPEN
+        self.read_paused = self.write_paused = False
         self.over_limit = False  # above `max_connections`: answered with 503 and closed
+        self.delivered_at: float | None = None  # once the client has all bytes of a finishing connection
         self.end: ConnectionEnd | None = None  # once it is decided
 
     def connection_made(self, transport: Any) -> None:  # noqa: ANN401
@@ -374,8 +372,8 @@
     # Reading
 
     def data_received(self, data: bytes) -> None:
-        if self.error_status or self.closing:
-            return  # data after a malformed request cannot be framed
+        if self.phase is not Phase.OPEN:
+            return  # behind the last request, or a malformed one that cannot be framed
         self.active_at = self.server.clock.monotonic()
         self.server.idle_connections.pop(self, None)
         if not self.in_body:
@@ -383,34 +381,55 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.error_status = self.error_status or 400
+            if not (self.complete and self.complete[-1].final):  # what is behind the last request is ignored
+                self.error_status = self.error_status or 400
         if (
             self.reading is not None
             and not self.in_body
             and self.head_size > self.server.limits.max_head_bytes
         ):
             self.error_status = self.error_status or self.server.limits.large_head_status
-        complete, self.complete = self.complete, []
-        for exchange in complete:
-            if self.closing:  # an earlier answer has closed the connection
-                break
+        self._handle_complete()
+        if self.phase is Phase.OPEN:
+            if self.error_status:
+                self._reply_error()
+            elif len(self.exchanges) >= MAX_PIPELINED:
+                self._pause_reading()
+            elif self.server.refusing:
+                self.stop_reading()
+        self.update_idle()
+
+    def _handle_complete(self) -> None:
+        """Hands complete requests to the server, up to the last one of the connection."""
+        while self.complete and self.phase is Phase.OPEN:
+            exchange = self.complete.popleft()
+            self.exchanges.append(exchange)
+            if exchange.final:
+                self.phase = Phase.LAST_READ
             self.server.handle_request(exchange)
-        if self.error_status:
-            self._reply_error()
-        elif len(self.exchanges) >= MAX_PIPELINED and self.transport and not self.read_paused:
+        for exchange in self.complete:
+            exchange.release_body()
+        self.complete.clear()
+
+    def _pause_reading(self) -> None:
+        if self.transport and not self.read_paused:
             self.read_paused = True
             self.transport.pause_reading()
-        self.update_idle()
+
+    def stop_reading(self) -> None:
+        """Reads no further request, if one is in hand and none has come in part."""
+        if self.phase is Phase.OPEN and self.exchanges and self.reading is None:
+            self.phase = Phase.LAST_READ
+            self._pause_reading()
 
     def _reply_error(self) -> None:
         """Queues an error as the last answer. Nothing more is read, as a large body may follow (60 MB)."""
-        if self.transport and not self.read_paused:
-            self.read_paused = True
-            self.transport.pause_reading()
+        self._pause_reading()
         if self.reading:
             self.reading.release_body()
         exchange = Exchange(self)
-        exchange.close = True
+        exchange.final = True
+        self.phase = Phase.LAST_READ
         self.exchanges.append(exchange)
         exchange.reply(
             self.error_status, retry_after=self.server.max_advice if self.error_status == 503 else 0.0
@@ -491,7 +510,9 @@
             self.error_status = self.server.early_rejection_status(exchange)
         if self.error_status:
             raise ValueError("the length cannot be used")  # stops the parser before the body
-        if exchange.fields.get(b"expect", b"").lower() == b"100-continue" and not self.exchanges:
+        if exchange.fields.get(b"expect", b"").lower() == b"100-continue" and not (
+            self.exchanges or self.complete
+        ):
             assert self.transport is not None
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -519,48 +540,67 @@
         if exchange is None or self.error_status:
             return
         self.has_requested = True
-        exchange.close = not self.parser.should_keep_alive()
-        self.exchanges.append(exchange)
+        # A proxy keeps no connection of an HTTP/1.0 client (RFC 9112, appendix C.2.2).
+        exchange.final = exchange.http_1_0 or not self.parser.should_keep_alive()
         self.complete.append(exchange)
 
     # Writing
 
     def flush(self) -> None:
         """Writes the answers that are next in order, as far as they are known."""
-        if self.transport is None or self.transport.is_closing():
+        if self.transport is None or self.transport.is_closing() or self.phase is Phase.FINISHING:
             return
-        while self.exchanges and (answer := self.exchanges[0].answer) is not None:
+        while self.exchanges and (head := self.exchanges[0].head) is not None:
             exchange = self.exchanges[0]
             self.active_at = self.server.clock.monotonic()
             if not exchange.started:
                 exchange.started = True
-                if exchange.source:
-                    sock = self.transport.get_extra_info("socket")
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_SEND_BUFFER_BYTES)
-                self.transport.write(answer)
-                self.written_bytes += len(answer)
-            if exchange.pending:
-                self.written_bytes += sum(map(len, exchange.pending))
-                self.transport.writelines(exchange.pending)
-                exchange.pending = []
+                self._write_head(exchange, head)
+            self._write_pending(exchange)
             if exchange.source:  # more of the answer follows
                 if not self.write_paused:
                     exchange.source.resume()
                 return
             self.exchanges.popleft()
-            if exchange.close:
-                self.close_after_flush()
-                return
+        if self.phase is Phase.LAST_READ and not self.exchanges:
+            self.finish(self._final_cause())
+            return
         self.update_idle()
-        if self.read_paused and len(self.exchanges) < MAX_PIPELINED:
+        if self.read_paused and self.phase is Phase.OPEN and len(self.exchanges) < MAX_PIPELINED:
             self.read_paused = False
             self.transport.resume_reading()
 
+    def _write_head(self, exchange: Exchange, head: bytes) -> None:
+        """Writes the head of an answer, and announces there if it is the last one."""
+        assert self.transport is not None
+        in_hand = len(self.exchanges) + len(self.complete)
+        is_last = answer_is_last(
+            self.phase,
+            self.over_limit or self.server.closing,
+            in_hand,
+            self.reading is not None,
+            self.has_unread,
+        )
+        if is_last and self.phase is Phase.OPEN:
+            self.phase = Phase.LAST_READ
+            self._pause_reading()
+        if exchange.source:
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_SEND_BUFFER_BYTES)
+        exchange.pending[:0] = [head, b"Connection: close\r\n\r\n" if is_last else b"\r\n"]
+
+    def _write_pending(self, exchange: Exchange) -> None:
+        if exchange.pending:
+            assert self.transport is not None
+            self.written_bytes += sum(map(len, exchange.pending))
+            self.transport.writelines(exchange.pending)
+            exchange.pending = []
+
     def record_end(self, cause: EndCause) -> None:
         """Records why the connection ends, and what is in hand; the first cause counts."""
         if self.end or self.transport is None:
             return
-        unsent = self.transport.get_write_buffer_size() + self.server.sockets.unacknowledged(self.transport)
+        unsent = self.unsent_bytes()
         unsent += sum(len(data) for exchange in self.exchanges for data in exchange.pending)
         self.end = ConnectionEnd(
             cause,
@@ -575,25 +615,40 @@
     def _names_in_hand(self) -> tuple[str, ...]:
         return tuple(exchange.name for exchange in islice(self.exchanges, MAX_PIPELINED))
 
-    def close_after_flush(self) -> None:
-        """Closes the connection after the data written is sent; later requests on it are not answered."""
-        assert self.transport is not None
+    def _final_cause(self) -> EndCause:
         if self.error_status:
-            timed_out = self.error_status == 408
-            cause = EndCause.TIMED_OUT_REQUEST if timed_out else EndCause.INVALID_REQUEST
-        else:
-            cause = EndCause.SHUTDOWN if self.server.closing else EndCause.FINAL_ANSWER
+            return EndCause.TIMED_OUT_REQUEST if self.error_status == 408 else EndCause.INVALID_REQUEST
+        return EndCause.SHUTDOWN if self.server.closing else EndCause.FINAL_ANSWER
+
+    def finish(self, cause: EndCause) -> None:
+        """Ends the connection once its client has received all that was written."""
+        assert self.transport is not None
         self.record_end(cause)
-        self.closing = True
+        self.phase = Phase.FINISHING
         self.server.idle_connections.pop(self, None)
-        if self.error_status or self.reading or self.exchanges or self.has_unread():
-            # Closing with unread input would reset the connection, and the client could lose the answer.
-            self.transport.write_eof()
-            if not self.read_paused:
-                self.read_paused = True
-                self.transport.pause_reading()
-            self.server.linger(self)
-        else:
+        if not (self.error_status or self.reading or self.unsent_bytes() or self.has_unread()):
+            self.transport.close()
+            return
+        self._pause_reading()
+        self.transport.write_eof()
+        self.server.linger(self)
+
+    def unsent_bytes(self) -> int:
+        """Bytes written that the client's kernel has not acknowledged."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size() + self.server.sockets.unacknowledged(self.transport)
+
+    def check_delivery(self, now: float) -> None:
+        """Closes a finishing connection if it may be closed."""
+        if self.transport is None:
+            return
+        unsent = self.unsent_bytes()
+        if not unsent and self.delivered_at is None:
+            self.delivered_at = now
+        closed = self.server.sockets.closed_by_peer(self.transport)
+        waited = now - self.delivered_at if self.delivered_at is not None else 0.0
+        if may_close(Delivery(unsent, closed, waited)):
             self.transport.close()
 
     def has_unread(self) -> bool:
@@ -606,15 +661,21 @@
         self._take_progress()
 
     def _take_progress(self) -> int:
-        """Returns the bytes that the transport has passed on since the last call."""
+        """Returns the bytes that the transport has passed on since the last call.
+
+        Of a finishing connection those that the client has acknowledged.
+        """
         assert self.transport is not None
-        taken, before = self.written_bytes - self.transport.get_write_buffer_size(), self.taken_bytes
+        finishing = self.phase is Phase.FINISHING
+        left = self.unsent_bytes() if finishing else self.transport.get_write_buffer_size()
+        taken, before = self.written_bytes - left, self.taken_bytes
         self.taken_bytes = taken
         return taken - before
 
     def reads_too_slowly(self, now: float) -> bool:
         """Whether the client has held up an answer for WRITE_TIMEOUT_S and read too little of it meanwhile."""
-        if not self.write_paused or now - self.active_at <= WRITE_TIMEOUT_S:
+        waits = self.write_paused or (self.phase is Phase.FINISHING and self.delivered_at is None)
+        if not waits or now - self.active_at <= WRITE_TIMEOUT_S:
             return False
         if self._take_progress() < MIN_READ_BYTES_PER_S * WRITE_TIMEOUT_S:
             return True
@@ -651,8 +712,8 @@
             self.reading.release_body()
         for exchange in self.exchanges:
             exchange.release_body()
-            if exchange.answer is None:
-                exchange.answer = b""
+            if exchange.head is None:
+                exchange.head = b""
                 self.server.handler.client_disconnected(exchange)
             elif exchange.source:
                 exchange.source = None
@@ -673,26 +734,20 @@
 
     def is_idle(self) -> bool:
         """Whether the connection is open and no request is being read or answered."""
-        return (
-            not (self.exchanges or self.reading or self.closing or self.error_status)
-            and self.transport is not None
-        )
+        in_hand = self.exchanges or self.complete or self.reading
+        return self.phase is Phase.OPEN and not in_hand and self.transport is not None
 
     def is_sending(self) -> bool:
         """Whether a request on it is unanswered, or a part of an answer has not been sent."""
-        if self.transport is None:
-            return False
-        return bool(self.exchanges) or self.transport.get_write_buffer_size() > 0
+        return self.transport is not None and (
+            bool(self.exchanges) or self.transport.get_write_buffer_size() > 0
+        )
 
     def close_idle(self, cause: EndCause) -> bool:
-        """Closes the connection if it is idle and the kernel has no unread data; returns whether it did."""
+        """Ends the connection if it is idle and the kernel has no unread data; returns whether it did."""
         if not self.is_idle() or self.has_unread():
             return False
-        assert self.transport is not None
-        self.record_end(cause)
-        self.closing = True
-        self.server.idle_connections.pop(self, None)
-        self.transport.close()
+        self.finish(cause)
         return True
 
 
@@ -735,9 +790,10 @@
         self.waiting_for_buffer: dict[ClientConnection, None] = {}  # whose streamed answers are paused
         # Idle connections, the one idle longest first; kept in order by insertion.
         self.idle_connections: OrderedDict[ClientConnection, None] = OrderedDict()
-        self.lingering: OrderedDict[ClientConnection, asyncio.TimerHandle] = OrderedDict()
+        self.lingering: OrderedDict[ClientConnection, None] = OrderedDict()  # that are finishing
+        self.linger_timer: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.closing = self.accepting = False
+        self.closing = self.refusing = self.accepting = False
         self.end_counts = EndCounts()
         # Bytes of bodies above UNCOUNTED_BODY_BYTES, reserved and at most.
         self.body_bytes, self.max_total_body_bytes = 0, max_total_body_bytes
@@ -833,13 +889,22 @@
         return sum(connection.close_idle(EndCause.MAKE_ROOM) for connection in some)
 
     def linger(self, connection: ClientConnection) -> None:
-        """Aborts a connection after LINGER_S; the oldest at once if more than MAX_LINGERING linger."""
-        assert connection.transport is not None
-        self.lingering[connection] = self.loop.call_later(LINGER_S, connection.transport.abort)
-        if len(self.lingering) > MAX_LINGERING:
-            oldest = next(iter(self.lingering))
-            assert oldest.transport is not None
-            oldest.transport.abort()
+        """Watches a finishing connection until it may be closed."""
+        self.lingering[connection] = None
+        if self.linger_timer is None:
+            self.linger_timer = self.loop.call_later(POLL_INTERVAL_S, self._check_lingering)
+
+    def _check_lingering(self) -> None:
+        self.linger_timer = None
+        now = self.clock.monotonic()
+        for connection in list(self.lingering):
+            connection.check_delivery(now)
+        delivered = [c for c in self.lingering if c.delivered_at is not None and c.transport]
+        for connection in delivered[: max(0, len(delivered) - MAX_LINGERING)]:
+            assert connection.transport is not None
+            connection.transport.abort()
+        if self.lingering:
+            self.linger_timer = self.loop.call_later(POLL_INTERVAL_S, self._check_lingering)
 
     def resume_sources(self) -> None:
         """Resumes paused streamed answers for which there is buffer space again, in the order of pausing."""
@@ -858,8 +923,7 @@
         self.waiting_for_buffer.pop(connection, None)
         self.connections.discard(connection)
         self.idle_connections.pop(connection, None)
-        if timer := self.lingering.pop(connection, None):
-            timer.cancel()
+        self.lingering.pop(connection, None)
 
     # Requests
 
@@ -896,7 +960,6 @@
         path, query, _ = exchange.target.partition(b"?")
         if path == b"/api":
             if exchange.connection.over_limit:
-                exchange.close = True
                 exchange.reply(503, retry_after=self.max_advice)
                 self.handler.rejected(exchange, 503, "too many connections")
                 return
@@ -922,7 +985,7 @@
             if connection.reads_too_slowly(now):
                 connection.record_end(EndCause.SLOW_READER)
                 connection.transport.abort()
-            elif connection.closing:
+            elif connection.phase is Phase.FINISHING:
                 continue
             elif connection.is_idle():
                 limits = self.limits
@@ -940,9 +1003,15 @@
     # Shutdown
 
     def drain(self) -> None:
-        """From now on every connection is closed after its next answer."""
+        """From now on every connection is closed after the answers to the requests that are read from it."""
         self.closing = True
 
+    def refuse(self) -> None:
+        """From now on requests are refused, and none is read behind others of its connection."""
+        self.refusing = True
+        for connection in list(self.connections):
+            connection.stop_reading()
+
     def release_listener(self) -> None:
         """Closes this process's descriptor of the listener, on which another process goes on listening."""
         self.pause_accepting()
@@ -969,6 +1038,8 @@
         """Closes the listener and aborts all connections."""
         self.pause_accepting()
         self.sweep_timer.cancel()
+        if self.linger_timer:
+            self.linger_timer.cancel()
         self.socket.close()
         for connection in list(self.connections):
             if connection.transport:
--- a/coralvale/net/sockets.py
+++ b/coralvale/net/sockets.py
@@ -55,3 +55,9 @@
         except OSError:
             return 0
         return int(struct.unpack("i", answer)[0])
+
+    def closed_by_peer(self, transport: Any) -> bool:  # noqa: ANN401
+        """Whether the peer has closed its side of a connection, or reset it."""
+        poll = select.poll()
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -252,8 +252,9 @@
             assert await usual.at_end()
             assert len(w.script.of(api.Request)) == 2
 
-    for name in ("HEAD_TIMEOUT_S", "SWEEP_INTERVAL_S", "LINGER_S"):
+    for name in ("HEAD_TIMEOUT_S", "SWEEP_INTERVAL_S"):
         monkeypatch.setattr(f"coralvale.net.server.{name}", 0.01)
+    monkeypatch.setattr("coralvale.net.closing.LINGER_S", 0.01)
     run(test())
 
 
@@ -326,7 +327,7 @@
                 assert (await w.ask(b"nonsense\r\n\r\n")).status == 400
             await until(lambda: len(w.node.server.connections) == 2)
 
-    monkeypatch.setattr("coralvale.net.server.LINGER_S", 60.0)
+    monkeypatch.setattr("coralvale.net.closing.LINGER_S", 60.0)
     monkeypatch.setattr("coralvale.net.server.MAX_LINGERING", 2)
     run(test())
 
