Count bytes that the kernel still holds as being sent

A process that ends, and a connection that closes, looked at the transport's buffer alone. The kernel held up to some megabytes of an answer that a slow client was reading; if the client had written more, closing reset the connection, and the client lost the end of its answer.

--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -739,9 +739,7 @@
 
     def is_sending(self) -> bool:
         """Whether a request on it is unanswered, or a part of an answer has not been sent."""
-        return self.transport is not None and (
-            bool(self.exchanges) or self.transport.get_write_buffer_size() > 0
-        )
+        return self.transport is not None and (bool(self.exchanges) or self.unsent_bytes() > 0)
 
     def close_idle(self, cause: EndCause) -> bool:
         """Ends the connection if it is idle and the kernel has no unread data; returns whether it did."""
