Refuse requests that come too late after SIGTERM to be answered

A gateway passed on what it read until nothing was open any more, up to 5.3 s after SIGTERM (GraceS 6), and then ended under the hosts' work: the client got no answer. The rule excuses only requests that were sent within 3 s of SIGTERM.

--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -63,6 +63,9 @@
 # New connections are accepted for this long after SIGTERM: the platform takes a gateway out of its list only
 # after two failed readiness checks.
 ACCEPT_AFTER_SIGTERM_S = 2.9
+# Later requests are refused, since their hosts may not be done before the process ends.
+HANDLE_AFTER_SIGTERM_S = 3.0
+SENT_CHECK_INTERVAL_S = 0.02  # between checks whether all answers have been sent
 GRACE_MARGIN_S = 0.7  # before the end of GraceS; by then all requests are answered
 # Calls of hosts, operators and applications are answered within this time, except large configuration
 # changes.
@@ -228,15 +231,12 @@
         self.coordination.stop()
         self.core.leave()
         self.edge_server.close_idle()
-        await asyncio.sleep(
-            min(ACCEPT_AFTER_SIGTERM_S, max(0.0, deadline - self.runtime.clock.monotonic() - 0.5))
-        )
+        await self._sleep_until(min(started_at + ACCEPT_AFTER_SIGTERM_S, deadline - 0.5))
         self.edge_server.stop_accepting()
-        while self.edge_server.is_sending() and self.runtime.clock.monotonic() < deadline:
-            self.edge_server.close_idle()
-            await asyncio.sleep(0.02)
-        self.edge_server.refusing = True
+        await self._sleep_until(min(started_at + HANDLE_AFTER_SIGTERM_S, deadline - 0.4))
+        self.edge_server.refuse()
         self.edge_server.close_idle()
+        await self._until_sent([self.edge_server], deadline)
         while not self.core.can_stop() and self.runtime.clock.monotonic() < deadline:
             await asyncio.sleep(0.02)
         if not self.core.can_stop():
@@ -250,6 +250,16 @@
         log_event(Event.ENDED, open=len(self.edge.open))
         self.stopped.set()
 
+    async def _sleep_until(self, moment: float) -> None:
+        await asyncio.sleep(max(0.0, moment - self.runtime.clock.monotonic()))
+
+    async def _until_sent(self, servers: list[Server], deadline: float) -> None:
+        """Waits until clients have received the answers to all requests that were read, or until the deadline."""
+        while any(server.is_sending() for server in servers) and self.runtime.clock.monotonic() < deadline:
+            for server in servers:
+                server.close_idle()
+            await asyncio.sleep(SENT_CHECK_INTERVAL_S)
+
     async def _finish_control_calls(self, deadline: float) -> None:
         """Waits for the calls of hosts, operators and applications that are being answered."""
         left = min(CONTROL_ANSWER_S, deadline - self.runtime.clock.monotonic())
