Answer the calls of hosts and operators that a gateway is handling as it ends

Its connections took no part in the shutdown: the process waited once for the calls in progress, and then cut those that came in its last quarter of a second, in the midst of their work.

--- a/coralvale/cluster/server/ctl.py
+++ b/coralvale/cluster/server/ctl.py
@@ -226,4 +226,7 @@
         self.limits = ClientLimits(max_body_bytes=MAX_BODY_BYTES, head_timeout=5.0, idle_timeout=30.0)
 
     def handle_request(self, exchange: Exchange) -> None:
+        if self.refusing:
+            exchange.reply(503)
+            return
         self.control.call(exchange)
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -261,10 +261,15 @@
             await asyncio.sleep(SENT_CHECK_INTERVAL_S)
 
     async def _finish_control_calls(self, deadline: float) -> None:
-        """Waits for the calls of hosts, operators and applications that are being answered."""
-        left = min(CONTROL_ANSWER_S, deadline - self.runtime.clock.monotonic())
-        if self.control.tasks and left > 0:
-            await asyncio.wait(set(self.control.tasks), timeout=left)
+        """Ends the connections of hosts, operators and applications: answers the calls that are being handled,
+        and refuses later ones."""
+        for server in self.servers:
+            server.drain()
+            server.refuse()
+            server.stop_accepting()
+            server.close_idle()
+        ends_at = min(deadline, self.runtime.clock.monotonic() + CONTROL_ANSWER_S)
+        await self._until_sent(self.servers, ends_at)
 
     def reload_settings(self) -> None:
         """Reads the settings file again; invalid settings are logged and change nothing."""
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -136,9 +136,9 @@
 
     @property
     def name(self) -> str:
-        """The start of the request's id, for logs; empty if it has none."""
+        """The start of the request's id for logs, or of its target if it has none."""
         id_ = self.fields.get(self.connection.server.request_id_header, b"")
-        return id_[:MAX_NAME_BYTES].decode("latin-1")
+        return (id_ or self.target)[:MAX_NAME_BYTES].decode("latin-1")
 
     @property
     def body(self) -> bytes:
--- a/tests/cluster/test_connection_endings.py
+++ b/tests/cluster/test_connection_endings.py
@@ -15,7 +15,7 @@
 from test_processes import run_scene as run_processes
 
 from coralvale.net.endings import ConnectionEnd, EndCause
-from coralvale.standins.cluster import EDGE, LocalCluster
+from coralvale.standins.cluster import CTL, EDGE, LocalCluster
 from coralvale.standins.wire import read_message
 
 LONG_ANSWER_BYTES = 2 << 20  # more than the buffers between a gateway and a client that does not read
@@ -202,3 +202,33 @@
             writer.close()
 
     run_processes(scene)
+
+
+# Guards against LOST: a host's call that was being handled was cut as its gateway ended.
+def test_calls_that_end_as_their_gateway_does_are_answered_or_not_handled() -> None:
+    async def scene(cluster: LocalCluster) -> None:
+        streams = [await asyncio.open_connection(cluster.ips[3], CTL) for _ in range(10)]
+        for _, writer in streams:
+            writer.write(b"POST ")
+        ended = asyncio.create_task(cluster.kill(3, signal.SIGTERM))
+        statuses = []
+
+        async def deregister(number: int) -> None:
+            reader, writer = streams[number]
+            await asyncio.sleep(2.6 + 0.1 * number)
+            with contextlib.suppress(OSError):
+                writer.write(b"/rpc?call=instances.deregister&of=i-%d HTTP/1.1\r\n\r\n" % number)
+                statuses.append((await reader.read(12))[9:])
+
+        calls = asyncio.gather(*(deregister(number) for number in range(len(streams))))
+        await asyncio.sleep(2.5)
+        cluster.processes[2].send_signal(signal.SIGSTOP)  # each call now waits for it, 0.75 s
+        await calls
+        assert await ended == 0
+        cluster.processes[2].send_signal(signal.SIGCONT)
+        assert b"200" in statuses and set(statuses) <= {b"200", b"503", b""}
+        assert "E517" not in cluster.log(3)  # none was dropped in its midst
+        for _, writer in streams:
+            writer.close()
+
+    run_processes(scene)
