Go on behind a request that is refused for its headers

A request without an id, a host or a readable time left is framed well, so that what comes behind it is a request like any other; the gateway answered 400, closed the connection, and dropped what it had read behind it. It answers 400 and goes on now; a request that cannot be framed still ends its connection.

test_a_request_behind_a_refused_one_is_answered failed before.

--- a/coralvale/cluster/server/edge.py
+++ b/coralvale/cluster/server/edge.py
@@ -187,7 +187,7 @@
             or not host
             or (left and not TIME_LEFT_PATTERN.fullmatch(left))
         ):
-            return exchange.reply_and_close(400, b"a request id, a host and the time left are needed\n")
+            return exchange.reply(400, b"a request id, a host and the time left are needed\n")
         key = BEARER_PATTERN.fullmatch(fields.get(AUTHORIZATION, b""))
         path = exchange.target.partition(b"?")[0].decode("latin-1")
         job = self.router.admit(
--- a/tests/cluster/test_connection_endings.py
+++ b/tests/cluster/test_connection_endings.py
@@ -171,6 +171,18 @@
     run_scene(2, scene)
 
 
+# Guards against LOST: a good request behind a refused one was read and got no answer.
+def test_a_request_behind_a_refused_one_is_answered() -> None:
+    async def scene(s: Scene) -> None:
+        reader, writer = await s.connect()
+        writer.write(request_bytes(READ, "", b"") + request_bytes(READ, "r-1", b""))
+        assert (await read_message(reader)).status == 400
+        (await next_request(s)).reply(reply("r-1"))
+        assert (await read_message(reader)).status == 200
+
+    run_scene(1, scene)
+
+
 # Guards against LOST: a request that came late after SIGTERM was passed on, and cut as the process ended.
 def test_a_late_request_is_answered_before_its_gateway_ends_or_not_run() -> None:
     async def scene(cluster: LocalCluster) -> None:
