Hold each guard of how connections end by a mutant

Eleven mutants, one for each guard of net/closing.py and of what carries it out; each is found by the test named for it (tests/cluster/test_closing_mutants.py).

The program of deploy/balancer.toml refuses what it reads in its last FLUSH_S; test_a_request_that_is_read_as_the_process_ends_is_refused failed before.

--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -989,6 +989,7 @@
 
     def _end_at_deadline(self) -> None:
         """Answers the requests that are still pending, then ends."""
+        self.server.refuse()
         for pending in list(self.pending.values()):
             self._on_deadline(pending)
         self.server.close_idle()
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -957,9 +957,10 @@
             exchange.target = exchange.target[absolute.end() :] or b"/"
         path, query, _ = exchange.target.partition(b"?")
         if path == b"/api":
-            if exchange.connection.over_limit:
+            if exchange.connection.over_limit or self.refusing:
+                why = "shutting down" if self.refusing else "too many connections"
                 exchange.reply(503, retry_after=self.max_advice)
-                self.handler.rejected(exchange, 503, "too many connections")
+                self.handler.rejected(exchange, 503, why)
                 return
             try:
                 parsed = ParsedRequest(self.names, exchange)
--- a/tests/cluster/soak_mutants.py
+++ b/tests/cluster/soak_mutants.py
@@ -25,7 +25,9 @@
 from coralvale.cluster.server.node import GatewayNode  # noqa: E402
 from coralvale.cluster.start import run_gateway  # noqa: E402
 from coralvale.interface import Outcome  # noqa: E402
-from coralvale.net.server import Exchange  # noqa: E402
+from coralvale.net.closing import Phase  # noqa: E402
+from coralvale.net.endings import EndCause  # noqa: E402
+from coralvale.net.server import ClientConnection, Exchange  # noqa: E402
 from coralvale.net.transport import AnswerOwner  # noqa: E402
 
 MUTANTS: dict[str, Callable[[], None]] = {}
@@ -110,6 +112,30 @@
     Edge.handle_request = handle_request  # type: ignore[method-assign]
 
 
+@mutant
+def ends_connections_with_the_next_answer() -> None:
+    """After SIGTERM the next answer on a connection is its last one, whatever is behind it."""
+    right = ClientConnection.flush
+
+    def flush(self: ClientConnection) -> None:
+        before = len(self.exchanges)
+        right(self)
+        if self.server.closing and len(self.exchanges) < before and self.phase is not Phase.FINISHING:
+            self.finish(EndCause.SHUTDOWN)
+
+    ClientConnection.flush = flush  # type: ignore[method-assign]
+
+
+@mutant
+def passes_on_until_it_ends() -> None:
+    """Requests that come late after SIGTERM are passed on, and the process ends without waiting for them."""
+
+    async def until_sent(self: GatewayNode, servers: object, deadline: float) -> None:
+        self.edge_server.refusing = False
+
+    GatewayNode._until_sent = until_sent  # type: ignore[method-assign]
+
+
 @mutant
 def acknowledges_first() -> None:
     """A change is acknowledged before it is stored anywhere, and submitted later."""
--- /dev/null
+++ b/tests/cluster/test_closing_mutants.py
@@ -0,0 +1,148 @@
+"""Each guard of how connections end, taken out: the test that is named for it must fail."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+import test_connection_endings as endings
+
+from coralvale.cluster.server.edge import EdgeServer
+from coralvale.net import server as net_server
+from coralvale.net.closing import Phase
+from coralvale.net.endings import EndCause
+from coralvale.net.server import ClientConnection, Server
+from coralvale.net.sockets import Sockets
+
+Patch = pytest.MonkeyPatch
+MUTANTS: dict[str, tuple[Callable[[Patch], None], Callable[..., None], dict[str, Any]]] = {}
+
+
+def mutant(test: Callable[..., None], **arguments: Any) -> Callable[[Callable[[Patch], None]], None]:
+    """Registers a mutant and the test that must find it, with the arguments of that test's case."""
+
+    def register(make: Callable[[Patch], None]) -> None:
+        MUTANTS[make.__name__] = make, test, arguments
+
+    return register
+
+
+@mutant(endings.test_requests_behind_an_answer_are_answered_after_sigterm, paths=(endings.READ, endings.READ))
+def announces_the_next_answer(patch: Patch) -> None:
+    """The next answer after SIGTERM is the last one, whatever is behind it."""
+    patch.setattr(net_server, "answer_is_last", lambda phase, draining, *rest: draining)
+
+    def flush(self: ClientConnection) -> None:
+        before = len(self.exchanges)
+        right(self)
+        if self.server.closing and len(self.exchanges) < before and self.phase is not Phase.FINISHING:
+            self.finish(EndCause.SHUTDOWN)
+
+    right = ClientConnection.flush
+    patch.setattr(ClientConnection, "flush", flush)
+
+
+@mutant(endings.test_a_request_read_in_part_is_answered_after_sigterm)
+def passes_over_a_request_read_in_part(patch: Patch) -> None:
+    right = net_server.answer_is_last
+    patch.setattr(
+        net_server,
+        "answer_is_last",
+        lambda phase, draining, in_hand, partly_read, unread: right(phase, draining, in_hand, False, unread),
+    )
+
+
+@mutant(endings.test_a_request_in_the_kernel_is_answered_after_sigterm)
+def passes_over_unread_input(patch: Patch) -> None:
+    right = net_server.answer_is_last
+    patch.setattr(
+        net_server,
+        "answer_is_last",
+        lambda phase, draining, in_hand, partly_read, unread: right(
+            phase, draining, in_hand, partly_read, lambda: False
+        ),
+    )
+
+
+@mutant(
+    endings.test_a_request_written_while_an_answer_is_read_disturbs_no_answer_after_sigterm, announced=True
+)
+def reads_on_behind_the_last_answer(patch: Patch) -> None:
+    patch.setattr(ClientConnection, "_pause_reading", lambda self: None)
+
+
+@mutant(
+    endings.test_a_request_written_while_an_answer_is_read_disturbs_no_answer_after_sigterm, announced=True
+)
+def closes_with_bytes_unsent(patch: Patch) -> None:
+    patch.setattr(net_server, "may_close", lambda delivery: True)
+
+
+@mutant(endings.test_an_answer_that_the_kernel_still_holds_counts_as_being_sent)
+def passes_over_the_bytes_of_the_kernel(patch: Patch) -> None:
+    patch.setattr(Sockets, "unacknowledged", lambda self, transport: 0)
+
+
+@mutant(
+    endings.test_a_gateway_near_its_end_refuses_what_it_reads_and_reads_nothing_behind_requests,
+)
+def handles_late_requests(patch: Patch) -> None:
+    right = EdgeServer.handle_request
+
+    def handle_request(self: EdgeServer, exchange: Any) -> None:
+        self.refusing, before = False, self.refusing
+        right(self, exchange)
+        self.refusing = before
+
+    patch.setattr(EdgeServer, "handle_request", handle_request)
+
+
+@mutant(
+    endings.test_a_gateway_near_its_end_refuses_what_it_reads_and_reads_nothing_behind_requests,
+)
+def reads_on_near_the_end(patch: Patch) -> None:
+    patch.setattr(ClientConnection, "stop_reading", lambda self: None)
+
+
+@mutant(endings.test_no_answer_is_cut_for_the_number_of_connections_that_end)
+def closes_the_oldest_whatever_it_has_received(patch: Patch) -> None:
+    def linger(self: Server, connection: ClientConnection) -> None:
+        right(self, connection)
+        while len(self.lingering) > net_server.MAX_LINGERING:
+            oldest, _ = self.lingering.popitem(last=False)
+            assert oldest.transport
+            oldest.transport.abort()
+
+    right = Server.linger
+    patch.setattr(Server, "linger", linger)
+
+
+@mutant(endings.test_each_request_of_a_connection_beyond_the_limit_is_refused)
+def ends_a_surplus_connection_at_once(patch: Patch) -> None:
+    def handle_request(self: EdgeServer, exchange: Any) -> None:
+        exchange.reply_and_close(503)
+
+    patch.setattr(EdgeServer, "handle_request", handle_request)
+
+
+@mutant(endings.test_nothing_is_passed_on_behind_a_request_of_http_1_0)
+def handles_requests_behind_the_last_one(patch: Patch) -> None:
+    def handle_complete(self: ClientConnection) -> None:
+        while self.complete:
+            exchange = self.complete.popleft()
+            self.exchanges.append(exchange)
+            self.server.handle_request(exchange)
+
+    patch.setattr(ClientConnection, "_handle_complete", handle_complete)
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_each_guard_is_found_missing_by_its_test(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    make, test, arguments = MUTANTS[name]
+    make(monkeypatch)
+    monkeypatch.setattr(endings, "SCENE_LIMIT_S", 8.0)
+    if "monkeypatch" in test.__code__.co_varnames[: test.__code__.co_argcount]:
+        arguments = {**arguments, "monkeypatch": monkeypatch}
+    with pytest.raises((AssertionError, TimeoutError, OSError, EOFError, KeyError)):
+        test(**arguments)
--- a/tests/cluster/test_connection_endings.py
+++ b/tests/cluster/test_connection_endings.py
@@ -18,6 +18,7 @@
 from coralvale.standins.cluster import CTL, EDGE, LocalCluster
 from coralvale.standins.wire import read_message
 
+SCENE_LIMIT_S = 30.0  # for a scene to end
 LONG_ANSWER_BYTES = 2 << 20  # more than the buffers between a gateway and a client that does not read
 
 
@@ -25,7 +26,7 @@
     """Runs a scene on the event loop of the program."""
 
     async def whole() -> None:
-        async with asyncio.timeout(30.0):
+        async with asyncio.timeout(SCENE_LIMIT_S):
             await play(await Scene().start(hosts), scene)
 
     uvloop.run(whole())
@@ -111,6 +112,10 @@
         await client.read(65_536)
         terminate(s)
         await client.send(request_bytes(BOOK, "r-1", b""))
+        if announced:
+            (connection,) = s.server.connections
+            await asyncio.sleep(0.1)
+            assert connection.has_unread()  # nothing is read that gets no answer
         head_size = client.received.index(b"\r\n\r\n") + 4
         assert (b"Connection: close" in client.received[:head_size]) is announced
         if not announced:
@@ -126,6 +131,122 @@
     run_scene(1, scene)
 
 
+# Guards against LOST: a request that had come in part was dropped with the answer before it.
+def test_a_request_read_in_part_is_answered_after_sigterm() -> None:
+    async def scene(s: Scene) -> None:
+        reader, writer = await s.connect()
+        second = request_bytes(READ, "r-1", b"")
+        writer.write(request_bytes(READ, "r-0", b"") + second[:30])
+        arrived = await next_request(s)
+        terminate(s)
+        arrived.reply(reply("r-0"))
+        found = await read_message(reader)
+        assert found.status == 200 and b"connection" not in found.headers
+        writer.write(second[30:])
+        (await next_request(s)).reply(reply("r-1"))
+        found = await read_message(reader)
+        assert found.status == 200 and found.headers[b"connection"] == b"close"
+
+    run_scene(1, scene)
+
+
+# Guards against LOST: a request that the kernel had received was dropped with the answer before it.
+def test_a_request_in_the_kernel_is_answered_after_sigterm() -> None:
+    async def scene(s: Scene) -> None:
+        reader, writer = await s.connect()
+        writer.write(request_bytes(READ, "r-0", b""))
+        arrived = await next_request(s)
+        (connection,) = s.server.connections
+        assert connection.transport
+        connection.transport.pause_reading()  # the loop has not come to it yet
+        writer.write(request_bytes(READ, "r-1", b""))
+        await wait_until(connection.has_unread)
+        terminate(s)
+        arrived.reply(reply("r-0"))
+        found = await read_message(reader)
+        assert found.status == 200 and b"connection" not in found.headers
+        connection.transport.resume_reading()
+        (await next_request(s)).reply(reply("r-1"))
+        found = await read_message(reader)
+        assert found.status == 200 and found.headers[b"connection"] == b"close"
+
+    run_scene(1, scene)
+
+
+# Guards against LOST: near its end a gateway read requests that it could not answer any more.
+def test_a_gateway_near_its_end_refuses_what_it_reads_and_reads_nothing_behind_requests() -> None:
+    async def scene(s: Scene) -> None:
+        reader, writer = await s.connect()
+        writer.write(request_bytes(BOOK, "r-0", b""))
+        arrived = await next_request(s)
+        _, partly = await s.connect()
+        partly.write(b"POST ")
+        await wait_until(lambda: any(c.reading for c in s.server.connections))
+        terminate(s)
+        s.server.refuse()
+        writer.write(request_bytes(BOOK, "r-1", b""))
+        partly.write(request_bytes(BOOK, "r-2", b"")[5:])
+        await wait_until(lambda: len(s.server.connections) == 1)  # the second one was refused
+        (connection,) = s.server.connections
+        assert connection.has_unread() and len(connection.exchanges) == 1
+        arrived.reply(reply("r-0"))
+        found = await read_message(reader)
+        assert found.status == 200 and found.headers[b"connection"] == b"close"
+        assert not s.peers[0].arrived.qsize()
+
+    run_scene(1, scene)
+
+
+# Guards against LOST: beyond 32 connections that had come to their end, the oldest was reset under its answer.
+def test_no_answer_is_cut_for_the_number_of_connections_that_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene(s: Scene) -> None:
+        s.server.max_buffered_bytes = s.server.max_total_body_bytes = 1 << 24
+        clients = [SlowClient() for _ in range(3)]
+        text = bytes(LONG_ANSWER_BYTES)
+        for number, client in enumerate(clients):
+            await client.connect(s.server.port)
+            await client.send(request_bytes(BOOK, f"r-{number}", b""))
+        arrived = [await next_request(s) for _ in clients]
+        terminate(s)
+        for one in arrived:
+            one.reply(reply(one.message.headers[b"x-myrtlehatch-request-id"].decode(), text))
+        await wait_until(lambda: len(s.server.lingering) == len(clients))
+        await asyncio.sleep(0.1)
+        for client in clients:
+            await client.read(len(text))
+            assert len(client.received) >= len(text)
+
+    monkeypatch.setattr("coralvale.net.server.MAX_LINGERING", 1)
+    run_scene(1, scene)
+
+
+# Guards against LOST: requests on a connection beyond the limit were read, and only the first was answered.
+def test_each_request_of_a_connection_beyond_the_limit_is_refused() -> None:
+    async def scene(s: Scene) -> None:
+        s.server.max_connections = 0
+        reader, writer = await s.connect()
+        writer.write(request_bytes(READ, "r-0", b"") + request_bytes(READ, "r-1", b""))
+        found = [await read_message(reader) for _ in range(2)]
+        assert [f.status for f in found] == [503, 503]
+        assert [b"connection" in f.headers for f in found] == [False, True]
+        assert await reader.read(1) == b"" and not s.peers[0].connections
+
+    run_scene(1, scene)
+
+
+# Guards against LOST: the answer to a request of HTTP/1.0 can end with its connection, and others behind it too.
+def test_nothing_is_passed_on_behind_a_request_of_http_1_0() -> None:
+    async def scene(s: Scene) -> None:
+        reader, writer = await s.connect()
+        old = request_bytes(READ, "r-0", b"").replace(b"HTTP/1.1", b"HTTP/1.0\r\nConnection: keep-alive")
+        writer.write(old + request_bytes(READ, "r-1", b""))
+        (await next_request(s)).reply(reply("r-0"))
+        assert (await read_message(reader)).headers[b"connection"] == b"close"
+        assert await reader.read(1) == b"" and not s.peers[0].arrived.qsize()
+
+    run_scene(1, scene)
+
+
 # Guards against LOST: a process ended, and reset its connections, with answers in the kernel's buffers.
 def test_an_answer_that_the_kernel_still_holds_counts_as_being_sent() -> None:
     async def scene(s: Scene) -> None:
--- a/tests/cluster/test_soak_checker.py
+++ b/tests/cluster/test_soak_checker.py
@@ -181,6 +181,24 @@
     ("no answer at all", [sent("a", 1), h.Silent(19.0, "a")], {"ENDED"}),
     ("closed before it was read", closed_request("a", 10, 10.1), set()),
     ("closed after it was forwarded", closed_request("a", 10, 10.1, "i-1"), {"ENDED"}),
+    (
+        "closed with a request behind one whose host's link was reset",
+        [
+            *closed_request("a", 10, 10.3, "i-1"),
+            *closed_request("b", 10.01, 10.3, "i-2"),
+            h.Link(10.2, "i-1", "reset"),
+        ],
+        set(),
+    ),
+    (
+        "closed with a request before one whose host's link was reset",
+        [
+            *closed_request("a", 10, 10.3, "i-1"),
+            *closed_request("b", 10.01, 10.3, "i-2"),
+            h.Link(10.2, "i-2", "reset"),
+        ],
+        {"ENDED"},
+    ),
     ("closed late without an answer", closed_request("a", 10, 12.0), {"ENDED"}),
     (
         "closed after it was forwarded, by a kill",
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -316,6 +316,25 @@
     run(test())
 
 
+def test_a_request_that_is_read_as_the_process_ends_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against LOST: it was passed on, and cut when the process ended."""
+
+    async def test() -> None:
+        async with world(entry("s-1", 1)) as w:
+            client = await w.client()
+            client.send(request("r1")[:-9])
+            await until(lambda: any(c.reading for c in w.node.server.connections))
+            monkeypatch.setattr("coralvale.net.node.FLUSH_S", 1.0)
+            w.node.ends_at = w.node.clock.now()
+            w.node._end_at_deadline()
+            client.send(request("r1")[-9:])
+            message = await client.receive()
+            assert message.status == 503 and message.headers[b"retry-after"]
+            assert not w.script.of(api.Request)
+
+    run(test())
+
+
 def test_pending_requests_are_answered_just_before_the_kill(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         host = await Peer().start()
