Split the server for clients into modules with one job

The connection (client_connection.py), the exchange (exchange.py) and the fields that decisions need (parsed_request.py) are modules of their own; nothing else changes.

--- a/coralvale/attempts/service.py
+++ b/coralvale/attempts/service.py
@@ -19,7 +19,8 @@
 from coralvale.attempts.model import Answered, Ended, Intent, JournalError, Record
 from coralvale.attempts.store import Folder
 from coralvale.net.clock import Clock
-from coralvale.net.server import Exchange, ParsedRequest
+from coralvale.net.exchange import Exchange
+from coralvale.net.parsed_request import ParsedRequest
 from coralvale.operator.model import Attempts
 
 log = logging.getLogger(__name__)
--- a/coralvale/authorisation/answering.py
+++ b/coralvale/authorisation/answering.py
@@ -14,7 +14,7 @@
 from coralvale.authorisation.answers import Answers, Mistaken, Out, Refused
 from coralvale.authorisation.asked import read_check, read_end, write_answer
 from coralvale.net.clock import Clock
-from coralvale.net.server import BadRequest, NameIndex
+from coralvale.net.parsed_request import BadRequest, NameIndex
 
 log = logging.getLogger(__name__)
 ROOM = 0.01  # s before a caller's deadline in which its answer is written
--- a/coralvale/authorisation/asked.py
+++ b/coralvale/authorisation/asked.py
@@ -11,7 +11,8 @@
 
 from coralvale.authorisation.answers import Allowed, Mistaken, Out, Refused
 from coralvale.interface import Outcome
-from coralvale.net.server import Exchange, NameIndex, ParsedRequest
+from coralvale.net.exchange import Exchange
+from coralvale.net.parsed_request import NameIndex, ParsedRequest
 from coralvale.net.upstream import read_usage
 
 LONGEST = 3600.0  # s that an end may say that a request took
--- a/coralvale/authorisation/service.py
+++ b/coralvale/authorisation/service.py
@@ -17,8 +17,9 @@
 from coralvale.authorisation.checks import Checks, Key, Rule
 from coralvale.authorisation.wire import check_request, ruling
 from coralvale.net.clock import Clock
+from coralvale.net.exchange import Exchange
 from coralvale.net.node import AuthorisationResult
-from coralvale.net.server import Exchange, ParsedRequest
+from coralvale.net.parsed_request import ParsedRequest
 from coralvale.operator.model import Authoriser, OperatorError
 
 log = logging.getLogger(__name__)
--- a/coralvale/authorisation/wire.py
+++ b/coralvale/authorisation/wire.py
@@ -9,8 +9,9 @@
 from envoy.type.v3 import http_status_pb2  # noqa: F401  # the response's type needs it to be known
 
 from coralvale.interface import Verdict
+from coralvale.net.exchange import Exchange
 from coralvale.net.node import AuthorisationResult
-from coralvale.net.server import Exchange, ParsedRequest
+from coralvale.net.parsed_request import ParsedRequest
 
 NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,256}")  # RFC 9110, section 5.1
 VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]{0,8192}")  # RFC 9110, section 5.5: no line break, no nought
--- a/coralvale/cluster/server/ctl.py
+++ b/coralvale/cluster/server/ctl.py
@@ -23,7 +23,8 @@
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
 from coralvale.net.endings import ConnectionEnd
-from coralvale.net.server import ClientLimits, Exchange, Server
+from coralvale.net.exchange import Exchange
+from coralvale.net.server import ClientLimits, Server
 
 BASE_VERSION = b"x-myrtlehatch-base-version"
 STATES = {"up": State.UP, "draining": State.DRAINING}
--- a/coralvale/cluster/server/edge.py
+++ b/coralvale/cluster/server/edge.py
@@ -22,7 +22,8 @@
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
 from coralvale.net.endings import ConnectionEnd
-from coralvale.net.server import NOT_FORWARDED_HEADERS, Exchange, Server, connection_options
+from coralvale.net.exchange import Exchange
+from coralvale.net.server import NOT_FORWARDED_HEADERS, Server, connection_options
 from coralvale.net.transport import Answer, Attempt, OutgoingRequest, Sink, Source
 
 REQUEST_ID, TIME_LEFT = b"x-myrtlehatch-request-id", b"x-myrtlehatch-time-left"
--- a/coralvale/cluster/server/figures.py
+++ b/coralvale/cluster/server/figures.py
@@ -19,7 +19,8 @@
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
 from coralvale.net.endings import ConnectionEnd, EndCounts
-from coralvale.net.server import ClientLimits, Exchange, Server
+from coralvale.net.exchange import Exchange
+from coralvale.net.server import ClientLimits, Server
 
 if TYPE_CHECKING:
     from coralvale.cluster.server.node import GatewayNode
--- a/coralvale/ledger/service.py
+++ b/coralvale/ledger/service.py
@@ -25,7 +25,7 @@
 from coralvale.ledger.model import MICROUNITS_PER_UNIT, Account, LedgerError, Record
 from coralvale.net.clock import Clock
 from coralvale.net.config import Config
-from coralvale.net.server import ParsedRequest
+from coralvale.net.parsed_request import ParsedRequest
 from coralvale.operator.model import Ledger, LedgerTls
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/coralvale/net/client_connection.py
@@ -0,0 +1,442 @@
+"""A client's connection: reads and frames its requests, writes their answers in order, and ends by `net.closing`.
+
+Times are in seconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from itertools import islice
+from typing import TYPE_CHECKING, Any
+
+import httptools
+
+from coralvale.net.closing import Delivery, Phase, answer_is_last, may_close
+from coralvale.net.endings import ConnectionEnd, EndCause
+from coralvale.net.exchange import REASONS, Exchange
+
+if TYPE_CHECKING:
+    from coralvale.net.server import Server
+
+UNCOUNTED_BODY_BYTES = 64 * 1024  # a body up to this size does not count against the bound on all bodies
+MAX_PIPELINED = 16  # unanswered requests of one connection, at which it is no longer read
+# Lowest average rate of a body that takes longer than HEAD_TIMEOUT_S; the protocol asks for 64,000
+# after the first 2 s.
+MIN_BODY_BYTES_PER_S = 50_000
+STREAM_SEND_BUFFER_BYTES = 256 * 1024  # SO_SNDBUF of a connection with a streamed answer
+WRITE_TIMEOUT_S = 10.0  # for a client that does not read its answer
+# Lowest average rate, over WRITE_TIMEOUT_S, at which a client may read an answer that waits for it. The kernel
+# reports what was read in steps of a hundred kilobytes or so.
+MIN_READ_BYTES_PER_S = 10_000
+
+
+class ClientConnection(asyncio.Protocol):
+    """A client connection. Answers are sent in the order of the requests."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.exchanges: deque[Exchange] = deque()
+        self.reading: Exchange | None = None
+        self.complete: deque[Exchange] = deque()  # read completely and not handled yet
+        self.active_at = self.opened_at = self.server.clock.monotonic()
+        self.message_began_at = 0.0
+        self.buffered_bytes = 0  # of answers not yet sent, as last counted against the bounds
+        self.written_bytes = 0  # handed to the transport
+        self.taken_bytes = 0  # of these, passed on by the transport when its progress was last checked
+        self.headers_complete_at = 0.0  # of the request that is being read
+        self.has_requested = False  # whether a complete request was ever received
+        self.size = self.head_size = 0
+        self.in_body = False
+        self.error_status = 0  # status of the last answer, which closes the connection; 0 if none
+        self.phase = Phase.OPEN
+        self.read_paused = self.write_paused = False
+        self.over_limit = False  # above `max_connections`: answered with 503 and closed
+        self.delivered_at: float | None = None  # once the client has all bytes of a finishing connection
+        self.end: ConnectionEnd | None = None  # once it is decided
+
+    def connection_made(self, transport: Any) -> None:  # noqa: ANN401
+        self.transport = transport
+        self.parser = httptools.HttpRequestParser(self)
+        self.update_idle()
+
+    # Reading
+
+    def data_received(self, data: bytes) -> None:
+        if self.phase is not Phase.OPEN:
+            return  # behind the last request, or a malformed one that cannot be framed
+        self.active_at = self.server.clock.monotonic()
+        self.server.idle_connections.pop(self, None)
+        if not self.in_body:
+            self.head_size += len(data)  # on_header does not see a header that does not end
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not (self.complete and self.complete[-1].final):  # what is behind the last request is ignored
+                self.error_status = self.error_status or 400
+        if (
+            self.reading is not None
+            and not self.in_body
+            and self.head_size > self.server.limits.max_head_bytes
+        ):
+            self.error_status = self.error_status or self.server.limits.large_head_status
+        self._handle_complete()
+        if self.phase is Phase.OPEN:
+            if self.error_status:
+                self._reply_error()
+            elif len(self.exchanges) >= MAX_PIPELINED:
+                self._pause_reading()
+            elif self.server.refusing:
+                self.stop_reading()
+        self.update_idle()
+
+    def _handle_complete(self) -> None:
+        """Hands complete requests to the server, up to the last one of the connection."""
+        while self.complete and self.phase is Phase.OPEN:
+            exchange = self.complete.popleft()
+            self.exchanges.append(exchange)
+            if exchange.final:
+                self.phase = Phase.LAST_READ
+            self.server.handle_request(exchange)
+        for exchange in self.complete:
+            exchange.release_body()
+        self.complete.clear()
+
+    def _pause_reading(self) -> None:
+        if self.transport and not self.read_paused:
+            self.read_paused = True
+            self.transport.pause_reading()
+
+    def stop_reading(self) -> None:
+        """Reads no further request, if one is in hand and none has come in part."""
+        if self.phase is Phase.OPEN and self.exchanges and self.reading is None:
+            self.phase = Phase.LAST_READ
+            self._pause_reading()
+
+    def _reply_error(self) -> None:
+        """Queues an error as the last answer. Nothing more is read, as a large body may follow (60 MB)."""
+        self._pause_reading()
+        if self.reading:
+            self.reading.release_body()
+        exchange = Exchange(self)
+        exchange.final = True
+        self.phase = Phase.LAST_READ
+        self.exchanges.append(exchange)
+        exchange.reply(
+            self.error_status, retry_after=self.server.max_advice if self.error_status == 503 else 0.0
+        )
+        self.server.handler.rejected(
+            self.reading or exchange, self.error_status, REASONS[self.error_status].lower()
+        )
+
+    def update_idle(self) -> None:
+        """Puts the connection on the list of idle ones if it is idle. The one idle longest is evicted first."""
+        if self.is_idle():
+            self.server.idle_connections[self] = None
+
+    def reject_timed_out(self) -> None:
+        """Answers 408 to a request that did not arrive completely in time."""
+        self.error_status = 408
+        self._reply_error()
+        self.reading = None
+
+    def is_too_slow(self, now: float) -> bool:
+        """Whether the request that is being read arrives more slowly than is allowed.
+
+        Not while earlier requests of the connection are unanswered.
+        """
+        if not self.reading or self.exchanges:
+            return False
+        if self.in_body:
+            return (
+                now - self.headers_complete_at
+                > self.server.limits.head_timeout + self.size / MIN_BODY_BYTES_PER_S
+            )
+        return now - self.message_began_at > self.server.limits.head_timeout
+
+    def on_message_begin(self) -> None:
+        self.reading = Exchange(self)
+        self.message_began_at = self.server.clock.monotonic()
+        self.size, self.in_body = 0, False
+
+    def on_url(self, url: bytes) -> None:
+        assert self.reading is not None
+        self.reading.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        exchange, lower, value = self.reading, name.lower(), value.strip(b" \t")  # RFC 9110, section 5.5
+        assert exchange is not None
+        if self.in_body:  # a trailer: of no use to hosts, and must not replace a header
+            return
+        self.size += len(name) + len(value)
+        if self.size > self.server.limits.max_head_bytes:
+            self.error_status = self.server.limits.large_head_status
+            raise ValueError("too many headers")
+        if lower in exchange.fields and lower in self.server.single_value_headers:
+            exchange.fields[lower] = b""  # two values count as none
+        else:
+            exchange.fields[lower] = value
+        exchange.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        exchange = self.reading
+        assert exchange is not None
+        exchange.method = self.parser.get_method()
+        exchange.http_1_0 = self.parser.get_http_version() == "1.0"
+        self.size, self.in_body = 0, True
+        self.headers_complete_at = self.server.clock.monotonic()
+        length = exchange.fields.get(b"content-length", b"0")
+        if b"transfer-encoding" in exchange.fields:
+            # With Content-Length as well, the body may hide a second request (request smuggling).
+            coding = exchange.fields[b"transfer-encoding"].strip().lower()
+            if b"content-length" in exchange.fields or coding != b"chunked":
+                self.error_status = 400
+        elif not length.strip().isdigit():  # a sign, a list, or two headers
+            self.error_status = 400
+        elif len(length.strip()) > 9 or int(length) > self.server.limits.max_body_bytes:
+            self.error_status = 413
+        elif int(length) > UNCOUNTED_BODY_BYTES and not self.server.reserve_body(exchange, int(length)):
+            self.error_status = 503
+        else:
+            self.error_status = self.server.early_rejection_status(exchange)
+        if self.error_status:
+            raise ValueError("the length cannot be used")  # stops the parser before the body
+        if exchange.fields.get(b"expect", b"").lower() == b"100-continue" and not (
+            self.exchanges or self.complete
+        ):
+            assert self.transport is not None
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        assert self.reading is not None
+        self.size += len(body)
+        if self.size > self.server.limits.max_body_bytes:
+            self.error_status = 413
+        elif (
+            self.size > UNCOUNTED_BODY_BYTES
+            and self.size > self.reading.counted_bytes
+            and not self.server.reserve_body(
+                self.reading, max(self.size, min(2 * self.size, self.server.limits.max_body_bytes))
+            )
+        ):
+            self.error_status = 503
+        else:
+            self.reading.parts.append(body)
+        if self.error_status:
+            raise ValueError("the body cannot be kept")
+
+    def on_message_complete(self) -> None:
+        exchange, self.reading = self.reading, None
+        self.head_size, self.in_body = 0, False
+        if exchange is None or self.error_status:
+            return
+        self.has_requested = True
+        # A proxy keeps no connection of an HTTP/1.0 client (RFC 9112, appendix C.2.2).
+        exchange.final = exchange.http_1_0 or not self.parser.should_keep_alive()
+        self.complete.append(exchange)
+
+    # Writing
+
+    def flush(self) -> None:
+        """Writes the answers that are next in order, as far as they are known."""
+        if self.transport is None or self.transport.is_closing() or self.phase is Phase.FINISHING:
+            return
+        while self.exchanges and (head := self.exchanges[0].head) is not None:
+            exchange = self.exchanges[0]
+            self.active_at = self.server.clock.monotonic()
+            if not exchange.started:
+                exchange.started = True
+                self._write_head(exchange, head)
+            self._write_pending(exchange)
+            if exchange.source:  # more of the answer follows
+                if not self.write_paused:
+                    exchange.source.resume()
+                return
+            self.exchanges.popleft()
+        if self.phase is Phase.LAST_READ and not self.exchanges:
+            self.finish(self._final_cause())
+            return
+        self.update_idle()
+        if self.read_paused and self.phase is Phase.OPEN and len(self.exchanges) < MAX_PIPELINED:
+            self.read_paused = False
+            self.transport.resume_reading()
+
+    def _write_head(self, exchange: Exchange, head: bytes) -> None:
+        """Writes the head of an answer, and announces there if it is the last one."""
+        assert self.transport is not None
+        in_hand = len(self.exchanges) + len(self.complete)
+        is_last = answer_is_last(
+            self.phase,
+            self.over_limit or self.server.closing,
+            in_hand,
+            self.reading is not None,
+            self.has_unread,
+        )
+        if is_last and self.phase is Phase.OPEN:
+            self.phase = Phase.LAST_READ
+            self._pause_reading()
+        if exchange.source:
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, STREAM_SEND_BUFFER_BYTES)
+        exchange.pending[:0] = [head, b"Connection: close\r\n\r\n" if is_last else b"\r\n"]
+
+    def _write_pending(self, exchange: Exchange) -> None:
+        if exchange.pending:
+            assert self.transport is not None
+            self.written_bytes += sum(map(len, exchange.pending))
+            self.transport.writelines(exchange.pending)
+            exchange.pending = []
+
+    def record_end(self, cause: EndCause) -> None:
+        """Records why the connection ends, and what is in hand; the first cause counts."""
+        if self.end or self.transport is None:
+            return
+        unsent = self.unsent_bytes()
+        unsent += sum(len(data) for exchange in self.exchanges for data in exchange.pending)
+        self.end = ConnectionEnd(
+            cause,
+            len(self.exchanges),
+            self.reading is not None,
+            unsent,
+            self.has_unread(),
+            self._names_in_hand(),
+            self.server.closing,
+        )
+
+    def _names_in_hand(self) -> tuple[str, ...]:
+        return tuple(exchange.name for exchange in islice(self.exchanges, MAX_PIPELINED))
+
+    def _final_cause(self) -> EndCause:
+        if self.error_status:
+            return EndCause.TIMED_OUT_REQUEST if self.error_status == 408 else EndCause.INVALID_REQUEST
+        return EndCause.SHUTDOWN if self.server.closing else EndCause.FINAL_ANSWER
+
+    def finish(self, cause: EndCause) -> None:
+        """Ends the connection once its client has received all that was written."""
+        assert self.transport is not None
+        self.record_end(cause)
+        self.phase = Phase.FINISHING
+        self.server.idle_connections.pop(self, None)
+        if not (self.error_status or self.reading or self.unsent_bytes() or self.has_unread()):
+            self.transport.close()
+            return
+        self._pause_reading()
+        self.transport.write_eof()
+        self.server.linger(self)
+
+    def unsent_bytes(self) -> int:
+        """Bytes written that the client's kernel has not acknowledged."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size() + self.server.sockets.unacknowledged(self.transport)
+
+    def check_delivery(self, now: float) -> None:
+        """Closes a finishing connection if it may be closed."""
+        if self.transport is None:
+            return
+        unsent = self.unsent_bytes()
+        if not unsent and self.delivered_at is None:
+            self.delivered_at = now
+        closed = self.server.sockets.closed_by_peer(self.transport)
+        waited = now - self.delivered_at if self.delivered_at is not None else 0.0
+        if may_close(Delivery(unsent, closed, waited)):
+            self.transport.close()
+
+    def has_unread(self) -> bool:
+        """Whether the kernel has received data that the event loop has not reported yet."""
+        assert self.transport is not None
+        return self.server.sockets.unread(self.transport)()
+
+    def pause_writing(self) -> None:
+        self.write_paused = True
+        self._take_progress()
+
+    def _take_progress(self) -> int:
+        """Returns the bytes that the transport has passed on since the last call.
+
+        Of a finishing connection those that the client has acknowledged.
+        """
+        assert self.transport is not None
+        finishing = self.phase is Phase.FINISHING
+        left = self.unsent_bytes() if finishing else self.transport.get_write_buffer_size()
+        taken, before = self.written_bytes - left, self.taken_bytes
+        self.taken_bytes = taken
+        return taken - before
+
+    def reads_too_slowly(self, now: float) -> bool:
+        """Whether the client has held up an answer for WRITE_TIMEOUT_S and read too little of it meanwhile."""
+        waits = self.write_paused or (self.phase is Phase.FINISHING and self.delivered_at is None)
+        if not waits or now - self.active_at <= WRITE_TIMEOUT_S:
+            return False
+        if self._take_progress() < MIN_READ_BYTES_PER_S * WRITE_TIMEOUT_S:
+            return True
+        self.active_at = now
+        return False
+
+    def resume_writing(self) -> None:
+        self.write_paused, self.active_at = False, self.server.clock.monotonic()
+        self.update_buffered()
+        if self.exchanges and (source := self.exchanges[0].source):
+            source.resume()
+        self.server.resume_sources()
+
+    def update_buffered(self) -> None:
+        """Updates the count of answer bytes that are buffered for this client."""
+        kept = self.transport.get_write_buffer_size() if self.transport else 0
+        kept += sum(len(data) for exchange in self.exchanges for data in exchange.pending)
+        self.server.buffered_bytes += kept - self.buffered_bytes
+        self.buffered_bytes = kept
+
+    def abort(self) -> None:
+        """Resets the connection in the middle of an answer, so that the client cannot take it for complete."""
+        if self.transport:
+            self.record_end(EndCause.BROKEN_ANSWER)
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._report_end(EndCause.CLIENT_RESET if exc else EndCause.CLIENT_CLOSED)
+        self.server.remove(self)
+        self.server.buffered_bytes -= self.buffered_bytes
+        self.buffered_bytes = 0
+        self.server.resume_sources()
+        if self.reading:
+            self.reading.release_body()
+        for exchange in self.exchanges:
+            exchange.release_body()
+            if exchange.head is None:
+                exchange.head = b""
+                self.server.handler.client_disconnected(exchange)
+            elif exchange.source:
+                exchange.source = None
+                self.server.handler.client_disconnected(exchange)
+        self.exchanges.clear()
+
+    def _report_end(self, cause: EndCause) -> None:
+        """Reports the end of the connection, with this cause unless another one was recorded."""
+        end = self.end or ConnectionEnd(
+            cause,
+            in_hand=len(self.exchanges),
+            partly_read=self.reading is not None,
+            request_names=self._names_in_hand(),
+            shutting_down=self.server.closing,
+        )
+        self.server.end_counts.add(end)
+        self.server.handler.connection_ended(end)
+
+    def is_idle(self) -> bool:
+        """Whether the connection is open and no request is being read or answered."""
+        in_hand = self.exchanges or self.complete or self.reading
+        return self.phase is Phase.OPEN and not in_hand and self.transport is not None
+
+    def is_sending(self) -> bool:
+        """Whether a request on it is unanswered, or a part of an answer has not been sent."""
+        return self.transport is not None and (bool(self.exchanges) or self.unsent_bytes() > 0)
+
+    def close_idle(self, cause: EndCause) -> bool:
+        """Ends the connection if it is idle and the kernel has no unread data; returns whether it did."""
+        if not self.is_idle() or self.has_unread():
+            return False
+        self.finish(cause)
+        return True
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -26,9 +26,11 @@
 from coralvale.net.door import MAX_CONNECTIONS as MAX_MANAGEMENT_CONNECTIONS
 from coralvale.net.door import ManagementServer
 from coralvale.net.endings import ConnectionEnd
+from coralvale.net.exchange import Exchange
 from coralvale.net.figures import RequestStats
 from coralvale.net.marks import MaintenanceSet
-from coralvale.net.server import NOT_FORWARDED_HEADERS, Exchange, ParsedRequest, Server, connection_options
+from coralvale.net.parsed_request import ParsedRequest
+from coralvale.net.server import NOT_FORWARDED_HEADERS, Server, connection_options
 from coralvale.net.sockets import Sockets
 from coralvale.net.takeover import Predecessor, TakeoverServer
 from coralvale.net.transport import Answer, Attempt, OutgoingRequest, Source, Transport
--- a/tests/cluster/soak_mutants.py
+++ b/tests/cluster/soak_mutants.py
@@ -25,9 +25,10 @@
 from coralvale.cluster.server.node import GatewayNode  # noqa: E402
 from coralvale.cluster.start import run_gateway  # noqa: E402
 from coralvale.interface import Outcome  # noqa: E402
+from coralvale.net.client_connection import ClientConnection  # noqa: E402
 from coralvale.net.closing import Phase  # noqa: E402
 from coralvale.net.endings import EndCause  # noqa: E402
-from coralvale.net.server import ClientConnection, Exchange  # noqa: E402
+from coralvale.net.exchange import Exchange  # noqa: E402
 from coralvale.net.transport import AnswerOwner  # noqa: E402
 
 MUTANTS: dict[str, Callable[[], None]] = {}
--- a/tests/cluster/test_closing_mutants.py
+++ b/tests/cluster/test_closing_mutants.py
@@ -9,10 +9,12 @@
 import test_connection_endings as endings
 
 from coralvale.cluster.server.edge import EdgeServer
+from coralvale.net import client_connection
 from coralvale.net import server as net_server
+from coralvale.net.client_connection import ClientConnection
 from coralvale.net.closing import Phase
 from coralvale.net.endings import EndCause
-from coralvale.net.server import ClientConnection, Server
+from coralvale.net.server import Server
 from coralvale.net.sockets import Sockets
 
 Patch = pytest.MonkeyPatch
@@ -31,7 +33,7 @@
 @mutant(endings.test_requests_behind_an_answer_are_answered_after_sigterm, paths=(endings.READ, endings.READ))
 def announces_the_next_answer(patch: Patch) -> None:
     """The next answer after SIGTERM is the last one, whatever is behind it."""
-    patch.setattr(net_server, "answer_is_last", lambda phase, draining, *rest: draining)
+    patch.setattr(client_connection, "answer_is_last", lambda phase, draining, *rest: draining)
 
     def flush(self: ClientConnection) -> None:
         before = len(self.exchanges)
@@ -45,9 +47,9 @@
 
 @mutant(endings.test_a_request_read_in_part_is_answered_after_sigterm)
 def passes_over_a_request_read_in_part(patch: Patch) -> None:
-    right = net_server.answer_is_last
+    right = client_connection.answer_is_last
     patch.setattr(
-        net_server,
+        client_connection,
         "answer_is_last",
         lambda phase, draining, in_hand, partly_read, unread: right(phase, draining, in_hand, False, unread),
     )
@@ -55,9 +57,9 @@
 
 @mutant(endings.test_a_request_in_the_kernel_is_answered_after_sigterm)
 def passes_over_unread_input(patch: Patch) -> None:
-    right = net_server.answer_is_last
+    right = client_connection.answer_is_last
     patch.setattr(
-        net_server,
+        client_connection,
         "answer_is_last",
         lambda phase, draining, in_hand, partly_read, unread: right(
             phase, draining, in_hand, partly_read, lambda: False
@@ -76,7 +78,7 @@
     endings.test_a_request_written_while_an_answer_is_read_disturbs_no_answer_after_sigterm, announced=True
 )
 def closes_with_bytes_unsent(patch: Patch) -> None:
-    patch.setattr(net_server, "may_close", lambda delivery: True)
+    patch.setattr(client_connection, "may_close", lambda delivery: True)
 
 
 @mutant(endings.test_an_answer_that_the_kernel_still_holds_counts_as_being_sent)
--- a/tests/ledger/test_tries.py
+++ b/tests/ledger/test_tries.py
@@ -6,7 +6,7 @@
 
 from coralvale import interface as api
 from coralvale.interface import Outcome
-from coralvale.net.server import ParsedRequest
+from coralvale.net.parsed_request import ParsedRequest
 from coralvale.standins.peer import Peer
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,8 +15,8 @@
 
 from coralvale import interface as api
 from coralvale.interface import Outcome
+from coralvale.net.exchange import Exchange
 from coralvale.net.node import PendingRequest
-from coralvale.net.server import Exchange
 from coralvale.net.transport import Attempt
 from coralvale.standins.hosts import Host
 
