Report answers that are cut while their connection ends

A connection whose last answer was still being read when it was reset (a reader that is too slow, the end of the process) was reported by the cause that had ended it before, as if its client had got everything. It is reported by what cut it, with the bytes unsent at that moment, and counts as dropped. Ending a connection asks the kernel once for what is unsent and unread, not twice.

--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -289,21 +289,29 @@
             self.transport.writelines(exchange.pending)
             exchange.pending = []
 
-    def record_end(self, cause: EndCause) -> None:
+    def record_end(self, cause: EndCause) -> ConnectionEnd:
         """Records why the connection ends, and what is in hand; the first cause counts."""
-        if self.end or self.transport is None:
+        if self.end is None:
+            unwritten = sum(len(data) for exchange in self.exchanges for data in exchange.pending)
+            self.end = ConnectionEnd(
+                cause,
+                len(self.exchanges),
+                self.reading is not None,
+                self.unsent_bytes() + unwritten,
+                self.transport is not None and self.has_unread(),
+                self._names_in_hand(),
+                self.server.closing,
+            )
+        return self.end
+
+    def cut(self, cause: EndCause) -> None:
+        """Resets the connection, whatever is in hand or unsent."""
+        if self.transport is None:
             return
-        unsent = self.unsent_bytes()
-        unsent += sum(len(data) for exchange in self.exchanges for data in exchange.pending)
-        self.end = ConnectionEnd(
-            cause,
-            len(self.exchanges),
-            self.reading is not None,
-            unsent,
-            self.has_unread(),
-            self._names_in_hand(),
-            self.server.closing,
-        )
+        if self.phase is Phase.FINISHING and self.unsent_bytes():
+            self.end = None  # it did not end as was decided
+        self.record_end(cause)
+        self.transport.abort()
 
     def _names_in_hand(self) -> tuple[str, ...]:
         return tuple(exchange.name for exchange in islice(self.exchanges, MAX_PIPELINED))
@@ -316,10 +324,10 @@
     def finish(self, cause: EndCause) -> None:
         """Ends the connection once its client has received all that was written."""
         assert self.transport is not None
-        self.record_end(cause)
+        end = self.record_end(cause)
         self.phase = Phase.FINISHING
         self.server.idle_connections.pop(self, None)
-        if not (self.error_status or self.reading or self.unsent_bytes() or self.has_unread()):
+        if not (self.error_status or end.partly_read or end.unsent_bytes or end.unread):
             self.transport.close()
             return
         self._pause_reading()
@@ -391,9 +399,7 @@
 
     def abort(self) -> None:
         """Resets the connection in the middle of an answer, so that the client cannot take it for complete."""
-        if self.transport:
-            self.record_end(EndCause.BROKEN_ANSWER)
-            self.transport.abort()
+        self.cut(EndCause.BROKEN_ANSWER)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._report_end(EndCause.CLIENT_RESET if exc else EndCause.CLIENT_CLOSED)
--- a/coralvale/net/endings.py
+++ b/coralvale/net/endings.py
@@ -24,6 +24,8 @@
 
 
 CLIENT_CAUSES = {EndCause.CLIENT_CLOSED, EndCause.CLIENT_RESET}
+# That reset the connection under answers whose client may still read.
+CUTTING_CAUSES = {EndCause.SLOW_READER, EndCause.BROKEN_ANSWER, EndCause.PROCESS_EXIT}
 
 
 @dataclass(slots=True)
@@ -46,8 +48,10 @@
 
     @property
     def drops_requests(self) -> bool:
-        """Whether requests in hand were dropped although their client was still there."""
-        return self.in_hand > 0 and self.cause not in CLIENT_CAUSES
+        """Whether requests in hand, or the end of an answer, were dropped although the client was still there."""
+        if self.cause in CLIENT_CAUSES:
+            return False
+        return self.in_hand > 0 or (self.unsent_bytes > 0 and self.cause in CUTTING_CAUSES)
 
 
 class EndCounts:
@@ -61,4 +65,4 @@
         """Counts an ended connection."""
         self.connections[end.cause] += 1
         if end.drops_requests:
-            self.dropped_requests[end.cause] += end.in_hand
+            self.dropped_requests[end.cause] += max(1, end.in_hand)
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -326,8 +326,7 @@
                 continue
             quiet = now - connection.active_at
             if connection.reads_too_slowly(now):
-                connection.record_end(EndCause.SLOW_READER)
-                connection.transport.abort()
+                connection.cut(EndCause.SLOW_READER)
             elif connection.phase is Phase.FINISHING:
                 continue
             elif connection.is_idle():
@@ -385,6 +384,4 @@
             self.linger_timer.cancel()
         self.socket.close()
         for connection in list(self.connections):
-            if connection.transport:
-                connection.record_end(EndCause.PROCESS_EXIT)
-                connection.transport.abort()
+            connection.cut(EndCause.PROCESS_EXIT)
--- a/tests/cluster/test_connection_endings.py
+++ b/tests/cluster/test_connection_endings.py
@@ -131,6 +131,23 @@
     run_scene(1, scene)
 
 
+def test_an_answer_that_is_cut_as_its_connection_ends_is_reported() -> None:
+    async def scene(s: Scene) -> None:
+        ends = record_ends(s)
+        client = SlowClient()
+        await client.connect(s.server.port)
+        await client.send(request_bytes(BOOK, "r-0", b""))
+        arrived = await next_request(s)
+        terminate(s)
+        arrived.reply(reply("r-0", bytes(300_000)))
+        await wait_until(lambda: bool(s.server.lingering))
+        s.server.close()
+        await wait_until(lambda: bool(ends))
+        assert ends[0].cause is EndCause.PROCESS_EXIT and ends[0].unsent_bytes and ends[0].drops_requests
+
+    run_scene(1, scene)
+
+
 # Guards against LOST: a request that had come in part was dropped with the answer before it.
 def test_a_request_read_in_part_is_answered_after_sigterm() -> None:
     async def scene(s: Scene) -> None:
