Write small answers in one piece

The answer's head and body were handed to the transport as a list, which costs uvloop more than one piece.

--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -26,6 +26,7 @@
 # after the first 2 s.
 MIN_BODY_BYTES_PER_S = 50_000
 STREAM_SEND_BUFFER_BYTES = 256 * 1024  # SO_SNDBUF of a connection with a streamed answer
+JOINED_BYTES = 64 * 1024  # of an answer, up to which joining its parts costs less than writing them singly
 WRITE_TIMEOUT_S = 10.0  # for a client that does not read its answer
 # Lowest average rate, over WRITE_TIMEOUT_S, at which a client may read an answer that waits for it. The kernel
 # reports what was read in steps of a hundred kilobytes or so.
@@ -283,11 +284,16 @@
         exchange.pending[:0] = [head, b"Connection: close\r\n\r\n" if is_last else b"\r\n"]
 
     def _write_pending(self, exchange: Exchange) -> None:
-        if exchange.pending:
-            assert self.transport is not None
-            self.written_bytes += sum(map(len, exchange.pending))
+        if not exchange.pending:
+            return
+        assert self.transport is not None
+        size = sum(map(len, exchange.pending))
+        self.written_bytes += size
+        if size <= JOINED_BYTES:
+            self.transport.write(b"".join(exchange.pending))
+        else:
             self.transport.writelines(exchange.pending)
-            exchange.pending = []
+        exchange.pending = []
 
     def record_end(self, cause: EndCause) -> ConnectionEnd:
         """Records why the connection ends, and what is in hand; the first cause counts."""
