Measure a slow reader of the last answer from where its end begins

What a client has read of an answer that waits was measured by what left the process; once its connection is ending it is measured by what the client's kernel has acknowledged. At the change from one to the other the bytes in the kernel counted as taken back, so that a client that reads 24 kB a second was cut off as one that reads under 10.

--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -337,6 +337,8 @@
             self.transport.close()
             return
         self._pause_reading()
+        self.active_at = self.server.clock.monotonic()
+        self._take_progress()  # what the client acknowledges counts from here on
         self.transport.write_eof()
         self.server.linger(self)
 
--- a/tests/cluster/test_closing_mutants.py
+++ b/tests/cluster/test_closing_mutants.py
@@ -120,6 +120,17 @@
     patch.setattr(Server, "linger", linger)
 
 
+@mutant(endings.test_a_steady_reader_of_the_last_answer_is_not_cut_off)
+def holds_the_kernels_bytes_against_a_reader(patch: Patch) -> None:
+    def finish(self: ClientConnection, cause: EndCause) -> None:
+        before = self.taken_bytes
+        right(self, cause)
+        self.taken_bytes = before
+
+    right = ClientConnection.finish
+    patch.setattr(ClientConnection, "finish", finish)
+
+
 @mutant(endings.test_each_request_of_a_connection_beyond_the_limit_is_refused)
 def ends_a_surplus_connection_at_once(patch: Patch) -> None:
     def handle_request(self: EdgeServer, exchange: Any) -> None:
--- a/tests/cluster/test_connection_endings.py
+++ b/tests/cluster/test_connection_endings.py
@@ -11,7 +11,7 @@
 import pytest
 import uvloop
 from scenes import play
-from test_edge import BOOK, READ, Scene, next_request, reply, request_bytes, wait_until
+from test_edge import BOOK, READ, Scene, SteppedClock, next_request, reply, request_bytes, wait_until
 from test_processes import run_scene as run_processes
 
 from coralvale.net.endings import ConnectionEnd, EndCause
@@ -148,6 +148,31 @@
     run_scene(1, scene)
 
 
+# Guards against LOST: a client that read its last answer steadily was cut off as one that reads too slowly.
+def test_a_steady_reader_of_the_last_answer_is_not_cut_off() -> None:
+    async def scene(s: Scene) -> None:
+        clock = s.server.clock = SteppedClock()
+        s.server.max_buffered_bytes = s.server.max_total_body_bytes = 1 << 24
+        client = SlowClient()
+        await client.connect(s.server.port)
+        await client.send(request_bytes(BOOK, "r-0", b""))
+        arrived = await next_request(s)
+        terminate(s)
+        text = bytes(LONG_ANSWER_BYTES)
+        arrived.reply(reply("r-0", text))
+        await wait_until(lambda: bool(s.server.lingering))
+        while len(client.received) < len(text):
+            before = len(client.received)
+            await client.read(before + 120_000)  # 24 kB a second
+            assert len(client.received) > before
+            await asyncio.sleep(0.02)
+            clock.ahead += 5.0
+            s.server._sweep()
+        assert client.received.endswith(text[-1000:])
+
+    run_scene(1, scene)
+
+
 # Guards against LOST: a request that had come in part was dropped with the answer before it.
 def test_a_request_read_in_part_is_answered_after_sigterm() -> None:
     async def scene(s: Scene) -> None:
