Do not wait for a connection that its client has reset as it ends

The socket's error is asked for. test_a_connection_that_its_client_resets_as_it_ends_is_not_waited_for failed before; a mutant of the guard is found by it.

--- a/coralvale/lab/virtual/network.py
+++ b/coralvale/lab/virtual/network.py
@@ -361,6 +361,10 @@
         end: End = transport
         return sum(len(data) for _, _, data_of in end.under_way for data in data_of)
 
+    def was_reset(self, transport: Any) -> bool:  # noqa: ANN401
+        end: End = transport
+        return end.over
+
     def closed_by_peer(self, transport: Any) -> bool:  # noqa: ANN401
         end: End = transport
         return end.end_came or end.over
--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -349,9 +349,12 @@
         return self.transport.get_write_buffer_size() + self.server.sockets.unacknowledged(self.transport)
 
     def check_delivery(self, now: float) -> None:
-        """Closes a finishing connection if it may be closed."""
+        """Closes a finishing connection if it may be closed, or if its client has reset it."""
         if self.transport is None:
             return
+        if self.server.sockets.was_reset(self.transport):
+            self.transport.abort()
+            return
         unsent = self.unsent_bytes()
         if not unsent and self.delivered_at is None:
             self.delivered_at = now
--- a/coralvale/net/sockets.py
+++ b/coralvale/net/sockets.py
@@ -61,3 +61,9 @@
         poll = select.poll()
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
+
+    def was_reset(self, transport: Any) -> bool:  # noqa: ANN401
+        """Whether a connection was reset: what is not acknowledged by then never will be."""
+        poll = select.poll()
+        poll.register(transport.get_extra_info("socket").fileno(), 0)  # errors are always reported
+        return any(event & select.POLLERR for _, event in poll.poll(0))
--- a/tests/cluster/test_closing_mutants.py
+++ b/tests/cluster/test_closing_mutants.py
@@ -131,6 +131,11 @@
     patch.setattr(ClientConnection, "finish", finish)
 
 
+@mutant(endings.test_a_connection_that_its_client_resets_as_it_ends_is_not_waited_for)
+def waits_for_connections_that_were_reset(patch: Patch) -> None:
+    patch.setattr(Sockets, "was_reset", lambda self, transport: False)
+
+
 @mutant(endings.test_each_request_of_a_connection_beyond_the_limit_is_refused)
 def ends_a_surplus_connection_at_once(patch: Patch) -> None:
     def handle_request(self: EdgeServer, exchange: Any) -> None:
--- a/tests/cluster/test_connection_endings.py
+++ b/tests/cluster/test_connection_endings.py
@@ -6,6 +6,7 @@
 import contextlib
 import signal
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -173,6 +174,25 @@
     run_scene(1, scene)
 
 
+# Guards against a process that waits to the end of GraceS: its client had reset the connection under the end.
+def test_a_connection_that_its_client_resets_as_it_ends_is_not_waited_for() -> None:
+    async def scene(s: Scene) -> None:
+        client = SlowClient()
+        await client.connect(s.server.port)
+        await client.send(request_bytes(BOOK, "r-0", b""))
+        arrived = await next_request(s)
+        terminate(s)
+        arrived.reply(reply("r-0", bytes(300_000)))
+        await wait_until(lambda: bool(s.server.lingering))
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.socket.close()  # with a reset
+        async with asyncio.timeout(2.0):
+            while s.server.connections or s.server.is_sending():
+                await asyncio.sleep(0.01)
+
+    run_scene(1, scene)
+
+
 # Guards against LOST: a request that had come in part was dropped with the answer before it.
 def test_a_request_read_in_part_is_answered_after_sigterm() -> None:
     async def scene(s: Scene) -> None:
