Tell what each request in hand waits for as its connection ends

Each request in hand is described by its handler: what it waits for, host, attempt, since when, time left. E517 and the counter myrtlehatch_requests_dropped_total (new label waits_for) tell it. E103 tells how long before its handling SIGTERM may have come, from the pauses of the event loop. No decision changes.

--- a/coralvale/cluster/events.py
+++ b/coralvale/cluster/events.py
@@ -22,7 +22,11 @@
         "INFO",
         "ready after {seconds:.2f} s with version {version}, {hosts} hosts, {gateways} gateways",
     )
-    LEAVING = 103, "INFO", "shutting down: {open} requests in progress"
+    LEAVING = (
+        103,
+        "INFO",
+        "shutting down: {open} requests in progress, the signal may have come {late:.2f} s before",
+    )
     ENDED = 104, "INFO", "stopped with {open} requests in progress"
     SETTINGS_READ = 105, "INFO", "settings reloaded: {seeds} seeds"
     SETTINGS_BAD = 106, "ERROR", "invalid settings, keeping the old ones: {reason}"
--- a/coralvale/cluster/server/connection_events.py
+++ b/coralvale/cluster/server/connection_events.py
@@ -14,7 +14,7 @@
             server=server,
             cause=end.cause.value,
             in_hand=end.in_hand,
-            names=", ".join(end.request_names),
+            names=", ".join(map(str, end.requests)),
             unsent=end.unsent_bytes,
             unread=end.unread,
         )
--- a/coralvale/cluster/server/ctl.py
+++ b/coralvale/cluster/server/ctl.py
@@ -22,7 +22,7 @@
 from coralvale.cluster.settings import parse_address
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
-from coralvale.net.endings import ConnectionEnd
+from coralvale.net.endings import ConnectionEnd, RequestInHand, WaitsFor
 from coralvale.net.exchange import Exchange
 from coralvale.net.server import ClientLimits, Server
 
@@ -136,6 +136,10 @@
     def connection_ended(self, end: ConnectionEnd) -> None:
         log_connection_end("control", end)
 
+    def describe(self, exchange: Exchange) -> RequestInHand:
+        waits_for = WaitsFor.HANDLER if exchange.head is None else WaitsFor.EARLIER_ANSWER
+        return RequestInHand(exchange.name, waits_for)
+
     def call(self, exchange: Exchange) -> None:
         """Handles one HTTP request, and answers it when its task is done."""
         path, _, query = exchange.target.decode("latin-1").partition("?")
--- a/coralvale/cluster/server/edge.py
+++ b/coralvale/cluster/server/edge.py
@@ -21,7 +21,7 @@
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
-from coralvale.net.endings import ConnectionEnd
+from coralvale.net.endings import ConnectionEnd, RequestInHand, WaitsFor
 from coralvale.net.exchange import Exchange
 from coralvale.net.server import NOT_FORWARDED_HEADERS, Server, connection_options
 from coralvale.net.transport import Answer, Attempt, OutgoingRequest, Sink, Source
@@ -156,6 +156,22 @@
     def connection_ended(self, end: ConnectionEnd) -> None:
         log_connection_end("edge", end)
 
+    def describe(self, exchange: Exchange) -> RequestInHand:
+        """What a request in hand waits for."""
+        if exchange.head is not None and not exchange.source:
+            return RequestInHand(exchange.name, WaitsFor.EARLIER_ANSWER)
+        request: Request | None = exchange.handler_state
+        if request is None:
+            return RequestInHand(exchange.name)
+        now, job, attempt = self.clock.monotonic(), request.job, request.attempt
+        left = job.deadline - now
+        if job.waits_for_token or attempt is None or attempt.ended:
+            waits_for = WaitsFor.TOKEN if job.waits_for_token else WaitsFor.HANDLER
+            return RequestInHand(exchange.name, waits_for, waited=now - job.arrived_at, time_left=left)
+        waits_for = self.hosts.waits_for(attempt)
+        waited = now - request.sent_at
+        return RequestInHand(exchange.name, waits_for, attempt.server, request.number, waited, left)
+
     def client_disconnected(self, exchange: Exchange) -> None:
         """Handles the loss of a client's connection before its answer was complete."""
         request: Request | None = exchange.handler_state
--- a/coralvale/cluster/server/figures.py
+++ b/coralvale/cluster/server/figures.py
@@ -18,7 +18,7 @@
 from coralvale.cluster.server.coordination_figures import DELAYS_MS, CoordinationMetrics, replica_sizes
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address
-from coralvale.net.endings import ConnectionEnd, EndCounts
+from coralvale.net.endings import ConnectionEnd, EndCounts, RequestInHand
 from coralvale.net.exchange import Exchange
 from coralvale.net.server import ClientLimits, Server
 
@@ -120,13 +120,14 @@
     ended = CounterMetricFamily("myrtlehatch_connections_ended", "of clients, by the cause", labels=["cause"])
     dropped = CounterMetricFamily(
         "myrtlehatch_requests_dropped",
-        "read completely and not answered completely when their connection ended, by the cause",
-        labels=["cause"],
+        "read completely and not answered completely when their connection ended, by the cause "
+        "and what they waited for",
+        labels=["cause", "waits_for"],
     )
     for cause, count in counts.connections.items():
         ended.add_metric([cause.value], float(count))
-    for cause, count in counts.dropped_requests.items():
-        dropped.add_metric([cause.value], float(count))
+    for (cause, waits_for), count in counts.dropped_requests.items():
+        dropped.add_metric([cause.value, waits_for.value], float(count))
     yield ended
     yield dropped
 
@@ -179,6 +180,9 @@
 
     def connection_ended(self, end: ConnectionEnd) -> None: ...
 
+    def describe(self, exchange: Exchange) -> RequestInHand:
+        return RequestInHand(exchange.name)
+
 
 class MetricsServer(Server):
     """Serves the metrics page."""
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -224,8 +224,9 @@
         The platform first takes this gateway out of its list; open requests are finished, and leadership and
         vote are handed over, before the process ends.
         """
-        log_event(Event.LEAVING, open=len(self.edge.open))
         started_at = self.runtime.clock.monotonic()
+        late = started_at - self.runtime.pauses.earliest_arrival(started_at)
+        log_event(Event.LEAVING, open=len(self.edge.open), late=late)
         deadline = started_at + max(1.0, self.runtime.settings.Bounds.GraceS - GRACE_MARGIN_S)
         self.edge_server.drain()
         self.coordination.stop()
@@ -364,6 +365,7 @@
                 else min(MAX_REST_S, self.membership.swim.due() - self.runtime.clock.monotonic())
             )
             due = self.runtime.clock.monotonic() + max(TICK_S, pause)
+            self.runtime.pauses.expect(due)
             await asyncio.sleep(max(TICK_S, pause))
             self._record_pause(due)
 
--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -14,7 +14,7 @@
 import httptools
 
 from coralvale.net.closing import Delivery, Phase, answer_is_last, may_close
-from coralvale.net.endings import ConnectionEnd, EndCause
+from coralvale.net.endings import ConnectionEnd, EndCause, RequestInHand
 from coralvale.net.exchange import REASONS, Exchange
 
 if TYPE_CHECKING:
@@ -305,7 +305,7 @@
                 self.reading is not None,
                 self.unsent_bytes() + unwritten,
                 self.transport is not None and self.has_unread(),
-                self._names_in_hand(),
+                self._requests_in_hand(),
                 self.server.closing,
             )
         return self.end
@@ -319,8 +319,9 @@
         self.record_end(cause)
         self.transport.abort()
 
-    def _names_in_hand(self) -> tuple[str, ...]:
-        return tuple(exchange.name for exchange in islice(self.exchanges, MAX_PIPELINED))
+    def _requests_in_hand(self) -> tuple[RequestInHand, ...]:
+        describe = self.server.handler.describe
+        return tuple(describe(exchange) for exchange in islice(self.exchanges, MAX_PIPELINED))
 
     def _final_cause(self) -> EndCause:
         if self.error_status:
@@ -436,7 +437,7 @@
             cause,
             in_hand=len(self.exchanges),
             partly_read=self.reading is not None,
-            request_names=self._names_in_hand(),
+            requests=self._requests_in_hand(),
             shutting_down=self.server.closing,
         )
         self.server.end_counts.add(end)
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -25,7 +25,7 @@
 from coralvale.net.discovery import Discovery, Endpoint
 from coralvale.net.door import MAX_CONNECTIONS as MAX_MANAGEMENT_CONNECTIONS
 from coralvale.net.door import ManagementServer
-from coralvale.net.endings import ConnectionEnd
+from coralvale.net.endings import ConnectionEnd, RequestInHand, WaitsFor
 from coralvale.net.exchange import Exchange
 from coralvale.net.figures import RequestStats
 from coralvale.net.marks import MaintenanceSet
@@ -686,11 +686,32 @@
 
     def connection_ended(self, end: ConnectionEnd) -> None:
         if end.drops_requests:
-            names = ", ".join(end.request_names)
+            names = ", ".join(map(str, end.requests))
             log.warning(
                 "connection ended (%s) with %d requests in hand: %s", end.cause.value, end.in_hand, names
             )
 
+    def describe(self, exchange: Exchange) -> RequestInHand:
+        """What a request in hand waits for: its newest attempt, if one is in flight."""
+        pending: PendingRequest | None = exchange.handler_state
+        if exchange.head is not None and not exchange.source:
+            return RequestInHand(exchange.name, WaitsFor.EARLIER_ANSWER)
+        if pending is None:
+            return RequestInHand(exchange.name)
+        now, attempt = self.clock.now(), next((a for a in pending.attempts[::-1] if not a.ended), None)
+        if attempt is None:
+            waited = now - pending.received_at
+            return RequestInHand(exchange.name, waited=waited, time_left=pending.expires_at - now)
+        waits_for = WaitsFor.CONNECTION if attempt.connection is None else WaitsFor.FIRST_BYTE
+        return RequestInHand(
+            exchange.name,
+            WaitsFor.REST if attempt.sink else waits_for,
+            attempt.server,
+            attempt.number,
+            now - attempt.sent_at,
+            pending.expires_at - now,
+        )
+
     def client_disconnected(self, exchange: Exchange) -> None:
         """Handles a client that closed its connection before its answer was complete."""
         pending = exchange.handler_state
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -20,7 +20,7 @@
 from coralvale.net.clock import Clock
 from coralvale.net.closing import POLL_INTERVAL_S, Phase
 from coralvale.net.config import Address
-from coralvale.net.endings import ConnectionEnd, EndCause, EndCounts
+from coralvale.net.endings import ConnectionEnd, EndCause, EndCounts, RequestInHand
 from coralvale.net.exchange import Exchange
 from coralvale.net.parsed_request import BadRequest, NameIndex, ParsedRequest
 from coralvale.net.sockets import Sockets
@@ -78,7 +78,8 @@
 
     `ready`: whether `GET /up` is answered with 200. `handle` gets each valid request. `client_disconnected`: the
     connection was lost before the answer was complete. `rejected`: the server itself answered with an error;
-    `why` is for logs. `connection_ended`: a connection has ended, for whatever cause.
+    `why` is for logs. `connection_ended`: a connection has ended, for whatever cause. `describe`: what a request
+    in hand waits for.
     """
 
     @property
@@ -92,6 +93,8 @@
 
     def connection_ended(self, end: ConnectionEnd) -> None: ...
 
+    def describe(self, exchange: Exchange) -> RequestInHand: ...
+
 
 class Server:
     """Accepts client connections up to a bound and passes their requests to the handler.
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -21,6 +21,7 @@
 from coralvale.interface import Outcome
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address, HostInstance
+from coralvale.net.endings import WaitsFor
 from coralvale.net.sockets import Sockets
 from coralvale.net.transport import Answer, AnswerOwner, Attempt, WriteProgress
 
@@ -96,6 +97,12 @@
         """How much of the current request was handed to the socket."""
         return WriteProgress.PART if self.write_pending else WriteProgress.WHOLE
 
+    def waits_for(self) -> WaitsFor:
+        """What the current attempt waits for."""
+        if self.head_size or self.owner is not None:
+            return WaitsFor.REST
+        return WaitsFor.WRITE if self.write_pending else WaitsFor.FIRST_BYTE
+
     def may_have_run(self, attempt: Attempt) -> bool:
         """Whether a host may have run the request of an attempt that ended without an answer."""
         if attempt.progress is WriteProgress.PART:
@@ -511,6 +518,11 @@
         connection.close()
         attempt.end(outcome if may_have_run else Outcome.NOT_SENT)
 
+    def waits_for(self, attempt: Attempt) -> WaitsFor:
+        """What an attempt in flight waits for."""
+        connection = attempt.connection
+        return connection.waits_for() if isinstance(connection, Connection) else WaitsFor.CONNECTION
+
     def abandon(self, attempt: Attempt) -> None:
         """Does nothing: cancelling would close the connection, which can be kept if the attempt goes on."""
 
--- a/tests/cluster/test_connection_endings.py
+++ b/tests/cluster/test_connection_endings.py
@@ -15,7 +15,7 @@
 from test_edge import BOOK, READ, Scene, SteppedClock, next_request, reply, request_bytes, wait_until
 from test_processes import run_scene as run_processes
 
-from coralvale.net.endings import ConnectionEnd, EndCause
+from coralvale.net.endings import ConnectionEnd, EndCause, WaitsFor
 from coralvale.standins.cluster import CTL, EDGE, LocalCluster
 from coralvale.standins.wire import read_message
 
@@ -149,6 +149,32 @@
     run_scene(1, scene)
 
 
+def test_the_end_of_a_connection_tells_what_each_request_in_hand_waits_for() -> None:
+    async def scene(s: Scene) -> None:
+        ends = record_ends(s)
+        _, writer = await s.connect()
+        writer.write(b"".join(request_bytes(BOOK, f"r-{n}", b"") for n in range(3)))
+        arrived = {
+            a.message.headers[b"x-myrtlehatch-request-id"]: a
+            for a in [await next_request(s) for _ in range(3)]
+        }
+        arrived[b"r-1"].reply(reply("r-1")[:20])
+        arrived[b"r-2"].reply(reply("r-2"))
+        (connection,) = s.server.connections
+        await wait_until(lambda: connection.exchanges[2].head is not None)
+        s.server.close()
+        await wait_until(lambda: bool(ends))
+        waits = [request.waits_for for request in ends[0].requests]
+        assert waits == [WaitsFor.FIRST_BYTE, WaitsFor.REST, WaitsFor.EARLIER_ANSWER]
+        first = ends[0].requests[0]
+        assert (
+            first.host.startswith("i-") and first.attempt == 1 and 0 < first.waited < 20 > first.time_left > 0
+        )
+        assert s.server.end_counts.dropped_requests[EndCause.PROCESS_EXIT, WaitsFor.FIRST_BYTE] == 1
+
+    run_scene(2, scene)
+
+
 # Guards against LOST: a client that read its last answer steadily was cut off as one that reads too slowly.
 def test_a_steady_reader_of_the_last_answer_is_not_cut_off() -> None:
     async def scene(s: Scene) -> None:
