Reproduce: requests of silent hosts are cut as their process ends (known red)

Hosts that run a request and lose its answer, or hang when full; clients that wait 9 s, longer than the process has after SIGTERM, one request in hand or three. Real gateways, SIGTERM 0.5 s after the clients connect, requests 0.2 and 2.0 s after that.

Seen: of four lost answers three closed with none, of three hung requests two, and both series of three, with two answers of sound hosts each. E517: waits for first byte of attempt 1 (or 2), 3.3 to 5.9 s, 3.1 to 4.9 s left.

--- a/coralvale/standins/cluster.py
+++ b/coralvale/standins/cluster.py
@@ -120,6 +120,8 @@
     zone: str = "zone-0"
     slots: int = 4
     state: str = "up"
+    loses: tuple[str, ...] = ()  # starts of the ids of requests that it runs, and whose answers it loses
+    hangs_on: tuple[str, ...] = ()  # starts of the ids that it never runs nor answers, like one that is full
     ran: Counter[str] = field(default_factory=Counter)
 
     async def start(self) -> StandIn:
@@ -162,10 +164,16 @@
                 if request.headers.get(b"x-myrtlehatch-want-instance", b"").decode() != self.id:
                     writer.write(answer(421, b"", X_Myrtlehatch_Request_Id=id_))
                     continue
+                if id_.startswith(self.hangs_on):
+                    await reader.read()  # it answers nothing further on this connection
+                    break
                 self.ran[id_] += 1
                 self.running += 1
                 await asyncio.sleep(self.work)
                 self.running -= 1
+                if id_.startswith(self.loses):
+                    await reader.read()
+                    break
                 named = {
                     "X-Myrtlehatch-Request-Id": id_,
                     "X-Myrtlehatch-Seal": f"seal.{self.id}",
--- /dev/null
+++ b/tests/cluster/test_silent_hosts_at_the_end.py
@@ -0,0 +1,102 @@
+"""Requests whose hosts stay silent as their gateway's process ends: each gets a whole answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+
+from test_processes import run_scene
+
+from coralvale.standins.cluster import EDGE, LocalCluster, configuration
+from coralvale.standins.wire import read_message
+
+STOPPED = 3  # the gateway that is stopped; it has no disk
+FAILED = {502, 504}  # statuses of a request that may have run
+PATIENCE_MS = 9000  # for which clients wait, longer than a process has after SIGTERM
+
+
+def request(id_: str, path: str) -> bytes:
+    method = "POST" if path == "book" else "GET"
+    return (
+        f"{method} /schedule/{path}/1 HTTP/1.1\r\nHost: demo.example\r\nX-Myrtlehatch-Request-Id: {id_}\r\n"
+        f"X-Myrtlehatch-Time-Left: {PATIENCE_MS}\r\nAuthorization: Bearer demo-key\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+async def statuses(cluster: LocalCluster, sent_at: float, *requests: tuple[str, str]) -> list[int]:
+    """Statuses of the answers to requests (id, path) of one connection, up to its end.
+
+    `sent_at`: s after the connection is made. Until then it is not idle: a byte of the first one has come.
+    """
+    reader, writer = await asyncio.open_connection(cluster.ips[STOPPED], EDGE)
+    data = b"".join(request(id_, path) for id_, path in requests)
+    writer.write(data[:1])
+    await asyncio.sleep(sent_at)
+    writer.write(data[1:])
+    found: list[int] = []
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        while len(found) < len(requests):
+            found.append((await read_message(reader)).status)
+    writer.close()
+    return found
+
+
+async def prepare(cluster: LocalCluster) -> None:
+    """Lets routes wait as long as the clients do."""
+    whole = configuration(2, ["schedule"], 0.0)
+    for route in whole["Routes"].values():
+        route["TimeoutMs"] = PATIENCE_MS
+    changed = await cluster.send("config.replace", whole, 1)
+    assert changed and changed.status == 200
+    await cluster.until(lambda: asyncio.sleep(0, "configuration 2 in force" in cluster.log(STOPPED)))
+    for host in cluster.hosts:
+        host.loses, host.hangs_on = ("lost",), ("hung",)
+
+
+async def stop_under(
+    cluster: LocalCluster, *requests: tuple[float, list[tuple[str, str]]]
+) -> list[list[int]]:
+    """Stops a gateway 0.5 s after clients have connected to it; the statuses that each of them got."""
+    asked = asyncio.gather(*(statuses(cluster, sent_at, *series) for sent_at, series in requests))
+    await asyncio.sleep(0.5)
+    ended = asyncio.create_task(cluster.kill(STOPPED, signal.SIGTERM))
+    found = await asked
+    assert await ended == 0
+    return found
+
+
+# Guards against LOST: a request whose host had run it, and lost its answer, was cut as its process ended.
+def test_a_request_whose_answer_its_host_lost_is_answered_before_its_gateway_ends() -> None:
+    async def scene(cluster: LocalCluster) -> None:
+        await prepare(cluster)
+        sent = [(0.2, "read"), (2.0, "read"), (0.2, "book"), (2.0, "book")]
+        found = await stop_under(cluster, *((at, [(f"lost-{n}", path)]) for n, (at, path) in enumerate(sent)))
+        assert all(len(one) == 1 and set(one) <= FAILED for one in found), found
+        assert "E517" not in cluster.log(STOPPED)
+
+    run_scene(scene)
+
+
+# Guards against LOST: a request that hung at a full host was cut as its gateway's process ended.
+def test_a_request_that_hangs_at_a_full_host_is_answered_before_its_gateway_ends() -> None:
+    async def scene(cluster: LocalCluster) -> None:
+        await prepare(cluster)
+        sent = [(0.2, "read"), (2.0, "read"), (2.0, "book")]
+        found = await stop_under(cluster, *((at, [(f"hung-{n}", path)]) for n, (at, path) in enumerate(sent)))
+        assert all(len(one) == 1 and set(one) <= FAILED for one in found), found
+        assert "E517" not in cluster.log(STOPPED)
+
+    run_scene(scene)
+
+
+# Guards against LOST: answers of sound hosts behind a request whose host was silent were dropped with it.
+def test_answers_behind_a_silent_request_reach_their_client_before_its_gateway_ends() -> None:
+    async def scene(cluster: LocalCluster) -> None:
+        await prepare(cluster)
+        series = [("lost-0", "read"), ("sound-1", "read"), ("sound-2", "book")]
+        found = await stop_under(cluster, (0.2, series), (2.0, series))
+        assert all(one[:1] and one[0] in FAILED and one[1:] == [200, 200] for one in found), found
+        assert "E517" not in cluster.log(STOPPED)
+
+    run_scene(scene)
