--- a/coralvale/cluster/soak/checker.py
+++ b/coralvale/cluster/soak/checker.py
@@ -20,6 +20,7 @@
     rules_requests.request_runs,
     rules_requests.own_answers,
     rules_requests.request_ends,
+    rules_requests.answers_in_place_of_hosts,
     rules_requests.drained_hosts,
     rules_requests.quotas,
     rules_configuration.accepted_changes,
--- a/coralvale/cluster/soak/clients.py
+++ b/coralvale/cluster/soak/clients.py
@@ -25,7 +25,8 @@
 from coralvale.standins.wire import Message
 
 VHOST = "demo.example"
-TIME_LIMIT_S = 2.5  # sent with each request; the routes' timeouts are longer
+TIME_LIMIT_S = 2.5  # sent with a request; the routes' timeouts are longer
+PATIENT_LIMIT_S = 8.0  # the same of patient clients: longer than a process has after SIGTERM
 GIVE_UP_AFTER_S = 15.0  # beyond the limit; then a client stops waiting
 CONNECT_TIMEOUT_S = 3.0
 UPLOAD_BYTES = 6_000_000  # more than the socket buffers between a gateway and a host hold
@@ -45,7 +46,8 @@
 
 @define
 class RequestSpec:
-    """One request to send. `proper`: every version of the configuration allows it."""
+    """One request to send. `proper`: every version of the configuration allows it; `limit`: s that the client
+    waits."""
 
     path: str
     repeatable: bool
@@ -53,6 +55,7 @@
     tenant: str
     style: RequestStyle = RequestStyle.PLAIN
     proper: bool = True
+    limit: float = TIME_LIMIT_S
 
 
 class Client:
@@ -124,7 +127,7 @@
     async def _exchange(self, id_: str, spec: RequestSpec) -> int:
         assert self.reader and self.writer
         self.writer.write(encode_request(id_, spec))
-        async with asyncio.timeout(TIME_LIMIT_S + GIVE_UP_AFTER_S):
+        async with asyncio.timeout(spec.limit + GIVE_UP_AFTER_S):
             await self.writer.drain()
             self._record(Written(now(), id_))
             if spec.style is RequestStyle.LEAVES:
@@ -152,7 +155,7 @@
                 spec.path,
                 spec.repeatable,
                 spec.tenant,
-                TIME_LIMIT_S,
+                spec.limit,
                 spec.proper,
             )
         )
@@ -166,7 +169,7 @@
     headers = {
         "Host": VHOST,
         "X-Myrtlehatch-Request-Id": id_,
-        "X-Myrtlehatch-Time-Left": str(int(TIME_LIMIT_S * 1000)),
+        "X-Myrtlehatch-Time-Left": str(int(spec.limit * 1000)),
         "Authorization": f"Bearer {spec.key}",
     }
     if spec.style not in (RequestStyle.BODY, RequestStyle.CHUNKED, RequestStyle.UPLOAD):
--- a/coralvale/cluster/soak/cluster.py
+++ b/coralvale/cluster/soak/cluster.py
@@ -171,6 +171,11 @@
             await asyncio.sleep(0.1)
         await exited.wait()
 
+    def signal_again(self, number: int) -> None:
+        """Sends a second SIGTERM to a process that is ending."""
+        if process := self.processes.get(number):
+            process.send_signal(signal.SIGTERM)
+
     def _frozen_seconds(self, number: int) -> float:
         """Seconds for which the present life has been frozen."""
         since = now() - self.frozen_at[number] if number in self.frozen else 0.0
--- a/coralvale/cluster/soak/history.py
+++ b/coralvale/cluster/soak/history.py
@@ -137,8 +137,16 @@
     host: str
 
 
+class AnswerLost(Record, frozen=True):
+    """A host has run a request and sends no answer: it is not at work any more."""
+
+    id: str
+    host: str
+
+
 class HostState(Record, frozen=True):
-    """A host's state. `what`: up, draining, acknowledged (`gateway` confirmed its leave), gone or crash."""
+    """A host's state. `what`: up, draining, acknowledged (`gateway` confirmed its leave), dark (it answers
+    nothing any more), gone or crash."""
 
     host: str
     service: str
@@ -240,6 +248,7 @@
     | BodyRead
     | Done
     | Broke
+    | AnswerLost
     | HostState
     | Link
     | Change
--- a/coralvale/cluster/soak/hosts.py
+++ b/coralvale/cluster/soak/hosts.py
@@ -8,7 +8,16 @@
 import random
 
 from coralvale.cluster.soak.cluster import SoakCluster
-from coralvale.cluster.soak.history import BodyRead, Broke, Done, HostState, Ran, Writer, now
+from coralvale.cluster.soak.history import (
+    AnswerLost,
+    BodyRead,
+    Broke,
+    Done,
+    HostState,
+    Ran,
+    Writer,
+    now,
+)
 from coralvale.cluster.soak.relay import READ_BYTES, Relay, small_listener
 from coralvale.cluster.soak.wire import body_of, is_body_of, read_body, read_head
 from coralvale.standins.cluster import BEAT, CTL, call
@@ -49,6 +58,8 @@
         self.service_time = 0.02  # s
         self.state = "up"
         self.slots = 8
+        self.lost_share = 0.0  # of the requests that it runs, whose answers it does not send
+        self.hangs_when_full = False  # it neither runs nor answers what is beyond its slots
         self.in_flight = self.heartbeats_sent = 0
         self.id = f"i-{random.randrange(1 << 40):010x}"
         self.relay = Relay(self.ip)
@@ -67,6 +78,14 @@
         """Ends at once, without telling any gateway."""
         self._end("crash")
 
+    async def go_dark(self, seconds: float) -> None:
+        """Answers nothing any more, without closing a connection, and ends after so many seconds."""
+        self._record("dark")
+        self.heartbeat_task.cancel()
+        self.relay.forwarding.clear()
+        await asyncio.sleep(seconds)
+        self._end("crash")
+
     async def leave(self) -> None:
         """Reports that it drains until a gateway acknowledges; serves a while longer, deregisters, ends."""
         self.state = "draining"
@@ -157,6 +176,8 @@
         if message.headers.get(b"x-myrtlehatch-want-instance", b"").decode() != self.id:
             self._send(writer, refusal(421, id_))
             return
+        if self.hangs_when_full and self.in_flight >= self.slots:
+            await self._hang(reader)
         if self.in_flight >= self.slots * 4:
             self._send(writer, refusal(503, id_))
             return
@@ -165,6 +186,13 @@
         self.in_flight += 1
         try:
             await asyncio.sleep(self.service_time * (0.5 + random.random()))
+            if random.random() < self.lost_share:
+                self.history.write(AnswerLost(now(), id_, self.id))
+                self.in_flight -= 1
+                try:
+                    await self._hang(reader)
+                finally:
+                    self.in_flight += 1
             size = LONG_BODY_BYTES if b"/long/" in message.first else 200
             data = answer(
                 200,
@@ -185,6 +213,12 @@
         else:
             self.history.write(Done(now(), id_, self.id))
 
+    async def _hang(self, reader: asyncio.StreamReader) -> None:
+        """Answers nothing further on a connection, until the other side ends it."""
+        while await reader.read(READ_BYTES):
+            pass
+        raise asyncio.IncompleteReadError(b"", None)
+
     def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         """Sends an answer, behind the copy of an earlier one if one is due on the connection."""
         writer.write(self.copies.pop(writer, b"") + data)
--- a/coralvale/cluster/soak/nemesis.py
+++ b/coralvale/cluster/soak/nemesis.py
@@ -19,6 +19,9 @@
 VOTER_TIMEOUT_S = 30.0  # for a restarted gateway to be a voter again; then it counts as back anyway
 SYNC_GRACE_S = 4.0  # for which it still counts as lost after that, as the settings require
 BUDGET_TIMEOUT_S = 20.0  # for which an act waits for the fault budget; then it is left out
+SIGNAL_GAP_S = 0.3  # between a SIGTERM and the signals that follow it
+LOST_SHARE = 0.1  # of its answers, that a host loses that loses answers
+HANGING_SLOTS = 2  # of a host that hangs when it is full
 MASS_KILL_PAUSE_S = 0.9  # upper bound of the time until gateways that were killed at once start again
 
 
@@ -33,6 +36,7 @@
         self.left_out = 0
         self.acts: dict[str, Callable[[Act], Awaitable[object]]] = {
             "restart": self._restart,
+            "restart-signals": self._restart_with_signals,
             "kill": self._kill,
             "herd": self._kill_all,
             "freeze": self._freeze,
@@ -46,6 +50,9 @@
             "host-crash": self._host_crash,
             "host-leave": self._host_leave,
             "host-slow": self._host_slow,
+            "host-loses": self._host_loses,
+            "host-hangs": self._host_hangs,
+            "host-dark": self._host_dark,
             "change-bad": lambda act: self.workload.operator.send_invalid(),
             "change-rival": lambda act: self.workload.operator.send_rivals(),
             "change-burst": self._burst,
@@ -138,6 +145,21 @@
     async def _restart(self, act: Act) -> None:
         await self._end_and_restart(act, signal.SIGTERM)
 
+    async def _restart_with_signals(self, act: Act) -> None:
+        """A restart with a SIGHUP and a second SIGTERM while the process ends."""
+        number = await self._target(act)
+        if number is None:
+            return
+        restart = asyncio.create_task(self._end_and_restart(act, signal.SIGTERM))
+        life = self.cluster.lives.get(number)
+        while not restart.done() and number not in self.cluster.terminating:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(SIGNAL_GAP_S)
+        if self.cluster.lives.get(number) == life and number in self.cluster.terminating:
+            self.cluster.reload_settings(number, invalid=False)
+            self.cluster.signal_again(number)
+        await restart
+
     async def _kill(self, act: Act) -> None:
         await self._end_and_restart(act, signal.SIGKILL)
 
@@ -288,6 +310,29 @@
         await asyncio.sleep(act.seconds)
         host.service_time = usual
 
+    async def _host_loses(self, act: Act) -> None:
+        """A host runs all requests, and loses some answers."""
+        host = self.workload.hosts[act.target % len(self.workload.hosts)]
+        self._record(act, host.id)
+        host.lost_share = LOST_SHARE
+        await asyncio.sleep(act.seconds)
+        host.lost_share = 0.0
+
+    async def _host_hangs(self, act: Act) -> None:
+        """A host has few slots, and hangs when it is full."""
+        host = self.workload.hosts[act.target % len(self.workload.hosts)]
+        self._record(act, host.id)
+        usual, host.slots, host.hangs_when_full = host.slots, HANGING_SLOTS, True
+        await asyncio.sleep(act.seconds)
+        host.slots, host.hangs_when_full = usual, False
+
+    async def _host_dark(self, act: Act) -> None:
+        host = self.workload.hosts[act.target % len(self.workload.hosts)]
+        self._record(act, host.id)
+        self.workload.hosts.remove(host)
+        await host.go_dark(act.seconds)
+        await self.workload.start_host(host.service, host.zone)
+
     async def _burst(self, act: Act) -> None:
         self._record(act, "operator")
         for _ in range(3):
--- a/coralvale/cluster/soak/operator.py
+++ b/coralvale/cluster/soak/operator.py
@@ -28,7 +28,7 @@
     """Version 1: two services, their routes, a tenant without a quota and one that exceeds its quota."""
     whole = configuration(1, list(SERVICES))
     for route in whole["Routes"].values():
-        route["TimeoutMs"] = 5000
+        route["TimeoutMs"] = 9000
     for name in SERVICES:
         whole["Routes"][f"{name}-long"] = {
             **whole["Routes"][f"{name}-read"],
--- a/coralvale/cluster/soak/pipelining.py
+++ b/coralvale/cluster/soak/pipelining.py
@@ -12,7 +12,6 @@
 
 from coralvale.cluster.soak.clients import (
     GIVE_UP_AFTER_S,
-    TIME_LIMIT_S,
     Client,
     RequestSpec,
     encode_request,
@@ -41,7 +40,7 @@
         in_hand: deque[str] = deque()
         answered = 0
         try:
-            async with asyncio.timeout(TIME_LIMIT_S + GIVE_UP_AFTER_S):
+            async with asyncio.timeout(max(spec.limit for spec in specs) + GIVE_UP_AFTER_S):
                 self._write_next(waiting, in_hand)
                 while waiting and not overlapping:
                     self._write_next(waiting, in_hand)
--- a/coralvale/cluster/soak/relay.py
+++ b/coralvale/cluster/soak/relay.py
@@ -51,6 +51,7 @@
         """Stops listening and resets all connections."""
         self.server.close()
         self.reset()
+        self.forwarding.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
--- a/coralvale/cluster/soak/rules_requests.py
+++ b/coralvale/cluster/soak/rules_requests.py
@@ -10,6 +10,9 @@
 from coralvale.cluster.soak.timeline import MARGIN_S, Life, Request, Timeline, Violation
 
 NOT_EXECUTED_STATUSES = {408, 421, 429, 503}  # the request has not run and never will
+OWN_FAILURES = {502, 504}  # of a gateway: the soak's hosts send none
+LAST_EXCUSED_S = 3.0  # after SIGTERM, until which a request sent may outlast its process (NEWS-22, LOST)
+ABORT_MARGIN_S = 0.05  # before an answer, in which the host's last step may cross the gateway's abort
 TIMEOUT_MARGIN_S = 0.3  # before a request's limit; from then on its connection may be closed as timed out
 
 
@@ -95,16 +98,16 @@
 def _close_fault(timeline: Timeline, request: Request, end: h.Closed, life: Life | None) -> str:
     """Why its gateway should not have closed a request's connection; empty if it was allowed to.
 
-    It may if it was killed, near the request's limit, after a fault of its host or of the host of an earlier
-    request on the connection, whose answer could then not be completed, and, if it had not forwarded the
-    request, shortly after its last byte.
+    It may if it was killed, near the request's limit, where an answer that had begun, this one or one before it
+    on the connection, could not be completed, and, if it had not forwarded the request, shortly after its last
+    byte. A host's silence is no reason.
     """
     if _was_killed(life, end.at):
         return ""
     took = end.at - request.sent.at
     if took >= request.sent.limit - TIMEOUT_MARGIN_S:
         return ""
-    if any(_host_disconnected(timeline, earlier, end.at) for earlier in timeline.closed_with(request)):
+    if any(_could_not_complete(timeline, earlier, life) for earlier in timeline.closed_with(request)):
         return ""
     after_sigterm = " after SIGTERM" if life and life.terminated_at and life.terminated_at <= end.at else ""
     if request.ran or end.begun:
@@ -118,19 +121,57 @@
     return ""
 
 
-def _host_disconnected(timeline: Timeline, request: Request, until: float) -> bool:
-    """Whether a host that ran it crashed or left, or its relay reset or stalled connections.
+def _could_not_complete(timeline: Timeline, request: Request, life: Life | None) -> bool:
+    """Whether an answer had begun, and its host broke off, its limit was reached, or its process ended in its
+    midst: its host at work in the last sixth of the grace, on a request of at most LAST_EXCUSED_S after SIGTERM.
+    """
+    end = request.end
+    if not isinstance(end, h.Closed) or not end.begun:
+        return False
+    if end.at - request.sent.at >= request.sent.limit - TIMEOUT_MARGIN_S:
+        return True
+    if _host_broke_off(timeline, request, end.at):
+        return True
+    terminated = life.terminated_at if life else None
+    if terminated is None or request.sent.at > terminated + LAST_EXCUSED_S:
+        return False
+    return end.at >= terminated + timeline.run.grace * 5 / 6 and bool(request.hosts_at_work(end.at))
+
+
+def _host_broke_off(timeline: Timeline, request: Request, until: float) -> bool:
+    """Whether a host that ran it crashed or left, or its relay reset connections.
 
     `Broke` events prove nothing: a gateway that closes a client's connection also closes the host's.
     """
     return any(
-        any(
-            ran.at - MARGIN_S <= at <= until + MARGIN_S for at in timeline.link_disturbances.get(ran.host, [])
-        )
+        any(ran.at - MARGIN_S <= at <= until + MARGIN_S for at in timeline.host_breaks.get(ran.host, []))
         for ran in request.ran
     )
 
 
+def answers_in_place_of_hosts(timeline: Timeline) -> Iterator[Violation]:
+    """LOST: after SIGTERM a gateway answers no request with a failure of its own that its host works on.
+
+    Not counted: the host or its link was in trouble, the limit was reached, or the host was still at work in the
+    last sixth of the grace on a request that was sent at most LAST_EXCUSED_S after SIGTERM.
+    """
+    for id_, request in timeline.requests.items():
+        end, life = request.end, timeline.life_of(request)
+        if not isinstance(end, h.Answered) or end.status not in OWN_FAILURES:
+            continue
+        if life is None or life.terminated_at is None or not request.sent.at <= end.at >= life.terminated_at:
+            continue
+        if end.at - request.sent.at >= request.sent.limit - TIMEOUT_MARGIN_S:
+            continue
+        hosts = request.hosts_at_work(end.at - ABORT_MARGIN_S)
+        if not hosts or any(not timeline.link_undisturbed(host, request.sent.at, end.at) for host in hosts):
+            continue
+        in_last_sixth = end.at >= life.terminated_at + timeline.run.grace * 5 / 6
+        if in_last_sixth and request.sent.at <= life.terminated_at + LAST_EXCUSED_S:
+            continue
+        yield Violation("LOST", end.at, f"answered {end.status} in place of {hosts[0]}, at work on it", id_)
+
+
 def drained_hosts(timeline: Timeline) -> Iterator[Violation]:
     """DRAIN: a host gets no request later than `DrainMs` after its leave was acknowledged.
 
--- a/coralvale/cluster/soak/schedule.py
+++ b/coralvale/cluster/soak/schedule.py
@@ -43,6 +43,7 @@
     """The schedule of a seed. The same arguments give the same schedule."""
     disks, budget = (5, 2) if gateways >= 8 else (min(3, gateways), 1)
     rng = random.Random(f"soak/{seed}/{gateways}")
+    silent_rng = random.Random(f"soak-silent/{seed}/{gateways}")  # of its own: the other acts stay a seed's
     acts: list[Act] = []
     series = 0
     begins = FIRST_ACT_S
@@ -53,6 +54,8 @@
             at = rng.uniform(begins, max(begins, ends - BLOCK_S / 2))
             acts += SERIES[kind](rng, at, series, gateways)
             series += 1
+        acts += _silent_hosts(silent_rng, begins, series, gateways)
+        series += 1
         begins = ends + CALM_S
     acts.sort(key=lambda act: (act.at, act.series))
     return Schedule(seed, gateways, disks, budget, seconds, tuple(a for a in acts if a.at < seconds))
@@ -153,6 +156,22 @@
     ]
 
 
+def _silent_hosts(rng: random.Random, at: float, series: int, gateways: int) -> list[Act]:
+    """Hosts that lose answers, hang when full or go dark, while gateways are stopped, each with more signals."""
+    kinds = ("host-loses", "host-hangs", "host-dark")
+    weights = (4, 2, 1)
+    hosts = [
+        Act(at + rng.uniform(0, 1), rng.choices(kinds, weights)[0], rng.randrange(99), BLOCK_S, series)
+        for _ in range(3)
+    ]
+    first, count = rng.randrange(gateways), 1 + gateways // 4
+    stops = [
+        Act(at + 1.5 + rng.uniform(0, 0.6) * n, "restart-signals", first + n, 0.0, series)
+        for n in range(count)
+    ]
+    return hosts + stops
+
+
 def _changes(rng: random.Random, at: float, series: int, gateways: int) -> list[Act]:
     kinds = ("change-bad", "change-rival", "change-burst")
     return [Act(at + 0.7 * n, rng.choice(kinds), 0, 0, series) for n in range(3)]
--- a/coralvale/cluster/soak/timeline.py
+++ b/coralvale/cluster/soak/timeline.py
@@ -51,6 +51,11 @@
     written_at: float | None = None
     end: h.Answered | h.Closed | h.Left | h.Silent | None = None
     ran: list[h.Ran] = field(factory=list)
+    finished: dict[str, float] = field(factory=dict)  # by host: when it was done with the request
+
+    def hosts_at_work(self, moment: float) -> list[str]:
+        """The hosts that had begun the request and were not done with it."""
+        return [r.host for r in self.ran if r.at <= moment < self.finished.get(r.host, float("inf"))]
 
 
 class Timeline:
@@ -67,6 +72,7 @@
         self.by_connection: dict[int, list[Request]] = defaultdict(list)  # in the order sent
         self.stalls: list[tuple[float, float]] = []
         self.link_disturbances: dict[str, list[float]] = defaultdict(list)  # of links and hosts, by host
+        self.host_breaks: dict[str, list[float]] = defaultdict(list)  # ends and resets, by host; no silence
         self.unknown_runs: list[h.Ran] = []  # runs of requests that no client sent
         for event in self.events:
             self._add(event)
@@ -97,10 +103,16 @@
                     request_.ran.append(event)
                 else:
                     self.unknown_runs.append(event)
+            case h.Done() | h.AnswerLost():
+                if request_ := self.requests.get(event.id):
+                    request_.finished[event.host] = event.at
             case h.Link():
                 self.link_disturbances[event.host].append(event.at)
+                if event.what == "reset":
+                    self.host_breaks[event.host].append(event.at)
             case h.HostState() if event.what in ("crash", "gone"):
                 self.link_disturbances[event.host].append(event.at)
+                self.host_breaks[event.host].append(event.at)
 
     def _add_process(self, event: h.Process) -> None:
         key = (event.gateway, event.life)
--- a/coralvale/cluster/soak/workload.py
+++ b/coralvale/cluster/soak/workload.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from coralvale.cluster.soak.callers import Caller, CallNumbers
-from coralvale.cluster.soak.clients import Client, RequestSpec, RequestStyle
+from coralvale.cluster.soak.clients import PATIENT_LIMIT_S, TIME_LIMIT_S, Client, RequestSpec, RequestStyle
 from coralvale.cluster.soak.cluster import SoakCluster
 from coralvale.cluster.soak.history import Writer
 from coralvale.cluster.soak.hosts import SoakHost
@@ -26,6 +26,9 @@
 MAX_SERIES = 4  # requests of such a client at once
 OVERLAPPING_SHARE = 0.3  # of its series, in which a request is written while an answer is read
 SERIES_INTERVAL_S = 0.1  # between its series
+PATIENT_CLIENTS = 6  # clients that wait longer than a process has after SIGTERM, beside one for each gateway
+PATIENT_PIPELINING_CLIENTS = 2
+PATIENT_INTERVAL_S = 0.05  # between a patient client's requests
 PROBE_INTERVAL_S = 0.25  # between probes of the newest routes
 CHANGE_INTERVAL_S = 1.5  # between configuration changes
 READ_INTERVAL_S = 1.0  # between reads of the configuration
@@ -92,7 +95,13 @@
             self._spawn(self._upload_client(count + HOT_CLIENTS + 1 + number))
         first = count + HOT_CLIENTS + 1 + UPLOAD_CLIENTS
         for number in range(PIPELINING_CLIENTS):
-            self._spawn(self._pipelining_client(first + number))
+            self._spawn(self._pipelining_client(first + number, TIME_LIMIT_S))
+        first += PIPELINING_CLIENTS
+        for number in range(PATIENT_PIPELINING_CLIENTS):
+            self._spawn(self._pipelining_client(first + number, PATIENT_LIMIT_S))
+        first += PATIENT_PIPELINING_CLIENTS
+        for number in range(PATIENT_CLIENTS + len(self.cluster.members())):
+            self._spawn(self._patient_client(first + number))
         self._spawn(self._repeat(self.operator.change, CHANGE_INTERVAL_S))
         self._spawn(self._repeat(self.operator.read, READ_INTERVAL_S))
         self._spawn(sample_processes(self.cluster, self.history))
@@ -165,7 +174,18 @@
             await client.send(RequestSpec(f"/{service}/book/1", False, api_key("station"), "station", style))
             await asyncio.sleep(UPLOAD_INTERVAL_S)
 
-    async def _pipelining_client(self, number: int) -> None:
+    async def _patient_client(self, number: int) -> None:
+        """Sends one request at a time, and uses its connection until the process is gone."""
+        client = Client(self.cluster, self.history, number, honours_close=False)
+        self.clients.append(client)
+        while True:
+            service, path = self.rng.choice(SERVICES), self.rng.choice(("read", "read", "book"))
+            key = api_key("station")
+            spec = RequestSpec(f"/{service}/{path}/1", path != "book", key, "station", limit=PATIENT_LIMIT_S)
+            await client.send(spec)
+            await asyncio.sleep(PATIENT_INTERVAL_S)
+
+    async def _pipelining_client(self, number: int, limit: float) -> None:
         """Sends series of short requests at once, or of long answers with the next request written meanwhile."""
         client = PipeliningClient(self.cluster, self.history, number)
         self.clients.append(client)
@@ -174,7 +194,11 @@
             paths = ["long"] if overlapping else ["read", "book"]
             specs = [
                 RequestSpec(
-                    f"/{self.rng.choice(SERVICES)}/{path}/1", path != "book", api_key("station"), "station"
+                    f"/{self.rng.choice(SERVICES)}/{path}/1",
+                    path != "book",
+                    api_key("station"),
+                    "station",
+                    limit=limit,
                 )
                 for path in self.rng.choices(paths, k=self.rng.randint(2, MAX_SERIES))
             ]
--- a/tests/cluster/test_soak_checker.py
+++ b/tests/cluster/test_soak_checker.py
@@ -28,10 +28,26 @@
     return [sent(id_, at, repeatable), h.Written(at + 0.01, id_), *runs, end]
 
 
-def closed_request(id_: str, at: float, closed_at: float, *ran: str) -> list[h.Event]:
-    """A request that is sent and run at hosts; its connection is closed without an answer."""
+def closed_request(
+    id_: str, at: float, closed_at: float, *ran: str, begun: bool = False, limit: float = 2.5
+) -> list[h.Event]:
+    """A request that is sent and run at hosts; its connection is closed without a whole answer."""
     runs = [h.Ran(at + 0.02, id_, host, "station") for host in ran]
-    return [sent(id_, at), h.Written(at + 0.01, id_), *runs, h.Closed(closed_at, id_)]
+    end = h.Closed(closed_at, id_, begun=begun)
+    return [patient(id_, at, limit), h.Written(at + 0.01, id_), *runs, end]
+
+
+def patient(id_: str, at: float, limit: float = 8.0) -> h.Sent:
+    return h.Sent(at, id_, 0, 1, 1, "/schedule/read/1", True, "station", limit)
+
+
+def failed_request(id_: str, at: float, failed_at: float, host: str) -> list[h.Event]:
+    """A request that a host begins to run, and that its gateway answers with a failure of its own."""
+    ran = h.Ran(at + 0.02, id_, host, "station")
+    return [patient(id_, at), h.Written(at + 0.01, id_), ran, h.Answered(failed_at, id_, 504)]
+
+
+TERM: list[h.Event] = [h.Process(10.0, 0, 1, "term", True), h.Process(16.0, 0, 1, "exit", True)]
 
 
 def hot_requests(count: int, seconds: float) -> list[h.Event]:
@@ -184,12 +200,56 @@
     (
         "closed with a request behind one whose host's link was reset",
         [
-            *closed_request("a", 10, 10.3, "i-1"),
+            *closed_request("a", 10, 10.3, "i-1", begun=True),
             *closed_request("b", 10.01, 10.3, "i-2"),
             h.Link(10.2, "i-1", "reset"),
         ],
         set(),
     ),
+    (
+        "closed before any answer, as a host's link was reset",
+        [*closed_request("a", 10, 10.3, "i-1"), h.Link(10.2, "i-1", "reset")],
+        {"ENDED"},
+    ),
+    (
+        "closed in an answer, as a host's link was silent",
+        [*closed_request("a", 10, 10.3, "i-1", begun=True), h.Link(10.2, "i-1", "silent")],
+        {"ENDED"},
+    ),
+    (
+        "closed at the end of its process, its host silent",
+        [*closed_request("a", 11, 15.5, "i-1", limit=8.0), h.AnswerLost(11.1, "a", "i-1"), *TERM],
+        {"ENDED"},
+    ),
+    (
+        "closed in an answer at the end of its process",
+        [*closed_request("a", 11, 15.5, "i-1", begun=True, limit=8.0), *TERM],
+        set(),
+    ),
+    (
+        "closed in an answer to a late request at the end of its process",
+        [*closed_request("a", 13.2, 15.5, "i-1", begun=True, limit=8.0), *TERM],
+        {"ENDED"},
+    ),
+    (
+        "closed in an answer before the last sixth of the grace",
+        [*closed_request("a", 11, 14.9, "i-1", begun=True, limit=8.0), *TERM],
+        {"ENDED"},
+    ),
+    (
+        "failed at the end of its process, its host silent",
+        [*failed_request("a", 11, 14.0, "i-1"), h.AnswerLost(11.1, "a", "i-1"), *TERM],
+        set(),
+    ),
+    ("failed in its host's place after SIGTERM", [*failed_request("a", 11, 14.0, "i-1"), *TERM], {"LOST"}),
+    ("failed in its host's place in the last sixth", [*failed_request("a", 11, 15.1, "i-1"), *TERM], set()),
+    ("failed late in its host's place", [*failed_request("a", 13.1, 15.1, "i-1"), *TERM], {"LOST"}),
+    (
+        "failed as its host broke off",
+        [*failed_request("a", 11, 14.0, "i-1"), h.Link(13.9, "i-1", "reset"), *TERM],
+        set(),
+    ),
+    ("failed in its host's place with no SIGTERM", failed_request("a", 11, 14.0, "i-1"), set()),
     (
         "closed with a request before one whose host's link was reset",
         [
@@ -219,8 +279,12 @@
         {"ENDED"},
     ),
     (
-        "closed because the connection to its host was reset",
-        [*closed_request("a", 10, 10.3, "i-1"), h.Link(10.2, "i-1", "reset"), h.Broke(10.2, "a", "i-1")],
+        "closed in an answer because the connection to its host was reset",
+        [
+            *closed_request("a", 10, 10.3, "i-1", begun=True),
+            h.Link(10.2, "i-1", "reset"),
+            h.Broke(10.2, "a", "i-1"),
+        ],
         set(),
     ),
     (
--- a/tests/cluster/test_soak_parts.py
+++ b/tests/cluster/test_soak_parts.py
@@ -32,6 +32,7 @@
 def test_all_kinds_of_acts_are_drawn_and_series_overlap() -> None:
     acts = [act for seed in range(50) for act in schedule.draw(seed, 5, 40.0).acts]
     assert {act.kind for act in acts} == {
+        *("host-loses", "host-hangs", "host-dark", "restart-signals"),
         *("restart", "kill", "herd", "freeze", "hup", "hup-bad", "wipe", "move", "reset", "silence"),
         *("host-crash", "host-leave", "host-slow", "change-bad", "change-rival", "change-burst", "disk-full"),
     }
