Answer every request in hand before the process ends

The class: what waits for a deadline of its own that lies behind the end of what it waits in. cluster/shutdown.py now decides, as one table, what a process owes at its end, to whom and by when. Deadlines of requests reckon with it (so do retries and X-Myrtlehatch-Time-Left); what has no answer by then gets the gateway's own, 503 if it has not run and 504 if it may have; so do calls of hosts and operators, which no longer wait behind voters. The moments are reckoned from when SIGTERM may have come, if the event loop was held up. An answer that has begun goes on to the cut.

Seven mutants of the guards are found by name, two more by the soak. The soak's mutant passes_on_until_it_ends is found by LOST now, no longer by ENDED: what it passes on late is answered in its host's place, not cut.

--- a/coralvale/cluster/events.py
+++ b/coralvale/cluster/events.py
@@ -98,6 +98,11 @@
         "connection to {server} ended ({cause}) with {in_hand} requests in hand: {names}; "
         "{unsent} bytes unsent, input unread: {unread}",
     )
+    REQUESTS_GIVEN_UP = (
+        518,
+        "WARNING",
+        "answered {count} requests of {server} itself as the process ends: {names}",
+    )
     BOUND = 521, "INFO", "request {id} of {service}, bound to {bound}, answered {status} in {region}"
     ABROAD = 522, "WARNING", "refused {count} requests that are bound to {bound}"
     HOST_ABROAD = (
--- a/coralvale/cluster/routing/router.py
+++ b/coralvale/cluster/routing/router.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import math
 import random
+from collections.abc import Iterable
 
 from attrs import define, field
 
@@ -54,7 +56,8 @@
     service: str
     tenant: str
     arrived_at: float
-    deadline: float  # by the client's timeout or the route's, whichever is earlier
+    deadline: float  # by the client's timeout, the route's or the end of the process, whichever is earliest
+    stream_deadline: float = math.inf  # the same without the end of the process, for an answer that has begun
     admitted: Admitted | None = None  # by its tenant's rate limit
     waits_for_token: bool = False
     tries: int = 0
@@ -81,6 +84,7 @@
         self.route_delays: dict[str, float] = {}  # moving average of answers' delays by route, s
         self.service_delays: dict[str, float] = {}  # the same by service, s
         self.split_positions: dict[str, float] = {}  # by route with a split: position in its cycle, 0 to 1
+        self.ends_at = math.inf  # when requests must be answered, as the process ends
 
     def take_configuration(self, configuration: Configuration) -> bool:
         """Puts a newer configuration in force; returns False for one that is not newer."""
@@ -133,9 +137,8 @@
             return Problem(Kind.UNAUTHENTICATED)
         service = self._choose_service(name, route)
         self._budget(now, service).record_request(now)
-        job = Job(
-            id_, name, route, service, tenant, now, now + min(left, route.TimeoutMs / 1000) - ANSWER_MARGIN_S
-        )
+        deadline = now + min(left, route.TimeoutMs / 1000) - ANSWER_MARGIN_S
+        job = Job(id_, name, route, service, tenant, now, min(deadline, self.ends_at), deadline)
         if job.deadline <= now:
             return Problem(Kind.NOT_SENT_IN_TIME)
         if tenant and (terms := configuration.tenant(tenant)) and terms.RatePerS > 0:
@@ -148,6 +151,12 @@
                 return problem
         return job
 
+    def end_by(self, moment: float, jobs: Iterable[Job]) -> None:
+        """Reckons with the end of the process: requests, those in progress too, are answered by `moment`."""
+        self.ends_at = moment
+        for job in jobs:
+            job.deadline = min(job.deadline, moment)
+
     def apply_verdict(self, job: Job, verdict: Admitted | Refused) -> Problem | None:
         """Takes the rate limiter's verdict on a request, immediate or after a wait for a token."""
         job.waits_for_token = False
--- a/coralvale/cluster/server/ctl.py
+++ b/coralvale/cluster/server/ctl.py
@@ -140,6 +140,10 @@
         waits_for = WaitsFor.HANDLER if exchange.head is None else WaitsFor.EARLIER_ANSWER
         return RequestInHand(exchange.name, waits_for)
 
+    def give_up(self, exchange: Exchange) -> None:
+        """Answers a call in hand as the process ends: it may have taken effect, or may yet."""
+        exchange.reply(504)
+
     def call(self, exchange: Exchange) -> None:
         """Handles one HTTP request, and answers it when its task is done."""
         path, _, query = exchange.target.decode("latin-1").partition("?")
--- a/coralvale/cluster/server/edge.py
+++ b/coralvale/cluster/server/edge.py
@@ -11,11 +11,11 @@
 from functools import partial
 from typing import Any
 
-from coralvale.cluster.errors import Problem
+from coralvale.cluster.errors import Kind, Problem
 from coralvale.cluster.events import Event, RequestEvents, log_event
 from coralvale.cluster.rate_limit.actions import Decided
 from coralvale.cluster.routing.copies import Instance
-from coralvale.cluster.routing.router import Job, Router
+from coralvale.cluster.routing.router import RETRY_AFTER_S, Job, Router
 from coralvale.cluster.server.connection_events import log_connection_end
 from coralvale.cluster.server.hosts import HostAnswer, HostAttempt, HostConnection, Hosts
 from coralvale.interface import Outcome
@@ -393,7 +393,7 @@
         if request.deadline_timer:
             request.deadline_timer.cancel()
             request.deadline_timer = self.loop.call_later(
-                max(0.0, request.job.deadline - self.clock.monotonic()),
+                max(0.0, request.job.stream_deadline - self.clock.monotonic()),
                 self._stream_deadline_expired,
                 request,
             )
@@ -409,6 +409,18 @@
 
     # Ends of requests
 
+    def end_by(self, moment: float) -> None:
+        """Requests are answered by `moment`, as the process ends: none is waited for or tried again beyond it."""
+        self.router.end_by(moment, (request.job for request in self.open))
+
+    def give_up(self, exchange: Exchange) -> None:
+        """Answers a request in hand with what is known of it, as the process ends."""
+        request: Request | None = exchange.handler_state
+        if request is None or request.done:
+            self._send_problem(exchange, Problem(Kind.NOT_RUN, retry_after=RETRY_AFTER_S))
+        else:
+            self._deadline_expired(request)
+
     def _stream_deadline_expired(self, request: Request) -> None:
         """Cancels the attempt whose answer is being streamed; the client's connection is aborted."""
         if request.attempt and not request.attempt.ended:
--- a/coralvale/cluster/server/figures.py
+++ b/coralvale/cluster/server/figures.py
@@ -130,6 +130,14 @@
         dropped.add_metric([cause.value, waits_for.value], float(count))
     yield ended
     yield dropped
+    given_up = CounterMetricFamily(
+        "myrtlehatch_requests_given_up",
+        "answered by the gateway itself as its process ends, by what they waited for",
+        labels=["waits_for"],
+    )
+    for waits_for, count in counts.given_up.items():
+        given_up.add_metric([waits_for.value], float(count))
+    yield given_up
 
 
 def _coordination_metrics(metrics: CoordinationMetrics, sizes: dict[str, int]) -> Iterator[Any]:
@@ -183,6 +191,9 @@
     def describe(self, exchange: Exchange) -> RequestInHand:
         return RequestInHand(exchange.name)
 
+    def give_up(self, exchange: Exchange) -> None:
+        exchange.reply(503)
+
 
 class MetricsServer(Server):
     """Serves the metrics page."""
--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -51,6 +51,7 @@
 from coralvale.cluster.server.shares import ShareClaims
 from coralvale.cluster.server.status import status
 from coralvale.cluster.settings import Settings, SettingsError, parse_address, read
+from coralvale.cluster.shutdown import ShutdownSchedule, shutdown_schedule
 from coralvale.members import wire as swim_wire
 from coralvale.members.model import MembersError
 from coralvale.net.clock import Clock
@@ -60,16 +61,9 @@
 HOST_IDLE_S = 8.0  # for which an idle connection to a host is kept, unless the host announces less
 MAX_REST_S = 0.25  # between checks of what is due, at a gateway without a replica
 SETTINGS_CHECK_INTERVAL_S = 1.0  # between checks whether the settings file has changed
-# New connections are accepted for this long after SIGTERM: the platform takes a gateway out of its list only
-# after two failed readiness checks.
-ACCEPT_AFTER_SIGTERM_S = 2.9
-# Later requests are refused, since their hosts may not be done before the process ends.
-HANDLE_AFTER_SIGTERM_S = 3.0
 SENT_CHECK_INTERVAL_S = 0.02  # between checks whether all answers have been sent
-GRACE_MARGIN_S = 0.7  # before the end of GraceS; by then all requests are answered
-# Calls of hosts, operators and applications are answered within this time, except large configuration
-# changes.
-CONTROL_ANSWER_S = 1.0
+LEAVE_MESSAGES = 4  # that tell the other gateways that this one leaves
+LEAVE_INTERVAL_S = 0.06  # between them
 RESERVED_DESCRIPTORS = 300  # for files, peers and the event loop
 HOST_CONNECTIONS_SHARE = 0.45  # of the other descriptors, for connections to hosts
 STARTUP_WAIT_S = 2.0  # for which a starting gateway waits for the hosts, and the usage reports of all others
@@ -219,40 +213,60 @@
             self.runtime.spawn(self._shut_down())
 
     async def _shut_down(self) -> None:
-        """Shuts down gracefully.
-
-        The platform first takes this gateway out of its list; open requests are finished, and leadership and
-        vote are handed over, before the process ends.
-        """
-        started_at = self.runtime.clock.monotonic()
-        late = started_at - self.runtime.pauses.earliest_arrival(started_at)
-        log_event(Event.LEAVING, open=len(self.edge.open), late=late)
-        deadline = started_at + max(1.0, self.runtime.settings.Bounds.GraceS - GRACE_MARGIN_S)
+        """Shuts down gracefully: gives what `coralvale.cluster.shutdown` says that is owed, then ends."""
+        now = self.runtime.clock.monotonic()
+        earliest = self.runtime.pauses.earliest_arrival(now)
+        schedule = shutdown_schedule(earliest, now, self.runtime.settings.Bounds.GraceS)
+        log_event(Event.LEAVING, open=len(self.edge.open), late=now - earliest)
         self.edge_server.drain()
+        self.edge.end_by(schedule.answer)
         self.coordination.stop()
         self.core.leave()
         self.edge_server.close_idle()
-        await self._sleep_until(min(started_at + ACCEPT_AFTER_SIGTERM_S, deadline - 0.5))
+        finishing = [
+            self.runtime.loop.create_task(self._finish_requests(schedule)),
+            self.runtime.loop.create_task(self._wait_for_voters(schedule)),
+        ]
+        await asyncio.wait(finishing, timeout=max(0.0, schedule.take_calls - self.runtime.clock.monotonic()))
+        self._refuse_calls()
+        await asyncio.gather(*finishing)
+        await self._answer_all(self.servers, schedule)
+        await self._tell_leave()
+        log_event(Event.ENDED, open=len(self.edge.open))
+        self.stopped.set()
+
+    async def _finish_requests(self, schedule: ShutdownSchedule) -> None:
+        """Takes clients' requests as long as they can be answered, and answers all."""
+        await self._sleep_until(schedule.accept)
         self.edge_server.stop_accepting()
-        await self._sleep_until(min(started_at + HANDLE_AFTER_SIGTERM_S, deadline - 0.4))
+        await self._sleep_until(schedule.handle)
         self.edge_server.refuse()
-        self.edge_server.close_idle()
-        await self._until_sent([self.edge_server], deadline)
-        while not self.core.can_stop() and self.runtime.clock.monotonic() < deadline:
+        await self._answer_all([self.edge_server], schedule)
+
+    async def _wait_for_voters(self, schedule: ShutdownSchedule) -> None:
+        """Waits until the other voters have what this one knows, and its leadership."""
+        while not self.core.can_stop() and self.runtime.clock.monotonic() < schedule.cut:
             await asyncio.sleep(0.02)
         if not self.core.can_stop():
             log_event(Event.ENDS_UNSAFE)
-        await self._finish_control_calls(deadline)
-        self.runtime.spawn(self.shares.release())  # even if it gets lost: the shares stay reserved a while
-        self.membership.swim.leave(self.runtime.clock.monotonic())
-        for _ in range(4):
-            self.membership.flush()
-            await asyncio.sleep(0.06)
-        log_event(Event.ENDED, open=len(self.edge.open))
-        self.stopped.set()
 
-    async def _sleep_until(self, moment: float) -> None:
-        await asyncio.sleep(max(0.0, moment - self.runtime.clock.monotonic()))
+    def _refuse_calls(self) -> None:
+        """Refuses further calls of hosts, operators and applications; those in progress go on."""
+        for server in self.servers:
+            server.drain()
+            server.refuse()
+            server.stop_accepting()
+            server.close_idle()
+
+    async def _answer_all(self, servers: list[Server], schedule: ShutdownSchedule) -> None:
+        """Waits for the answers to what was read; what has none in time is answered with what is known."""
+        await self._until_sent(servers, schedule.answer)
+        for server in servers:
+            if given_up := server.answer_unfinished():
+                names = ", ".join(map(str, given_up))
+                kind = "edge" if server is self.edge_server else "control"
+                log_event(Event.REQUESTS_GIVEN_UP, count=len(given_up), server=kind, names=names)
+        await self._until_sent(servers, schedule.cut)
 
     async def _until_sent(self, servers: list[Server], deadline: float) -> None:
         """Waits until clients have received the answers to all requests that were read, or until the deadline."""
@@ -261,16 +275,16 @@
                 server.close_idle()
             await asyncio.sleep(SENT_CHECK_INTERVAL_S)
 
-    async def _finish_control_calls(self, deadline: float) -> None:
-        """Ends the connections of hosts, operators and applications: answers the calls that are being handled,
-        and refuses later ones."""
-        for server in self.servers:
-            server.drain()
-            server.refuse()
-            server.stop_accepting()
-            server.close_idle()
-        ends_at = min(deadline, self.runtime.clock.monotonic() + CONTROL_ANSWER_S)
-        await self._until_sent(self.servers, ends_at)
+    async def _tell_leave(self) -> None:
+        """Gives back the shares of quotas, and tells the other gateways that this one leaves."""
+        self.runtime.spawn(self.shares.release())  # even if it gets lost: the shares stay reserved a while
+        self.membership.swim.leave(self.runtime.clock.monotonic())
+        for _ in range(LEAVE_MESSAGES):
+            self.membership.flush()
+            await asyncio.sleep(LEAVE_INTERVAL_S)
+
+    async def _sleep_until(self, moment: float) -> None:
+        await asyncio.sleep(max(0.0, moment - self.runtime.clock.monotonic()))
 
     def reload_settings(self) -> None:
         """Reads the settings file again; invalid settings are logged and change nothing."""
--- a/coralvale/net/client_connection.py
+++ b/coralvale/net/client_connection.py
@@ -132,6 +132,22 @@
             self.reading or exchange, self.error_status, REASONS[self.error_status].lower()
         )
 
+    def answer_unfinished(self) -> list[RequestInHand]:
+        """Has each request in hand answered that has no answer, and refuses one that is read in part.
+
+        An answer that has begun goes on. Returns the requests that were in hand without an answer.
+        """
+        handler = self.server.handler
+        unanswered = [exchange for exchange in self.exchanges if exchange.head is None]
+        given_up = [handler.describe(exchange) for exchange in unanswered]
+        for exchange in unanswered:
+            handler.give_up(exchange)
+        if self.reading and self.phase is Phase.OPEN:
+            self.error_status = 503
+            self._reply_error()
+            self.reading = None
+        return given_up
+
     def update_idle(self) -> None:
         """Puts the connection on the list of idle ones if it is idle. The one idle longest is evicted first."""
         if self.is_idle():
--- a/coralvale/net/endings.py
+++ b/coralvale/net/endings.py
@@ -98,6 +98,7 @@
     def __init__(self) -> None:
         self.connections: Counter[EndCause] = Counter()
         self.dropped_requests: Counter[tuple[EndCause, WaitsFor]] = Counter()
+        self.given_up: Counter[WaitsFor] = Counter()  # answered by the process itself as it ends
 
     def add(self, end: ConnectionEnd) -> None:
         """Counts an ended connection."""
--- a/coralvale/net/node.py
+++ b/coralvale/net/node.py
@@ -712,6 +712,14 @@
             pending.expires_at - now,
         )
 
+    def give_up(self, exchange: Exchange) -> None:
+        """Answers a request in hand with what is known of it."""
+        pending: PendingRequest | None = exchange.handler_state
+        if pending is None:
+            exchange.reply(503, retry_after=self.settings.max_advice)
+        else:
+            self._on_deadline(pending)
+
     def client_disconnected(self, exchange: Exchange) -> None:
         """Handles a client that closed its connection before its answer was complete."""
         pending = exchange.handler_state
--- a/coralvale/net/server.py
+++ b/coralvale/net/server.py
@@ -79,7 +79,7 @@
     `ready`: whether `GET /up` is answered with 200. `handle` gets each valid request. `client_disconnected`: the
     connection was lost before the answer was complete. `rejected`: the server itself answered with an error;
     `why` is for logs. `connection_ended`: a connection has ended, for whatever cause. `describe`: what a request
-    in hand waits for.
+    in hand waits for. `give_up`: answers a request in hand now, with what is known of it.
     """
 
     @property
@@ -95,6 +95,8 @@
 
     def describe(self, exchange: Exchange) -> RequestInHand: ...
 
+    def give_up(self, exchange: Exchange) -> None: ...
+
 
 class Server:
     """Accepts client connections up to a bound and passes their requests to the handler.
@@ -357,6 +359,18 @@
         for connection in list(self.connections):
             connection.stop_reading()
 
+    def answer_unfinished(self) -> list[RequestInHand]:
+        """Has all requests in hand answered that have no answer, and refuses those that are read in part.
+
+        Returns the former.
+        """
+        given_up: list[RequestInHand] = []
+        for connection in list(self.connections):
+            given_up += connection.answer_unfinished()
+        for request in given_up:
+            self.end_counts.given_up[request.waits_for] += 1
+        return given_up
+
     def release_listener(self) -> None:
         """Closes this process's descriptor of the listener, on which another process goes on listening."""
         self.pause_accepting()
--- a/tests/cluster/soak_mutants.py
+++ b/tests/cluster/soak_mutants.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from typing import Any
 
+from attrs import evolve
+
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
 from coralvale.cluster.configuration.history import Change  # noqa: E402
@@ -19,6 +21,7 @@
 from coralvale.cluster.rate_limit.limiter import RateLimiter  # noqa: E402
 from coralvale.cluster.registry.register import Register, Row, State  # noqa: E402
 from coralvale.cluster.routing.router import Router  # noqa: E402
+from coralvale.cluster.server import node  # noqa: E402
 from coralvale.cluster.server.changes import Changes  # noqa: E402
 from coralvale.cluster.server.edge import Edge  # noqa: E402
 from coralvale.cluster.server.hosts import HostConnection  # noqa: E402
@@ -29,6 +32,7 @@
 from coralvale.net.closing import Phase  # noqa: E402
 from coralvale.net.endings import EndCause  # noqa: E402
 from coralvale.net.exchange import Exchange  # noqa: E402
+from coralvale.net.server import Server  # noqa: E402
 from coralvale.net.transport import AnswerOwner  # noqa: E402
 
 MUTANTS: dict[str, Callable[[], None]] = {}
@@ -192,6 +196,24 @@
     Edge.handle_request = handle_request  # type: ignore[method-assign]
 
 
+@mutant
+def cuts_requests_of_silent_hosts() -> None:
+    """A process ends with no word to requests whose hosts are silent."""
+    Server.answer_unfinished = lambda self: []  # type: ignore[method-assign]
+    Router.end_by = lambda self, moment, jobs: None  # type: ignore[method-assign]
+
+
+@mutant
+def answers_in_place_of_hosts() -> None:
+    """Answers what is in hand soon after the last request was passed on."""
+    right = node.shutdown_schedule
+
+    def early(earliest: float, handled: float, grace: float) -> node.ShutdownSchedule:
+        return evolve(right(earliest, handled, grace), answer=handled + 3.1, take_calls=handled + 3.0)
+
+    node.shutdown_schedule = early
+
+
 @mutant
 def takes_locks_from_their_holders() -> None:
     """A lock is granted while another owner holds it."""
--- a/tests/cluster/test_closing_mutants.py
+++ b/tests/cluster/test_closing_mutants.py
@@ -7,7 +7,10 @@
 
 import pytest
 import test_connection_endings as endings
+import test_shutdown as shutdown
 
+from coralvale.cluster import shutdown as moments
+from coralvale.cluster.routing.router import Router
 from coralvale.cluster.server.edge import EdgeServer
 from coralvale.net import client_connection
 from coralvale.net import server as net_server
@@ -18,14 +21,17 @@
 from coralvale.net.sockets import Sockets
 
 Patch = pytest.MonkeyPatch
-MUTANTS: dict[str, tuple[Callable[[Patch], None], Callable[..., None], dict[str, Any]]] = {}
+Make = Callable[[Patch], None]
+MUTANTS: dict[str, tuple[Make, Callable[..., None], dict[str, Any]]] = {}
 
 
-def mutant(test: Callable[..., None], **arguments: Any) -> Callable[[Callable[[Patch], None]], None]:
+def mutant(test: Callable[..., None], **arguments: Any) -> Callable[[Make], Make]:
     """Registers a mutant and the test that must find it, with the arguments of that test's case."""
 
-    def register(make: Callable[[Patch], None]) -> None:
-        MUTANTS[make.__name__] = make, test, arguments
+    def register(make: Make) -> Make:
+        name = make.__name__ if make.__name__ not in MUTANTS else f"{make.__name__}, {test.__name__}"
+        MUTANTS[name] = make, test, arguments
+        return make
 
     return register
 
@@ -155,6 +161,40 @@
     patch.setattr(ClientConnection, "_handle_complete", handle_complete)
 
 
+@mutant(shutdown.test_each_request_in_hand_is_answered_with_what_is_known_as_its_process_ends)
+@mutant(shutdown.test_a_request_read_in_part_is_refused_as_its_process_ends)
+def answers_nothing_at_its_end(patch: Patch) -> None:
+    patch.setattr(ClientConnection, "answer_unfinished", lambda self: [])
+
+
+@mutant(shutdown.test_an_answer_that_has_begun_goes_on_as_its_process_ends)
+def ends_answers_that_have_begun(patch: Patch) -> None:
+    def end_by(self: Router, moment: float, jobs: Any) -> None:
+        for job in list(jobs):
+            job.stream_deadline = job.deadline = moment
+
+    patch.setattr(Router, "end_by", end_by)
+
+
+@mutant(shutdown.test_what_is_passed_on_as_the_process_ends_is_handed_the_time_that_it_has)
+@mutant(shutdown.test_a_silent_try_is_repeated_elsewhere_only_while_an_answer_can_come_before_the_end)
+def reckons_by_the_clients_deadline(patch: Patch) -> None:
+    patch.setattr(Router, "end_by", lambda self, moment, jobs: None)
+
+
+@mutant(shutdown.test_nothing_is_given_up_before_the_last_sixth_of_the_grace, grace=6.0, late=0.3)
+def gives_up_before_the_last_sixth(patch: Patch) -> None:
+    patch.setattr(moments, "LAST_SIXTH", 0.5)
+
+
+@mutant(shutdown.test_a_process_that_handles_sigterm_late_reckons_from_when_it_may_have_come)
+def reckons_from_the_handler(patch: Patch) -> None:
+    right = shutdown.shutdown_schedule
+    patch.setattr(
+        shutdown, "shutdown_schedule", lambda earliest, handled, grace: right(handled, handled, grace)
+    )
+
+
 @pytest.mark.parametrize("name", MUTANTS)
 def test_each_guard_is_found_missing_by_its_test(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     make, test, arguments = MUTANTS[name]
--- a/tests/cluster/test_soak_mutants.py
+++ b/tests/cluster/test_soak_mutants.py
@@ -21,6 +21,7 @@
 SLOW_HOSTS = tuple(Act(0.1, "host-slow", host, 9.0) for host in HOSTS)
 LINK_RESETS = tuple(Act(1.0 + n / 4, "reset", n) for n in range(12))
 ALL_LINK_RESETS = tuple(Act(1.0 + n / 3, "reset", host) for n in range(12) for host in HOSTS)
+LOSING_HOSTS = tuple(Act(0.1, "host-loses", host, 9.0) for host in HOSTS)
 RESTARTS = tuple(Act(2.0, "restart", gateway) for gateway in range(4))
 HOST_LEAVES = tuple(Act(4.0, "host-leave", 0) for _ in range(6))
 
@@ -32,7 +33,9 @@
     ("takes_any_answer_for_its_own", {"MIXED"}, 3.0, ()),
     ("ends_without_waiting", {"ENDED"}, 4.0, SLOW_HOSTS + tuple(Act(2.0, "restart", n) for n in (0, 3))),
     ("ends_connections_with_the_next_answer", {"ENDED"}, 6.0, RESTARTS),
-    ("passes_on_until_it_ends", {"ENDED"}, 6.0, SLOW_HOSTS + RESTARTS),
+    ("passes_on_until_it_ends", {"LOST"}, 6.0, SLOW_HOSTS + RESTARTS),
+    ("cuts_requests_of_silent_hosts", {"ENDED"}, 8.5, LOSING_HOSTS + RESTARTS),
+    ("answers_in_place_of_hosts", {"LOST"}, 6.0, SLOW_HOSTS + RESTARTS),
     ("closes_connections_under_requests", {"ENDED"}, 3.0, ()),
     ("acknowledges_first", {"LOST", "CONFIG"}, 8.0, ()),
     ("charges_no_quota", {"QUOTA"}, 7.0, ()),
