Answer at the end of the process in one place, and name all that is given up

E518 and its counter left out requests that came after SIGTERM: their own timers, set to the end of the process, answered them a moment earlier (seen in the soak's logs). Timers keep the request's own deadline now; only the end of the process gives up what lies beyond it. A streamed answer that breaks off is told as waiting for its rest, no longer for an earlier answer.

--- a/coralvale/cluster/routing/router.py
+++ b/coralvale/cluster/routing/router.py
@@ -57,7 +57,7 @@
     tenant: str
     arrived_at: float
     deadline: float  # by the client's timeout, the route's or the end of the process, whichever is earliest
-    stream_deadline: float = math.inf  # the same without the end of the process, for an answer that has begun
+    own_deadline: float = math.inf  # the same without the end of the process
     admitted: Admitted | None = None  # by its tenant's rate limit
     waits_for_token: bool = False
     tries: int = 0
--- a/coralvale/cluster/server/edge.py
+++ b/coralvale/cluster/server/edge.py
@@ -164,7 +164,10 @@
         if request is None:
             return RequestInHand(exchange.name)
         now, job, attempt = self.clock.monotonic(), request.job, request.attempt
-        left = job.deadline - now
+        left = job.own_deadline - now
+        if attempt and exchange.source:
+            waited = now - request.sent_at
+            return RequestInHand(exchange.name, WaitsFor.REST, attempt.server, request.number, waited, left)
         if job.waits_for_token or attempt is None or attempt.ended:
             waits_for = WaitsFor.TOKEN if job.waits_for_token else WaitsFor.HANDLER
             return RequestInHand(exchange.name, waits_for, waited=now - job.arrived_at, time_left=left)
@@ -230,7 +233,8 @@
             log_event(Event.TAKEN, id=id_.decode(), route=job.route_name, tenant=job.tenant or "nobody")
         request = exchange.handler_state = Request(exchange, job, headers)
         self.open.add(request)
-        request.deadline_timer = self.loop.call_later(job.deadline - now, self._deadline_expired, request)
+        # Before the end of the process, `give_up` answers it.
+        request.deadline_timer = self.loop.call_later(job.own_deadline - now, self._deadline_expired, request)
         if job.waits_for_token:
             self.waiting[job] = request
             self.run_quota_actions()
@@ -395,7 +399,7 @@
         if request.deadline_timer:
             request.deadline_timer.cancel()
             request.deadline_timer = self.loop.call_later(
-                max(0.0, request.job.stream_deadline - self.clock.monotonic()),
+                max(0.0, request.job.own_deadline - self.clock.monotonic()),
                 self._stream_deadline_expired,
                 request,
             )
--- a/coralvale/net/exchange.py
+++ b/coralvale/net/exchange.py
@@ -137,8 +137,8 @@
 
     def abort(self) -> None:
         """Aborts a streamed answer that cannot be completed, so that the client sees that it is truncated."""
-        self.source = None
         self.connection.abort()
+        self.source = None
 
     def reply_and_close(self, status: int, body: bytes = b"") -> None:
         """Rejects a request and closes the connection, as its next request is likely invalid too.
