--- a/tests/cluster/test_connection_endings.py
+++ b/tests/cluster/test_connection_endings.py
@@ -17,6 +17,7 @@
 
 from coralvale.net.endings import ConnectionEnd, EndCause, WaitsFor
 from coralvale.standins.cluster import CTL, EDGE, LocalCluster
+from coralvale.standins.peer import Arrived
 from coralvale.standins.wire import read_message
 
 SCENE_LIMIT_S = 30.0  # for a scene to end
@@ -75,6 +76,14 @@
         return True
 
 
+async def ask_slowly(s: Scene, path: str) -> tuple[SlowClient, Arrived]:
+    """A slow client that has sent the request r-0, and that request at its host."""
+    client = SlowClient()
+    await client.connect(s.server.port)
+    await client.send(request_bytes(path, "r-0", b""))
+    return client, await next_request(s)
+
+
 # Guards against LOST: after SIGTERM the first answer closed the connection under the requests behind it.
 @pytest.mark.parametrize("paths", [(READ, READ), (READ, BOOK, READ, BOOK)])
 def test_requests_behind_an_answer_are_answered_after_sigterm(paths: tuple[str, ...]) -> None:
@@ -102,10 +111,7 @@
 @pytest.mark.parametrize("announced", [True, False])
 def test_a_request_written_while_an_answer_is_read_disturbs_no_answer_after_sigterm(announced: bool) -> None:
     async def scene(s: Scene) -> None:
-        client = SlowClient()
-        await client.connect(s.server.port)
-        await client.send(request_bytes(BOOK, "r-0", b""))
-        arrived = await next_request(s)
+        client, arrived = await ask_slowly(s, BOOK)
         if announced:  # the head of the first answer says that it is the last one
             terminate(s)
         text = bytes(LONG_ANSWER_BYTES)
@@ -135,10 +141,7 @@
 def test_an_answer_that_is_cut_as_its_connection_ends_is_reported() -> None:
     async def scene(s: Scene) -> None:
         ends = record_ends(s)
-        client = SlowClient()
-        await client.connect(s.server.port)
-        await client.send(request_bytes(BOOK, "r-0", b""))
-        arrived = await next_request(s)
+        client, arrived = await ask_slowly(s, BOOK)
         terminate(s)
         arrived.reply(reply("r-0", bytes(300_000)))
         await wait_until(lambda: bool(s.server.lingering))
@@ -180,10 +183,7 @@
     async def scene(s: Scene) -> None:
         clock = s.server.clock = SteppedClock()
         s.server.max_buffered_bytes = s.server.max_total_body_bytes = 1 << 24
-        client = SlowClient()
-        await client.connect(s.server.port)
-        await client.send(request_bytes(BOOK, "r-0", b""))
-        arrived = await next_request(s)
+        client, arrived = await ask_slowly(s, BOOK)
         terminate(s)
         text = bytes(LONG_ANSWER_BYTES)
         arrived.reply(reply("r-0", text))
@@ -203,10 +203,7 @@
 # Guards against a process that waits to the end of GraceS: its client had reset the connection under the end.
 def test_a_connection_that_its_client_resets_as_it_ends_is_not_waited_for() -> None:
     async def scene(s: Scene) -> None:
-        client = SlowClient()
-        await client.connect(s.server.port)
-        await client.send(request_bytes(BOOK, "r-0", b""))
-        arrived = await next_request(s)
+        client, arrived = await ask_slowly(s, BOOK)
         terminate(s)
         arrived.reply(reply("r-0", bytes(300_000)))
         await wait_until(lambda: bool(s.server.lingering))
@@ -338,10 +335,7 @@
 # Guards against LOST: a process ended, and reset its connections, with answers in the kernel's buffers.
 def test_an_answer_that_the_kernel_still_holds_counts_as_being_sent() -> None:
     async def scene(s: Scene) -> None:
-        client = SlowClient()
-        await client.connect(s.server.port)
-        await client.send(request_bytes(READ, "r-0", b""))
-        arrived = await next_request(s)
+        client, arrived = await ask_slowly(s, READ)
         terminate(s)
         text = bytes(300_000)
         arrived.reply(reply("r-0", text))
--- a/tests/cluster/test_shutdown.py
+++ b/tests/cluster/test_shutdown.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from test_connection_endings import SlowClient, run_scene, terminate
+from test_connection_endings import ask_slowly, run_scene, terminate
 from test_edge import BOOK, READ, Scene, next_request, reply, request_bytes, wait_until
 
 from coralvale.cluster.rate_limit.actions import Waiting
@@ -145,10 +145,7 @@
 def test_an_answer_that_has_begun_goes_on_as_its_process_ends() -> None:
     async def scene(s: Scene) -> None:
         s.server.max_buffered_bytes = s.server.max_total_body_bytes = 1 << 24
-        client = SlowClient()
-        await client.connect(s.server.port)
-        await client.send(request_bytes(READ, "r-0", b""))
-        arrived = await next_request(s)
+        client, arrived = await ask_slowly(s, READ)
         end(s)
         text = bytes(300_000)
         whole = reply("r-0", text)
--- a/tests/cluster/test_silent_hosts_at_the_end.py
+++ b/tests/cluster/test_silent_hosts_at_the_end.py
@@ -66,28 +66,27 @@
     return found
 
 
-# Guards against LOST: a request whose host had run it, and lost its answer, was cut as its process ended.
-def test_a_request_whose_answer_its_host_lost_is_answered_before_its_gateway_ends() -> None:
+def check_each_is_answered(start_of_id: str, *sent: tuple[float, str]) -> None:
+    """Each of several requests (s after the connection, path), one a connection, is answered before the end."""
+
     async def scene(cluster: LocalCluster) -> None:
         await prepare(cluster)
-        sent = [(0.2, "read"), (2.0, "read"), (0.2, "book"), (2.0, "book")]
-        found = await stop_under(cluster, *((at, [(f"lost-{n}", path)]) for n, (at, path) in enumerate(sent)))
+        requests = [(at, [(f"{start_of_id}-{n}", path)]) for n, (at, path) in enumerate(sent)]
+        found = await stop_under(cluster, *requests)
         assert all(len(one) == 1 and set(one) <= FAILED for one in found), found
         assert "E517" not in cluster.log(STOPPED)
 
     run_scene(scene)
 
 
+# Guards against LOST: a request whose host had run it, and lost its answer, was cut as its process ended.
+def test_a_request_whose_answer_its_host_lost_is_answered_before_its_gateway_ends() -> None:
+    check_each_is_answered("lost", (0.2, "read"), (2.0, "read"), (0.2, "book"), (2.0, "book"))
+
+
 # Guards against LOST: a request that hung at a full host was cut as its gateway's process ended.
 def test_a_request_that_hangs_at_a_full_host_is_answered_before_its_gateway_ends() -> None:
-    async def scene(cluster: LocalCluster) -> None:
-        await prepare(cluster)
-        sent = [(0.2, "read"), (2.0, "read"), (2.0, "book")]
-        found = await stop_under(cluster, *((at, [(f"hung-{n}", path)]) for n, (at, path) in enumerate(sent)))
-        assert all(len(one) == 1 and set(one) <= FAILED for one in found), found
-        assert "E517" not in cluster.log(STOPPED)
-
-    run_scene(scene)
+    check_each_is_answered("hung", (0.2, "read"), (2.0, "read"), (2.0, "book"))
 
 
 # Guards against LOST: answers of sound hosts behind a request whose host was silent were dropped with it.
