--- a/coralvale/cluster/soak/hosts.py
+++ b/coralvale/cluster/soak/hosts.py
@@ -183,16 +183,26 @@
             return
         tenant = message.headers.get(b"x-myrtlehatch-tenant", b"").decode()
         self.history.write(Ran(now(), id_, self.id, tenant, is_body_of(id_, message.body)))
+        try:
+            lost = await self._run(message, id_, writer)
+        except (OSError, asyncio.CancelledError):
+            self.history.write(Broke(now(), id_, self.id))
+            raise
+        if lost:
+            self.history.write(AnswerLost(now(), id_, self.id))
+            await self._hang(reader)
+        if writer.is_closing() or reader.at_eof():
+            self.history.write(Broke(now(), id_, self.id))
+        else:
+            self.history.write(Done(now(), id_, self.id))
+
+    async def _run(self, message: Message, id_: str, writer: asyncio.StreamWriter) -> bool:
+        """Works on a request in one of its slots, and sends the answer unless it loses it. Whether it does."""
         self.in_flight += 1
         try:
             await asyncio.sleep(self.service_time * (0.5 + random.random()))
             if random.random() < self.lost_share:
-                self.history.write(AnswerLost(now(), id_, self.id))
-                self.in_flight -= 1
-                try:
-                    await self._hang(reader)
-                finally:
-                    self.in_flight += 1
+                return True
             size = LONG_BODY_BYTES if b"/long/" in message.first else 200
             data = answer(
                 200,
@@ -203,15 +213,9 @@
             )
             self._send(writer, data)
             await writer.drain()
-        except (OSError, asyncio.CancelledError):
-            self.history.write(Broke(now(), id_, self.id))
-            raise
+            return False
         finally:
             self.in_flight -= 1
-        if writer.is_closing() or reader.at_eof():
-            self.history.write(Broke(now(), id_, self.id))
-        else:
-            self.history.write(Done(now(), id_, self.id))
 
     async def _hang(self, reader: asyncio.StreamReader) -> None:
         """Answers nothing further on a connection, until the other side ends it."""
