Soak: an error of one run ends neither the others nor the command

It is printed now with its traceback, the run counts as not played, and the others go on. A second SIGTERM is not sent to a process that has just exited.

--- a/coralvale/cluster/soak/cluster.py
+++ b/coralvale/cluster/soak/cluster.py
@@ -173,7 +173,8 @@
 
     def signal_again(self, number: int) -> None:
         """Sends a second SIGTERM to a process that is ending."""
-        if process := self.processes.get(number):
+        process = self.processes.get(number)
+        if process and process.returncode is None:
             process.send_signal(signal.SIGTERM)
 
     def _frozen_seconds(self, number: int) -> float:
--- a/coralvale/cluster/soak/main.py
+++ b/coralvale/cluster/soak/main.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import traceback
 from pathlib import Path
 
 import msgspec
@@ -75,6 +76,9 @@
     except SoakError as error:
         print(f"seed {schedule.seed}: not played: {error}", file=sys.stderr)
         return 2
+    except Exception:  # noqa: BLE001 - an error of the soak itself must not end the other runs
+        print(f"seed {schedule.seed}: not played: {traceback.format_exc()}", file=sys.stderr)
+        return 2
     _report(outcome, folder, options)
     if outcome.violations and options.shrink:
         await _shrink(index, outcome, folder, options)
