Soak: compare the resources of a life from when its clients have come

The other gateways had been stopped, and clients keep to the gateway that they have. Each brings a connection, and several to hosts. The patient clients made it 34 clients where there were 21, so the margin of 40 no longer covers it.

A life is compared from when half as many clients use it as in its last fifth. The margin stays.

--- a/coralvale/cluster/soak/clients.py
+++ b/coralvale/cluster/soak/clients.py
@@ -10,6 +10,7 @@
 
 from coralvale.cluster.soak.cluster import SoakCluster
 from coralvale.cluster.soak.history import (
+    CONNECTIONS_PER_CLIENT,
     Answered,
     Closed,
     Event,
@@ -151,7 +152,7 @@
                 id_,
                 self.gateway,
                 self.life,
-                self.number * 1_000_000 + self.connection,
+                self.number * CONNECTIONS_PER_CLIENT + self.connection,
                 spec.path,
                 spec.repeatable,
                 spec.tenant,
--- a/coralvale/cluster/soak/history.py
+++ b/coralvale/cluster/soak/history.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+CONNECTIONS_PER_CLIENT = 1_000_000  # `Sent.connection` is the client's number times this, plus its own count
+
 
 class Record(msgspec.Struct, frozen=True, omit_defaults=True, tag=True):
     """An event. `at`: seconds of the machine's monotonic clock."""
--- a/coralvale/cluster/soak/rules_processes.py
+++ b/coralvale/cluster/soak/rules_processes.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import defaultdict
 from collections.abc import Callable, Iterator
+from itertools import dropwhile
 
 from coralvale.cluster.soak import history as h
 from coralvale.cluster.soak.timeline import MARGIN_S, Timeline, Violation
 
 WARM_UP_S = 5.0  # after a process first reports its tasks; samples in it are ignored
+CLIENT_WINDOW_S = 2.0  # in which a client that uses a gateway has sent it a request
 MIN_SPAN_S = 10.0  # of samples after the warm-up; a life with fewer is not checked
 GROWTH_LIMITS: tuple[tuple[str, Callable[[h.Sample], int], int], ...] = (
     ("descriptors", lambda sample: sample.descriptors, 40),
@@ -38,11 +41,35 @@
             yield Violation("END", at, f"{name} exited with code {life.exit_code} after SIGTERM", name)
 
 
+class _ClientCounts:
+    """How many clients use each life of a gateway."""
+
+    def __init__(self, timeline: Timeline) -> None:
+        self.requests: dict[tuple[int, int], list[tuple[float, int]]] = defaultdict(list)
+        for sent in timeline.events_of(h.Sent):
+            client = sent.connection // h.CONNECTIONS_PER_CLIENT
+            self.requests[sent.gateway, sent.life].append((sent.at, client))
+
+    def at(self, gateway: int, life: int, moment: float) -> int:
+        """The clients that sent it a request in the `CLIENT_WINDOW_S` before a moment."""
+        requests = self.requests[gateway, life]
+        first, last = bisect_left(requests, (moment - CLIENT_WINDOW_S,)), bisect_left(requests, (moment,))
+        return len({client for _, client in requests[first:last]})
+
+    def from_half_of_the_last(self, gateway: int, life: int, samples: list[h.Sample]) -> list[h.Sample]:
+        """The samples from the first on at which half as many clients use the life as in the last fifth."""
+        since = samples[-1].at - (samples[-1].at - samples[0].at) / 5
+        least = min(self.at(gateway, life, s.at) for s in samples if s.at >= since)
+        return list(dropwhile(lambda s: 2 * self.at(gateway, life, s.at) < least, samples))
+
+
 def growth(timeline: Timeline) -> Iterator[Violation]:
     """GROWTH: resources of a long life in its last fifth exceed those in its first by no more than a margin.
 
-    The minimum of the last fifth is compared with the maximum of the first.
+    The minimum of the last fifth is compared with the maximum of the first. A life that clients come to later is
+    compared from when half as many use it as at its end: each brings connections of its own and to hosts.
     """
+    clients = _ClientCounts(timeline)
     by_life: dict[tuple[int, int], list[h.Sample]] = defaultdict(list)
     # When a life first reported its tasks: on a busy machine a process starts slowly.
     began: dict[tuple[int, int], float] = {}
@@ -54,7 +81,8 @@
         warm = name in began and sample.at >= began[name] + WARM_UP_S
         if life and warm and (life.terminated_at is None or sample.at < life.terminated_at):
             by_life[name].append(sample)
-    for (gateway, number), samples in by_life.items():
+    for (gateway, number), warm_samples in by_life.items():
+        samples = clients.from_half_of_the_last(gateway, number, warm_samples)
         span = samples[-1].at - samples[0].at
         if span < MIN_SPAN_S:
             continue
--- a/tests/cluster/test_soak_checker.py
+++ b/tests/cluster/test_soak_checker.py
@@ -127,6 +127,15 @@
     return h.Process(at, 1, 1, what, code=code)
 
 
+def users(seconds: range, clients: int) -> list[h.Event]:
+    """Requests of so many clients to the life that `samples` are of, one a second each."""
+    return [
+        sent(f"u{n}-{client}", 5.9 + n, gateway=1, connection=client * h.CONNECTIONS_PER_CLIENT)
+        for n in seconds
+        for client in range(clients)
+    ]
+
+
 def samples(descriptors: Sequence[int], tasks: int = 20, memory: int = 50_000) -> list[h.Event]:
     return [
         h.Sample(6.0 + n, 1, 1, count, memory + memory * n * (tasks == 21), 0.0, tasks)
@@ -424,6 +433,16 @@
         set(),
     ),
     ("descriptors that grow", samples(range(50, 350, 10)), {"GROWTH"}),
+    (
+        "descriptors that grow as clients come",
+        [*samples([40] * 12 + [85] * 18), *users(range(12), 2), *users(range(12, 30), 15)],
+        set(),
+    ),
+    (
+        "descriptors that grow while clients stay",
+        [*samples([40] * 12 + [85] * 18), *users(range(30), 15)],
+        {"GROWTH"},
+    ),
     ("memory that grows", samples([50] * 30, tasks=21), {"GROWTH"}),
 ]
 
