--- a/coralvale/cluster/soak/rules_requests.py
+++ b/coralvale/cluster/soak/rules_requests.py
@@ -159,7 +159,7 @@
         end, life = request.end, timeline.life_of(request)
         if not isinstance(end, h.Answered) or end.status not in OWN_FAILURES:
             continue
-        if life is None or life.terminated_at is None or not request.sent.at <= end.at >= life.terminated_at:
+        if life is None or life.terminated_at is None or end.at < life.terminated_at:
             continue
         if end.at - request.sent.at >= request.sent.limit - TIMEOUT_MARGIN_S:
             continue
