Bound the names in E518, and let no error keep a process from its end

A gateway with hundreds of requests in hand named them all in one line; 20 are named, the count stands beside them. No decision changes.

--- a/coralvale/cluster/server/node.py
+++ b/coralvale/cluster/server/node.py
@@ -8,6 +8,7 @@
 import asyncio
 import os
 import signal
+from functools import partial
 from pathlib import Path
 
 from coralvale.cluster.configuration.history import Change
@@ -30,6 +31,7 @@
 from coralvale.cluster.server.ctl import Control, ControlBackend, ControlServer, StatusAndBody
 from coralvale.cluster.server.edge import Edge, EdgeServer
 from coralvale.cluster.server.gossip import GossipExchange
+from coralvale.cluster.server.guard import run_guarded
 from coralvale.cluster.server.hosts import Hosts
 from coralvale.cluster.server.membership import Membership
 from coralvale.cluster.server.messages import (
@@ -64,6 +66,7 @@
 SENT_CHECK_INTERVAL_S = 0.02  # between checks whether all answers have been sent
 LEAVE_MESSAGES = 4  # that tell the other gateways that this one leaves
 LEAVE_INTERVAL_S = 0.06  # between them
+MAX_NAMED_REQUESTS = 20  # in the log event of those that a process gave up
 RESERVED_DESCRIPTORS = 300  # for files, peers and the event loop
 HOST_CONNECTIONS_SHARE = 0.45  # of the other descriptors, for connections to hosts
 STARTUP_WAIT_S = 2.0  # for which a starting gateway waits for the hosts, and the usage reports of all others
@@ -262,12 +265,16 @@
         """Waits for the answers to what was read; what has none in time is answered with what is known."""
         await self._until_sent(servers, schedule.answer)
         for server in servers:
-            if given_up := server.answer_unfinished():
-                names = ", ".join(map(str, given_up))
-                kind = "edge" if server is self.edge_server else "control"
-                log_event(Event.REQUESTS_GIVEN_UP, count=len(given_up), server=kind, names=names)
+            run_guarded("answers at the end", partial(self._give_up, server))
         await self._until_sent(servers, schedule.cut)
 
+    def _give_up(self, server: Server) -> None:
+        """Has a server answer what is in hand with what is known, and logs it."""
+        if given_up := server.answer_unfinished():
+            names = ", ".join(map(str, given_up[:MAX_NAMED_REQUESTS]))
+            kind = "edge" if server is self.edge_server else "control"
+            log_event(Event.REQUESTS_GIVEN_UP, count=len(given_up), server=kind, names=names)
+
     async def _until_sent(self, servers: list[Server], deadline: float) -> None:
         """Waits until clients have received the answers to all requests that were read, or until the deadline."""
         while any(server.is_sending() for server in servers) and self.runtime.clock.monotonic() < deadline:
