--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,15 +14,16 @@
 
 
 def known_red() -> dict[str, str]:
-    """By test, the cause and the issue. Raises pytest.UsageError naming a line that cannot be read."""
+    """By test, the causes and the issues. Raises pytest.UsageError naming a line that cannot be read."""
     path = ROOT / "KNOWN-RED.txt"
     lines = path.read_text().splitlines() if path.exists() else []
-    found = {}
+    found: dict[str, str] = {}
     for number, line in enumerate(lines, 1):
         parts = line.split(" | ")
         if len(parts) != 3 or not (ROOT / parts[0].partition("::")[0]).is_file():
             raise pytest.UsageError(f"{path}:{number}: not 'test | cause | issue' of a file that is there")
-        found[parts[0]] = f"{parts[1]} (issue {parts[2]})"
+        reason = f"{parts[1]} (issue {parts[2]})"
+        found[parts[0]] = f"{found[parts[0]]}; {reason}" if parts[0] in found else reason
     return found
 
 
