Tests of ends on real processes: the time that hosts are handed, and a stopped process

A gateway that is stopped as SIGTERM comes, and goes on 1.2 s later, answers a request of a silent host before SIGKILL; what is passed on after SIGTERM is handed no more time than the process has.

--- a/coralvale/standins/cluster.py
+++ b/coralvale/standins/cluster.py
@@ -123,6 +123,7 @@
     loses: tuple[str, ...] = ()  # starts of the ids of requests that it runs, and whose answers it loses
     hangs_on: tuple[str, ...] = ()  # starts of the ids that it never runs nor answers, like one that is full
     ran: Counter[str] = field(default_factory=Counter)
+    time_left: dict[str, float] = field(default_factory=dict)  # s, as it was handed with the latest try
 
     async def start(self) -> StandIn:
         self.id = f"i-{random.randrange(1 << 40):010x}"
@@ -167,6 +168,7 @@
                 if id_.startswith(self.hangs_on):
                     await reader.read()  # it answers nothing further on this connection
                     break
+                self.time_left[id_] = int(request.headers.get(b"x-myrtlehatch-time-left", b"0")) / 1000
                 self.ran[id_] += 1
                 self.running += 1
                 await asyncio.sleep(self.work)
--- a/tests/cluster/test_silent_hosts_at_the_end.py
+++ b/tests/cluster/test_silent_hosts_at_the_end.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import re
 import signal
+import time
 
 from test_processes import run_scene
 
@@ -12,6 +14,8 @@
 from coralvale.standins.wire import read_message
 
 STOPPED = 3  # the gateway that is stopped; it has no disk
+GRACE_S = 6.0  # from SIGTERM to SIGKILL, as the settings say
+SIGTERM_AFTER_S = 0.5  # after clients have connected
 FAILED = {502, 504}  # statuses of a request that may have run
 PATIENCE_MS = 9000  # for which clients wait, longer than a process has after SIGTERM
 
@@ -57,9 +61,9 @@
 async def stop_under(
     cluster: LocalCluster, *requests: tuple[float, list[tuple[str, str]]]
 ) -> list[list[int]]:
-    """Stops a gateway 0.5 s after clients have connected to it; the statuses that each of them got."""
+    """Stops a gateway SIGTERM_AFTER_S after clients have connected to it; the statuses that each of them got."""
     asked = asyncio.gather(*(statuses(cluster, sent_at, *series) for sent_at, series in requests))
-    await asyncio.sleep(0.5)
+    await asyncio.sleep(SIGTERM_AFTER_S)
     ended = asyncio.create_task(cluster.kill(STOPPED, signal.SIGTERM))
     found = await asked
     assert await ended == 0
@@ -75,6 +79,10 @@
         found = await stop_under(cluster, *requests)
         assert all(len(one) == 1 and set(one) <= FAILED for one in found), found
         assert "E517" not in cluster.log(STOPPED)
+        handed = {id_: left for host in cluster.hosts for id_, left in host.time_left.items()}
+        for n, (at, _) in enumerate(sent):
+            if at > SIGTERM_AFTER_S:  # it is handed no more time than the process had
+                assert handed.get(f"{start_of_id}-{n}", 0.0) <= GRACE_S - (at - SIGTERM_AFTER_S)
 
     run_scene(scene)
 
@@ -99,3 +107,25 @@
         assert "E517" not in cluster.log(STOPPED)
 
     run_scene(scene)
+
+
+# Guards against LOST: a process that was held up as SIGTERM came reckoned from its handler, and met SIGKILL.
+def test_a_process_that_was_stopped_as_sigterm_came_answers_before_sigkill() -> None:
+    async def scene(cluster: LocalCluster) -> None:
+        await prepare(cluster)
+        asked = asyncio.create_task(statuses(cluster, 0.2, ("lost-0", "read")))
+        await asyncio.sleep(0.5)
+        process = cluster.processes[STOPPED]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.3)
+        begun = time.monotonic()
+        ended = asyncio.create_task(cluster.kill(STOPPED, signal.SIGTERM))
+        await asyncio.sleep(1.2)
+        process.send_signal(signal.SIGCONT)
+        found = await asked
+        assert len(found) == 1 and set(found) <= FAILED and time.monotonic() - begun < GRACE_S
+        assert await ended == 0
+        told = re.search(r"may have come ([\d.]+) s before", cluster.log(STOPPED))
+        assert told and float(told[1]) >= 1.2
+
+    run_scene(scene)
