--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,8 @@
 	ruff check .
 	mypy
 	lint-imports
-	python -m pytest -n 4 --dist worksteal
+	python -m pytest -n 4 --dist worksteal --ignore=tests/crowds
+	python -m pytest tests/crowds
 
 bench: $(VENV)/made
 	python benchmarks/control.py $(ARGS)
--- a/coralvale/standins/cluster.py
+++ b/coralvale/standins/cluster.py
@@ -38,11 +38,15 @@
     regions: tuple[str, str] = ("home", "home"),
     seeds: list[str] | None = None,
     budget: int = 1,
+    memory_mb: int = 300,
+    max_descriptors: int = 1000,
 ) -> str:
     """A gateway's settings file. The first `disks` have a disk. `regions`: of the two zones; `seeds`: IP numbers,
-    the first three gateways without it; `budget`: machines with a disk that may be lost at once."""
+    the first three gateways without it; `budget`: machines with a disk that may be lost at once; `memory_mb`,
+    `max_descriptors`: limits of each machine."""
     ip = ips[number]
     holds = number < disks
+    disk_mb = 64 if holds else 0
     return f"""Hostname: "gateway-{number}"
 Ip: "{ip}"
 Az: "zone-{number % 2}"
@@ -53,7 +57,7 @@
 Seeds: {json.dumps([f"{i}:{CTL}" for i in seeds or ips[:3]])}
 Bootstrap: {str(bootstrap).lower()}
 Voting: {str(holds).lower()}
-Limits: {{CpuFrac: 0.8, Ncpu: 1, MemMb: 300, MaxFds: 1000, NicMbps: 1000.0, DiskMb: {64 if holds else 0}}}
+Limits: {{CpuFrac: 0.8, Ncpu: 1, MemMb: {memory_mb}, MaxFds: {max_descriptors}, NicMbps: 1000.0, DiskMb: {disk_mb}}}
 Datadir: "{folder / f"data-{number}" if holds else ""}"
 HeartbeatMs: {int(BEAT * 1000)}
 FaultBudget: {{Nodes: {budget}, Zones: 0, Regions: 0}}
@@ -208,10 +212,13 @@
         regions: tuple[str, str] = ("home", "home"),
         program: tuple[str, ...] = ("-m", "coralvale.cluster"),
         budget: int = 1,
+        memory_mb: int = 300,
+        max_descriptors: int = 1000,
     ) -> None:
-        """`program`: what Python starts for a gateway."""
+        """`program`: what Python starts for a gateway; `memory_mb`, `max_descriptors`: limits of each machine."""
         self.level, self.metrics, self.regions = level, metrics, regions
         self.program, self.budget = program, budget
+        self.memory_mb, self.max_descriptors = memory_mb, max_descriptors
         self.folder = tempfile.TemporaryDirectory(prefix="cluster-")
         self.path = Path(self.folder.name)
         self.ips = [f"{net}.{n + 1}" for n in range(gateways)]
@@ -221,7 +228,17 @@
 
     def settings(self, number: int, bootstrap: bool = False) -> str:
         """The text of a gateway's settings file."""
-        return settings(number, self.ips, self.disks, self.path, bootstrap, self.regions, budget=self.budget)
+        return settings(
+            number,
+            self.ips,
+            self.disks,
+            self.path,
+            bootstrap,
+            self.regions,
+            budget=self.budget,
+            memory_mb=self.memory_mb,
+            max_descriptors=self.max_descriptors,
+        )
 
     async def begin(self, number: int, bootstrap: bool = False) -> None:
         file = self.path / f"settings-{number}.yaml"
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -7,6 +7,7 @@
 import math
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -165,6 +166,26 @@
     run(test())
 
 
+@pytest.mark.parametrize("turns", range(4))
+def test_a_stall_of_the_loop_while_connecting_keeps_no_place_among_the_open_connections(turns: int) -> None:
+    """`turns`: of the loop before the stall, which is longer than a connection may take to be opened."""
+
+    async def test() -> None:
+        async with bench(auto=answer(), connect=0.05) as b:
+            for _ in range(5):
+                b.send()
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            time.sleep(0.2)  # noqa: ASYNC251 - the stall
+            for _ in range(5):
+                assert await b.outcome() in (Outcome.OK, Outcome.CONNECT_FAILED)
+            for pool in list(b.upstreams.pools.values()):
+                pool.retire()
+            await until(lambda: b.upstreams.open == 0 and not b.upstreams.connections)
+
+    run(test())
+
+
 def test_a_break_after_the_last_byte_is_a_reset_and_nothing_is_sent_twice() -> None:
     async def test() -> None:
         async with bench() as b:
