Answers of hosts are kept in few pieces, and their framing is bounded

What callers saw: hosts whose answers do not end (64 kB of head in short lines, tiny chunks, a trailer line without an end) took a process to 213, 107 and 494 MB on a machine of 100 MB, with 100 requests in hand.

Cause: the same as for clients: a header line of a few bytes, or a chunk of two, was kept as objects, and a trailer line is gathered in the parser, without a bound once the head of the answer was complete.

Change: `HeaderBlock` and `BodyBuffer` at the connections to hosts too; an answer ends its attempt as an error (it may have run) once 64 KiB were read since its body last grew. Not part of the account: what hosts' answers hold is bounded for each connection and by the number of connections.

--- a/coralvale/cluster/server/hosts.py
+++ b/coralvale/cluster/server/hosts.py
@@ -77,8 +77,7 @@
         return owner
 
     def _make_answer(self) -> HostAnswer:
-        passed_on = self.attempt is not None and self.attempt.sink is not None
-        answer = HostAnswer(self.status, [], b"" if passed_on or not self.complete else b"".join(self.body))
+        answer = HostAnswer(self.status, [], self._whole_body())
         for name, value in self.headers:
             lower = name.lower()
             if lower == LOAD:
--- a/coralvale/net/upstream.py
+++ b/coralvale/net/upstream.py
@@ -14,14 +14,17 @@
 import re
 import socket
 from collections import deque
+from collections.abc import Iterable
 from typing import Any
 
 import httptools
 
 from coralvale.interface import Outcome
+from coralvale.net.body_buffer import BodyBuffer
 from coralvale.net.clock import Clock
 from coralvale.net.config import Address, HostInstance
 from coralvale.net.endings import WaitsFor
+from coralvale.net.header_block import HeaderBlock
 from coralvale.net.sockets import Sockets
 from coralvale.net.transport import Answer, AnswerOwner, Attempt, WriteProgress
 
@@ -71,8 +74,10 @@
         self._clear()
 
     def _clear(self) -> None:
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []  # received and not yet streamed
+        self.headers = HeaderBlock()
+        self.body = BodyBuffer()  # received and not yet streamed
+        self.has_progress = False  # whether the data that was read last brought a part of the body
+        self.framing_bytes = 0  # read since the body last grew: the parser keeps a trailer line until it ends
         self.length: int | None = None
         self.ends_with_connection = False  # the end of the connection ends the answer
         self.headers_at: float | None = None  # when an answer of unknown length began to be buffered
@@ -154,6 +159,7 @@
         if self.owner is None:
             self.head_size += len(data)
         self.last_read_at = self.pool.owner.clock.now()
+        self.has_progress = False
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -166,11 +172,18 @@
         elif self.owner is None:
             if self.head_size > MAX_HEAD_BYTES:
                 self._finish(Outcome.ERROR)
+        elif self._framing_is_too_long(data):
+            self._finish(Outcome.ERROR)
         elif self.owner is AnswerOwner.OWN and (
             self.size > MAX_BUFFERED_BYTES or (self.status == 200 and self._should_stream())
         ):
             self._stream()
 
+    def _framing_is_too_long(self, data: bytes) -> bool:
+        """Whether too much was read since the body last grew, such as a trailer line that does not end."""
+        self.framing_bytes = 0 if self.has_progress else self.framing_bytes + len(data)
+        return self.framing_bytes > MAX_HEAD_BYTES
+
     def _should_stream(self) -> bool:
         """Whether to stream the answer: it is too long to be buffered, or of unknown length and slow."""
         if self.attempt and self.attempt.sink:
@@ -207,8 +220,7 @@
             attempt.sink, attempt.streamed_at = sink, self.last_read_at
             if attempt.timer:
                 attempt.timer.cancel()
-        body, self.body = self.body, []
-        attempt.sink.write(body)
+        attempt.sink.write(self.body.take())
 
     def pause(self) -> None:
         """Stops reading, because the client does not keep up."""
@@ -251,7 +263,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.complete and self.owner is None:  # trailers come after what was streamed
-            self.headers.append((name, value.strip(b" \t")))
+            self.headers.append(name, value.strip(b" \t"))
 
     def on_headers_complete(self) -> None:
         if self.complete or self.parser.get_status_code() < 200:
@@ -273,6 +285,7 @@
         return AnswerOwner.OWN
 
     def on_body(self, body: bytes) -> None:
+        self.has_progress = True
         if not self.complete and self.owner is AnswerOwner.OWN:
             self.body.append(body)
             self.size += len(body)
@@ -299,15 +312,18 @@
         answer = self._make_answer()
         outcome = self._outcome(answer)
         if self.attempt and self.attempt.sink and self.body:
-            self.attempt.sink.write(self.body)
+            self.attempt.sink.write(self.body.take())
         # An answer that came before the whole request was written leaves the connection inside a message.
         keep = self.keep_alive and not self.write_pending
         self._finish(outcome, answer, keep)
 
     def _make_answer(self) -> Answer:
+        return make_answer(self.status, self.headers, self._whole_body(), self.pool.owner.report_fields)
+
+    def _whole_body(self) -> bytes:
+        """The body of a complete answer that is not streamed."""
         passed_on = self.attempt is not None and self.attempt.sink is not None
-        body = b"" if passed_on or not self.complete else b"".join(self.body)
-        return make_answer(self.status, self.headers, body, self.pool.owner.report_fields)
+        return b"" if passed_on or not self.complete else b"".join(self.body.pieces)
 
     def _outcome(self, answer: Answer) -> Outcome:
         return outcome_of(answer)
@@ -598,7 +614,7 @@
 
 
 def make_answer(
-    status: int, headers: list[tuple[bytes, bytes]], body: bytes, report_fields: tuple[str, ...]
+    status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes, report_fields: tuple[str, ...]
 ) -> Answer:
     """Builds an answer; headers that are for the gateway alone are read and not passed on to the client."""
     answer = Answer(status, [], body)
--- a/tests/cluster/test_memory_mutants.py
+++ b/tests/cluster/test_memory_mutants.py
@@ -135,6 +135,11 @@
     patch.setattr(Connection, "forget", forget)
 
 
+@mutant(lambda: upstream.test_framing_of_an_answer_that_does_not_end_is_given_up(b"0\r\nX-Sum: "))
+def bounds_no_framing_of_answers(patch: Patch) -> None:
+    patch.setattr(Connection, "_framing_is_too_long", lambda self, data: False)
+
+
 @pytest.mark.parametrize("name", MUTANTS)
 def test_each_guard_is_found_missing_by_its_test(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     make, test = MUTANTS[name]
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -186,6 +186,23 @@
     run(test())
 
 
+@pytest.mark.parametrize("framing", [b"0\r\nX-Sum: ", b"5;"], ids=["trailer", "extension"])
+def test_framing_of_an_answer_that_does_not_end_is_given_up(framing: bytes) -> None:
+    async def test() -> None:
+        async with bench() as b:
+            b.send()
+            arrived = await b.host.next()
+            arrived.reply(b"HTTP/1.1 404 No\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n" + framing)
+            for _ in range(20):
+                if not b.ended.empty():
+                    break
+                arrived.reply(b"A" * 16_384)
+                await asyncio.sleep(0.01)
+            assert await b.outcome() is Outcome.ERROR
+
+    run(test())
+
+
 def test_a_break_after_the_last_byte_is_a_reset_and_nothing_is_sent_twice() -> None:
     async def test() -> None:
         async with bench() as b:
