--- a/coralvale/net/exchange.py
+++ b/coralvale/net/exchange.py
@@ -104,8 +104,13 @@
             self._charge(min(self.held_bytes, self.needed_bytes()))
 
     def release(self) -> None:
-        """Drops the body, as the request is in hand no more."""
+        """Drops all that is large, as the request is in hand no more.
+
+        It and its handler's record refer to each other, and would stay until the cyclic garbage collection.
+        """
         self.received.clear()
+        self.headers.clear()
+        self.handler_state = None
         self._charge(0)
 
     def _charge(self, size: int) -> None:
--- a/tests/cluster/test_client_memory.py
+++ b/tests/cluster/test_client_memory.py
@@ -213,6 +213,25 @@
     run_scene(1, scene)
 
 
+def test_an_answered_request_keeps_nothing_until_the_garbage_collection() -> None:
+    async def scene(s: Scene) -> None:
+        gc.collect()
+        gc.disable()
+        try:
+            reader, writer = await s.connect()
+            writer.write(head("r-1", READ, "a:\r\n" * 1_000))
+            arrived = await next_request(s)
+            exchange = only_connection(s).exchanges[0]
+            assert exchange.headers.held_bytes > 2_000
+            arrived.reply(reply("r-1"))
+            assert await status(reader) == 200
+            await until(lambda: exchange.headers.held_bytes == 0 and exchange.handler_state is None)
+        finally:
+            gc.enable()
+
+    run_scene(1, scene)
+
+
 def test_small_chunks_leave_the_loop_to_others() -> None:
     """Of 200 kB in small chunks that came at once each turn of the loop parses a part."""
 
