Mutants of the guards of waiting input, unread answers, and what is freed

New: waiting input stays charged as long as it is held, with its parsed part (180 kB in small chunks that came at once).

--- a/tests/cluster/test_client_memory.py
+++ b/tests/cluster/test_client_memory.py
@@ -144,6 +144,21 @@
     run_scene(1, scene)
 
 
+def test_input_that_waits_is_charged_as_long_as_it_is_held() -> None:
+    async def scene(s: Scene) -> None:
+        s.server.limits.max_body_bytes = 1 << 20
+        _, writer = await s.connect()
+        writer.write(head("r-1", BOOK, CHUNKED))
+        await until(lambda: s.server.connections and only_connection(s).in_chunks)
+        connection, before = only_connection(s), s.server.memory.held
+        connection.data_received(b"1\r\na\r\n" * 30_000)
+        assert s.server.memory.held - before >= 180_000  # with the part that is parsed
+        await until(lambda: not connection.input)
+        assert s.server.memory.held < before + 180_000
+
+    run_scene(1, scene)
+
+
 def test_of_pipelined_requests_no_more_than_the_bound_are_taken_and_all_are_answered() -> None:
     async def scene(s: Scene) -> None:
         reader, writer = await s.connect()
--- a/tests/cluster/test_memory_mutants.py
+++ b/tests/cluster/test_memory_mutants.py
@@ -13,6 +13,7 @@
 from coralvale.net.body_buffer import BodyBuffer
 from coralvale.net.client_connection import ClientConnection
 from coralvale.net.exchange import Exchange
+from coralvale.net.header_block import HeaderBlock
 from coralvale.net.memory import MemoryShare
 from coralvale.net.upstream import Connection
 
@@ -135,6 +136,32 @@
     patch.setattr(Connection, "forget", forget)
 
 
+@mutant(clients.test_an_answered_request_keeps_nothing_until_the_garbage_collection)
+def keeps_header_lines(patch: Patch) -> None:
+    patch.setattr(HeaderBlock, "clear", lambda self: None)
+
+
+@mutant(clients.test_a_request_that_was_read_within_the_account_is_not_refused_at_its_end)
+def checks_a_charge_of_less(patch: Patch) -> None:
+    def hold(self: Exchange, size: int) -> bool:
+        if not self.connection.server.memory.reserve(self.connection, size - self.held_bytes):
+            return False
+        self.held_bytes = size
+        return True
+
+    patch.setattr(Exchange, "hold", hold)
+
+
+@mutant(clients.test_input_that_waits_is_charged_as_long_as_it_is_held)
+def charges_no_input(patch: Patch) -> None:
+    patch.setattr(ClientConnection, "_charge_input", lambda self: None)
+
+
+@mutant(clients.test_answers_that_are_not_read_are_cut_off_while_the_account_is_full)
+def sheds_no_unread_answers(patch: Patch) -> None:
+    patch.setattr(ClientConnection, "cut", lambda self, cause: None)
+
+
 @mutant(lambda: upstream.test_framing_of_an_answer_that_does_not_end_is_given_up(b"0\r\nX-Sum: "))
 def bounds_no_framing_of_answers(patch: Patch) -> None:
     patch.setattr(Connection, "_framing_is_too_long", lambda self, data: False)
